--- /dev/null
+++ b/flamingohollow/raft.h
@@ -0,0 +1,309 @@
+// Consensus on the replicated log, as step functions over a plain struct.
+//
+// The algorithm is Raft (Ongaro and Ousterhout, 2014) with pre-vote, check
+// quorum, leader transfer, learners and one membership change at a time.
+// `Step` takes one event and says what to write, send and apply; it reads no
+// clock, file or random device. The shell (replica.cc) carries the actions out.
+//
+// What makes it safe, beyond the paper:
+// - A voter is its data folder: every message names the VoterId of sender and
+//   addressee. A wiped folder gets a new VoterId, so what was promised by the
+//   old one is never claimed, nor its vote cast, by the new one.
+// - A claim about durable state (a granted vote, an acknowledged entry) leaves
+//   only after everything written before it is synced: `send_synced_`. The
+//   leader's own vote and acknowledgement are messages to itself and wait
+//   likewise.
+// - A blank voter neither campaigns nor votes. It joins a group when that
+//   group's leader sends it the log, or through `init`, where every founder
+//   pledges to the one founding membership before any of them may use it.
+// - A learner is promoted only once it has acknowledged, synced, everything
+//   committed. A voter that lost its folder is taken out of the quorum's count
+//   by the same record that brings it back as a learner.
+//
+// Cost of a step: O(members log members) at the leader, O(entries) at a
+// follower. Memory: the log since the last snapshot, one snapshot coming in,
+// and bounded queues; see RaftConfig.
+
+#ifndef FLAMINGOHOLLOW_RAFT_H_
+#define FLAMINGOHOLLOW_RAFT_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "flamingohollow/raft_log.h"
+#include "flamingohollow/raft_message.h"
+#include "flamingohollow/types.h"
+#include "util/clock.h"
+
+namespace flamingohollow {
+
+struct RaftConfig {
+  Duration heartbeat_ = Duration(100);
+  // A follower campaigns this long after it last heard from a leader, the
+  // exact time chosen anew each time. The minimum is also how long a leader
+  // goes on without a majority, and how long a follower sticks to its leader.
+  Duration election_min_ = Duration(600);
+  Duration election_max_ = Duration(1200);
+  // Unanswered entries are sent again after this long.
+  Duration resend_ = Duration(300);
+  // An `init` or an added voter's answer is given up on after this long.
+  Duration contact_ = Duration(3000);
+  std::size_t batch_bytes_ = std::size_t{256} * 1024;
+  std::size_t batch_entries_ = 512;
+  // Batches under way to one voter.
+  std::size_t window_ = 8;
+  std::size_t chunk_bytes_ = std::size_t{256} * 1024;
+  std::size_t max_snapshot_bytes_ = std::size_t{64} * 1024 * 1024;
+  // Proposals are refused while this much is not committed.
+  std::size_t max_uncommitted_bytes_ = std::size_t{4} * 1024 * 1024;
+  std::size_t max_uncommitted_entries_ = 8192;
+  std::size_t max_waiting_reads_ = 4096;
+  // Entries kept behind a snapshot, so that a voter that is a little behind
+  // needs no snapshot.
+  std::size_t keep_entries_ = 256;
+};
+
+// What must be durable beside the log.
+struct HardState {
+  Term term_;
+  // Whom this voter voted for in `term_`; 0 for nobody.
+  VoterId vote_;
+  // Digest of the founding membership that this voter pledged to; 0 for none.
+  std::uint64_t pledge_ = 0;
+
+  friend bool operator==(const HardState&, const HardState&) = default;
+};
+
+enum class Role : std::uint8_t {
+  kFollower,
+  kPreCandidate,
+  kCandidate,
+  kLeader,
+};
+
+// What a leader knows of one member.
+struct Progress {
+  // Everything up to here is synced there.
+  LogIndex match_;
+  // The next entry to send; > match_.
+  LogIndex next_;
+  // Last index of each batch under way, ascending.
+  std::deque<LogIndex> in_flight_;
+  // One batch at a time, until an acknowledgement shows where the logs meet.
+  bool probing_ = true;
+  // When the leader sent the newest message that was answered. Not when the
+  // answer came: an answer that waited in a buffer proves nothing about now.
+  Time answered_;
+  // The newest read round answered.
+  std::uint64_t round_ = 0;
+  Time last_sent_;
+  // When to send again if no acknowledgement comes.
+  Time resend_at_;
+  // The snapshot being sent; index 0 for none.
+  LogIndex snapshot_;
+  std::uint64_t snapshot_offset_ = 0;
+};
+
+struct WaitingRead {
+  std::uint64_t id_ = 0;
+  std::uint64_t round_ = 0;
+  LogIndex index_;
+};
+
+// A snapshot that is coming in by chunks.
+struct IncomingSnapshot {
+  VoterId leader_;
+  LogIndex index_;
+  Term term_;
+  std::string data_;
+};
+
+// One voter named in the settings.
+struct Founder {
+  NodeName name_;
+  std::string address_;
+
+  friend bool operator==(const Founder&, const Founder&) = default;
+};
+
+enum class FormationPhase : std::uint8_t { kProbe, kPledge, kFound };
+
+// An `init` under way at the voter that was asked.
+struct Formation {
+  FormationPhase phase_ = FormationPhase::kProbe;
+  std::vector<Founder> founders_;
+  // Complete after the first phase.
+  Membership membership_;
+  // Names of the founders that have answered in this phase.
+  std::set<NodeName> answered_;
+  Time deadline_;
+  Time resend_at_;
+};
+
+// An added or returning voter whose identity the leader is asking for.
+struct Joining {
+  Founder voter_;
+  // Only the answer to this leader's own probe counts: an old answer may name
+  // an identity that is gone.
+  std::uint64_t nonce_ = 0;
+  // Asked for by an operator, who waits for the outcome.
+  bool by_operator_ = false;
+  Time deadline_;
+  Time resend_at_;
+};
+
+struct RaftState {
+  RaftConfig config_;
+  GroupId group_;
+  VoterId id_;
+  NodeName name_;
+  std::string address_;
+  // State of the generator of election time-outs.
+  std::uint64_t random_ = 1;
+
+  HardState hard_;
+  RaftLog log_;
+
+  Role role_ = Role::kFollower;
+  // 0 while unknown.
+  VoterId leader_;
+  // base_index_ <= applied_ <= commit_ <= LastIndex; none ever goes down.
+  LogIndex commit_;
+  LogIndex applied_;
+  Time election_deadline_;
+  // When this follower last heard from a leader of its term, if it has.
+  std::optional<Time> heard_leader_;
+  // Members that granted the running pre-vote or vote.
+  std::set<VoterId> votes_;
+  // The running campaign was asked for by the old leader.
+  bool transfer_campaign_ = false;
+  std::optional<IncomingSnapshot> incoming_;
+  std::optional<Formation> formation_;
+
+  // Leader only; cleared on losing leadership.
+  std::map<VoterId, Progress> progress_;
+  // The entry that opened the leader's term. Once it is committed, so is
+  // everything that earlier leaders committed.
+  LogIndex term_start_;
+  std::uint64_t read_round_ = 0;
+  std::deque<WaitingRead> reads_;
+  // Bytes of the entries after commit_.
+  std::size_t uncommitted_bytes_ = 0;
+  // Proposals are refused until then, or until leadership is lost.
+  std::optional<Time> transfer_deadline_;
+  std::optional<Joining> joining_;
+  // An operator's change of membership that is answered once this entry is
+  // committed.
+  std::optional<LogIndex> operator_waits_;
+};
+
+// Events.
+
+struct TickEvent {};
+struct ProposeEvent {
+  std::string command_;
+};
+// Asks for proof of leadership after this moment.
+struct ReadEvent {
+  std::uint64_t id_ = 0;
+};
+struct TransferEvent {};
+struct InitEvent {
+  std::vector<Founder> founders_;
+};
+// Adds a voter, or replaces the one of this name.
+struct AddVoterEvent {
+  Founder voter_;
+};
+struct RemoveVoterEvent {
+  NodeName name_;
+};
+// The shell's snapshot of everything up to `applied_`.
+struct CompactEvent {
+  std::shared_ptr<const std::string> data_;
+};
+
+using RaftEvent =
+    std::variant<TickEvent, Message, ProposeEvent, ReadEvent, TransferEvent,
+                 InitEvent, AddVoterEvent, RemoveVoterEvent, CompactEvent>;
+
+// Actions.
+
+struct ReadResult {
+  std::uint64_t id_ = 0;
+  bool ok_ = false;
+};
+
+// Answer to an operator's event.
+struct OperatorResult {
+  bool ok_ = false;
+  std::string reason_;
+};
+
+struct SaveSnapshot {
+  Snapshot snapshot_;
+  // The log before it is replaced, not only shortened.
+  bool reset_log_ = false;
+};
+
+// Writes happen in this order: hard state, snapshot, entries. The first entry
+// replaces the log from its index on.
+struct Actions {
+  std::optional<HardState> hard_state_;
+  std::optional<SaveSnapshot> snapshot_;
+  std::vector<LogEntry> append_;
+  // May leave at once.
+  std::vector<Message> send_;
+  // May leave once all writes up to and with this step's are synced. Messages
+  // to this voter itself go back into `Step`.
+  std::vector<Message> send_synced_;
+  // The owner's state is to be replaced by the log's snapshot.
+  bool restore_ = false;
+
+  // Answer to a ProposeEvent: the entry's index, or why it was refused.
+  std::optional<LogIndex> proposed_;
+  bool refused_overloaded_ = false;
+  std::vector<ReadResult> reads_;
+  // Answers InitEvent, in its step or a later one.
+  std::optional<OperatorResult> init_;
+  // Answers AddVoterEvent and RemoveVoterEvent, in its step or a later one; a
+  // second while one is unanswered is refused by `operator_busy_`.
+  std::optional<OperatorResult> operator_;
+  bool operator_busy_ = false;
+  // Answers TransferEvent at once: whether a transfer has begun.
+  std::optional<OperatorResult> transfer_;
+};
+
+// A voter as its data folder gives it. `snapshot` has index 0 when there is
+// none; `entries` follow the snapshot.
+RaftState MakeRaftState(RaftConfig config, GroupId group, const Member& self,
+                        std::uint64_t seed, HardState hard, Snapshot snapshot,
+                        std::vector<LogEntry> entries, Time now);
+
+Actions Step(RaftState* state, const RaftEvent& event, Time now);
+
+// The next committed entry to apply, marked as applied; nothing when there is
+// none.
+const LogEntry* TakeCommitted(RaftState* state);
+
+// True while a majority answered this leader, or this follower heard from its
+// leader, within the minimal election time-out.
+bool HasQuorum(const RaftState& state, Time now);
+
+// True once the leader has committed an entry of its own term.
+bool LeaderReady(const RaftState& state);
+
+// No log and no snapshot: belongs to no group.
+bool IsBlank(const RaftState& state);
+
+}  // namespace flamingohollow
+
+#endif  // FLAMINGOHOLLOW_RAFT_H_
--- /dev/null
+++ b/flamingohollow/raft_membership.cc
@@ -0,0 +1,455 @@
+// Founding a group, and changing its voters one at a time.
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "flamingohollow/raft.h"
+#include "flamingohollow/raft_internal.h"
+
+namespace flamingohollow::raft_internal {
+namespace {
+
+// Requests of a founding or a joining are sent again after this long.
+constexpr Duration kContactResend(200);
+
+// The founding membership is the first entry of every founder's log; being
+// equal everywhere, it needs no leader to be safe.
+constexpr LogIndex kFoundingIndex(1);
+constexpr Term kFoundingTerm(1);
+
+std::uint64_t MembershipDigest(const Membership& membership) {
+  std::string text;
+  for (const Member& member : membership) {
+    text += std::to_string(member.id_.value());
+    text += '\n' + member.name_.value() + '\n' + member.address_ + '\n';
+  }
+  // 0 means "no pledge".
+  return std::max<std::uint64_t>(1, XXH3_64bits(text.data(), text.size()));
+}
+
+void SortById(Membership* membership) {
+  std::sort(membership->begin(), membership->end(),
+            [](const Member& a, const Member& b) { return a.id_ < b.id_; });
+}
+
+JoinState OwnJoinState(const RaftState& state) {
+  if (IsBlank(state)) return JoinState::kBlank;
+  const bool only_founded =
+      LastIndex(state.log_) == kFoundingIndex && state.commit_ == LogIndex();
+  return only_founded ? JoinState::kFounded : JoinState::kFormed;
+}
+
+ProbeReply DescribeSelf(const RaftState& state, std::uint64_t nonce) {
+  return {.nonce_ = nonce,
+          .name_ = state.name_,
+          .address_ = state.address_,
+          .state_ = OwnJoinState(state),
+          .pledge_ = state.hard_.pledge_};
+}
+
+// Founding.
+
+void FinishInit(StepContext ctx, bool ok, std::string reason) {
+  ctx.state_.formation_.reset();
+  ctx.actions_.init_ = OperatorResult{ok, std::move(reason)};
+}
+
+const Founder* FindFounder(const Formation& formation, const NodeName& name) {
+  for (const Founder& founder : formation.founders_) {
+    if (founder.name_ == name) return &founder;
+  }
+  return nullptr;
+}
+
+// Asks the founders that have not answered in this phase.
+void SendFormation(StepContext ctx) {
+  Formation& formation = *ctx.state_.formation_;
+  formation.resend_at_ = ctx.now_ + kContactResend;
+  const Term term = ctx.state_.hard_.term_;
+  if (formation.phase_ == FormationPhase::kProbe) {
+    for (const Founder& founder : formation.founders_) {
+      if (formation.answered_.contains(founder.name_)) continue;
+      Send(ctx, VoterId(), founder.address_, term, Probe{}, Delivery::kNow);
+    }
+    return;
+  }
+  const FoundRequest request{
+      .take_ = formation.phase_ == FormationPhase::kFound,
+      .membership_ = formation.membership_};
+  for (const Member& member : formation.membership_) {
+    if (formation.answered_.contains(member.name_)) continue;
+    // The own request goes the same way as the others'.
+    Send(ctx, member.id_, member.address_, term, request,
+         member.id_ == ctx.state_.id_ ? Delivery::kSynced : Delivery::kNow);
+  }
+}
+
+void StartPhase(StepContext ctx, FormationPhase phase) {
+  Formation& formation = *ctx.state_.formation_;
+  formation.phase_ = phase;
+  formation.answered_.clear();
+  formation.deadline_ = ctx.now_ + ctx.state_.config_.contact_;
+  SendFormation(ctx);
+}
+
+void TakeFounder(StepContext ctx, VoterId id, const ProbeReply& reply) {
+  Formation& formation = *ctx.state_.formation_;
+  if (formation.phase_ != FormationPhase::kProbe) return;
+  const Founder* founder = FindFounder(formation, reply.name_);
+  if (founder == nullptr || formation.answered_.contains(reply.name_)) return;
+  if (reply.state_ == JoinState::kFormed) {
+    return FinishInit(
+        ctx, false,
+        "voter " + reply.name_.value() + " already belongs to a formed group");
+  }
+  formation.answered_.insert(reply.name_);
+  formation.membership_.push_back(
+      {.id_ = id, .name_ = founder->name_, .address_ = founder->address_});
+  if (formation.answered_.size() < formation.founders_.size()) return;
+  SortById(&formation.membership_);
+  StartPhase(ctx, FormationPhase::kPledge);
+}
+
+void TickFormation(StepContext ctx) {
+  const Formation& formation = *ctx.state_.formation_;
+  if (ctx.now_ >= formation.deadline_) {
+    // All have pledged; whoever is slow gets the founding with the log.
+    if (formation.phase_ == FormationPhase::kFound &&
+        formation.answered_.size() >= QuorumSize(formation.membership_)) {
+      return FinishInit(ctx, true, "");
+    }
+    std::string silent;
+    for (const Founder& founder : formation.founders_) {
+      if (formation.answered_.contains(founder.name_)) continue;
+      silent += ' ' + founder.name_.value() + " (" + founder.address_ + ')';
+    }
+    return FinishInit(ctx, false, "no answer from voters:" + silent);
+  }
+  if (ctx.now_ >= formation.resend_at_) SendFormation(ctx);
+}
+
+// Takes the founding membership as the log's first entry.
+void TakeFounding(StepContext ctx, const Membership& membership) {
+  RaftState& state = ctx.state_;
+  if (state.hard_.term_ < kFoundingTerm) {
+    BecomeFollower(ctx, kFoundingTerm, VoterId());
+  }
+  LogEntry entry{.index_ = kFoundingIndex,
+                 .term_ = kFoundingTerm,
+                 .kind_ = EntryKind::kMembership,
+                 .command_ = {},
+                 .membership_ = membership};
+  ctx.actions_.append_.push_back(entry);
+  AppendEntry(&state.log_, std::move(entry));
+  ResetElectionDeadline(ctx);
+}
+
+// Changing.
+
+bool ChangePending(const RaftState& state) {
+  return !LeaderReady(state) ||
+         CurrentMembershipIndex(state.log_) > state.commit_;
+}
+
+LogIndex AppendMembership(StepContext ctx, Membership membership) {
+  SortById(&membership);
+  LogEntry entry;
+  entry.kind_ = EntryKind::kMembership;
+  entry.membership_ = std::move(membership);
+  const LogIndex index = AppendLocal(ctx, std::move(entry));
+  TrackMembers(ctx);
+  BroadcastEntries(ctx);
+  return index;
+}
+
+// Whether enough voters of `membership` answer to commit under it. A change
+// that can't be committed would also block the next one.
+bool CanCommitUnder(const RaftState& state, const Membership& membership,
+                    Time now) {
+  std::size_t answering = 0;
+  for (const Member& member : membership) {
+    if (member.learner_) continue;
+    const auto progress = state.progress_.find(member.id_);
+    const bool answers =
+        member.id_ == state.id_ ||
+        (progress != state.progress_.end() &&
+         now - progress->second.answered_ <= state.config_.election_min_);
+    if (answers) ++answering;
+  }
+  return CountVoters(membership) > 0 && answering >= QuorumSize(membership);
+}
+
+Membership WithoutName(const Membership& membership, const NodeName& name) {
+  Membership rest;
+  for (const Member& member : membership) {
+    if (member.name_ != name) rest.push_back(member);
+  }
+  return rest;
+}
+
+void SendJoiningProbe(StepContext ctx) {
+  Joining& joining = *ctx.state_.joining_;
+  joining.resend_at_ = ctx.now_ + kContactResend;
+  Send(ctx, VoterId(), joining.voter_.address_, ctx.state_.hard_.term_,
+       Probe{.nonce_ = joining.nonce_}, Delivery::kNow);
+}
+
+void StartJoining(StepContext ctx, const Founder& voter, bool by_operator) {
+  RaftState& state = ctx.state_;
+  state.joining_ =
+      Joining{.voter_ = voter,
+              .nonce_ = std::max<std::uint64_t>(1, NextRandom(&state)),
+              .by_operator_ = by_operator,
+              .deadline_ = ctx.now_ + state.config_.contact_,
+              .resend_at_ = ctx.now_};
+  SendJoiningProbe(ctx);
+}
+
+void FinishJoining(StepContext ctx, bool ok, std::string reason) {
+  const bool by_operator = ctx.state_.joining_->by_operator_;
+  ctx.state_.joining_.reset();
+  if (by_operator) {
+    ctx.actions_.operator_ = OperatorResult{ok, std::move(reason)};
+  }
+}
+
+// Adds the voter that answered the leader's own probe, as a learner. One
+// record takes the former identity of the same name out and brings the new one
+// in: the set of voters changes by at most one, so any majority before and any
+// after it meet.
+void TakeJoining(StepContext ctx, VoterId id, const ProbeReply& reply) {
+  RaftState& state = ctx.state_;
+  const Joining& joining = *state.joining_;
+  if (reply.nonce_ != joining.nonce_) return;
+  if (reply.name_ != joining.voter_.name_) {
+    return FinishJoining(ctx, false,
+                         "the voter at " + joining.voter_.address_ + " is " +
+                             reply.name_.value() + ", not " +
+                             joining.voter_.name_.value());
+  }
+  const Membership& current = CurrentMembership(state.log_);
+  if (FindMember(current, id) != nullptr) {
+    return FinishJoining(ctx, true, "already a member");
+  }
+  if (reply.state_ != JoinState::kBlank || reply.pledge_ != 0) {
+    return FinishJoining(
+        ctx, false,
+        "the data folder of " + reply.name_.value() + " is not empty");
+  }
+  // Asked again after the pending change, until the deadline.
+  if (ChangePending(state)) return;
+  Membership changed = WithoutName(current, reply.name_);
+  changed.push_back({.id_ = id,
+                     .name_ = reply.name_,
+                     .address_ = joining.voter_.address_,
+                     .learner_ = true});
+  if (!CanCommitUnder(state, changed, ctx.now_)) {
+    return FinishJoining(ctx, false, "too few voters answer");
+  }
+  const bool by_operator = joining.by_operator_;
+  state.joining_.reset();
+  const LogIndex index = AppendMembership(ctx, std::move(changed));
+  if (by_operator) state.operator_waits_ = index;
+}
+
+// A member's address is answered by a blank folder: it lost its former one.
+void StartRepair(StepContext ctx, const ProbeReply& reply) {
+  const RaftState& state = ctx.state_;
+  if (!LeaderReady(state) || state.joining_.has_value()) return;
+  if (reply.state_ != JoinState::kBlank || reply.pledge_ != 0) return;
+  const Member* member =
+      FindMemberByName(CurrentMembership(state.log_), reply.name_);
+  if (member == nullptr || member->address_ != reply.address_) return;
+  if (member->id_ == state.id_) return;
+  StartJoining(ctx, {member->name_, member->address_}, false);
+}
+
+void TickJoining(StepContext ctx) {
+  const Joining& joining = *ctx.state_.joining_;
+  if (ctx.now_ >= joining.deadline_) {
+    return FinishJoining(
+        ctx, false, "no answer from the voter at " + joining.voter_.address_);
+  }
+  if (ctx.now_ >= joining.resend_at_) SendJoiningProbe(ctx);
+}
+
+// False, and answered, when the leader can't take an operator's change now.
+bool AcceptsOperator(StepContext ctx) {
+  const RaftState& state = ctx.state_;
+  if (state.operator_waits_.has_value() ||
+      (state.joining_.has_value() && state.joining_->by_operator_)) {
+    ctx.actions_.operator_busy_ = true;
+    return false;
+  }
+  if (state.role_ != Role::kLeader) {
+    ctx.actions_.operator_ = OperatorResult{false, "this voter does not lead"};
+    return false;
+  }
+  return true;
+}
+
+}  // namespace
+
+void TrackMembers(StepContext ctx) {
+  RaftState& state = ctx.state_;
+  const Membership& membership = CurrentMembership(state.log_);
+  std::erase_if(state.progress_, [&membership](const auto& item) {
+    return FindMember(membership, item.first) == nullptr;
+  });
+  for (const Member& member : membership) {
+    if (state.progress_.contains(member.id_)) continue;
+    Progress& progress = state.progress_[member.id_];
+    progress.next_ = Next(LastIndex(state.log_));
+    // Counts as heard from now, so that a new leader has a time-out's length
+    // to reach its voters.
+    progress.answered_ = ctx.now_;
+  }
+}
+
+void PromoteLearner(StepContext ctx) {
+  const RaftState& state = ctx.state_;
+  if (state.role_ != Role::kLeader || ChangePending(state)) return;
+  for (const Member& member : CurrentMembership(state.log_)) {
+    if (!member.learner_) continue;
+    // Everything committed is synced there: whichever voter is lost next, what
+    // it held is held by a majority of the others.
+    const Progress& progress = state.progress_.at(member.id_);
+    if (progress.match_ < state.commit_) continue;
+    if (ctx.now_ - progress.answered_ > state.config_.election_min_) continue;
+    Membership changed = CurrentMembership(state.log_);
+    for (Member& other : changed) {
+      if (other.id_ == member.id_) other.learner_ = false;
+    }
+    AppendMembership(ctx, std::move(changed));
+    return;
+  }
+}
+
+void AnswerOperator(StepContext ctx) {
+  RaftState& state = ctx.state_;
+  if (!state.operator_waits_ || *state.operator_waits_ > state.commit_) return;
+  state.operator_waits_.reset();
+  ctx.actions_.operator_ = OperatorResult{true, ""};
+}
+
+void TickMembership(StepContext ctx) {
+  if (ctx.state_.formation_.has_value()) TickFormation(ctx);
+  if (ctx.state_.joining_.has_value()) TickJoining(ctx);
+}
+
+void StopMembershipWork(StepContext ctx) {
+  RaftState& state = ctx.state_;
+  const std::string reason = "leadership was lost: ask again";
+  if (state.joining_.has_value()) FinishJoining(ctx, false, reason);
+  if (!state.operator_waits_.has_value()) return;
+  state.operator_waits_.reset();
+  ctx.actions_.operator_ = OperatorResult{false, reason};
+}
+
+void Init(StepContext ctx, const InitEvent& event) {
+  RaftState& state = ctx.state_;
+  if (state.formation_.has_value()) {
+    ctx.actions_.init_ = OperatorResult{false, "an init is already under way"};
+    return;
+  }
+  Formation& formation = state.formation_.emplace();
+  formation.founders_ = event.founders_;
+  formation.deadline_ = ctx.now_ + state.config_.contact_;
+  if (FindFounder(formation, state.name_) == nullptr) {
+    return FinishInit(ctx, false,
+                      state.name_.value() + " is not among the voters");
+  }
+  TakeFounder(ctx, state.id_, DescribeSelf(state, 0));
+  if (!state.formation_.has_value()) return;
+  if (state.formation_->phase_ == FormationPhase::kProbe) SendFormation(ctx);
+}
+
+void AddVoter(StepContext ctx, const AddVoterEvent& event) {
+  if (!AcceptsOperator(ctx)) return;
+  StartJoining(ctx, event.voter_, true);
+}
+
+void RemoveVoter(StepContext ctx, const RemoveVoterEvent& event) {
+  if (!AcceptsOperator(ctx)) return;
+  RaftState& state = ctx.state_;
+  const Membership& current = CurrentMembership(state.log_);
+  const auto refuse = [&ctx](std::string reason) {
+    ctx.actions_.operator_ = OperatorResult{false, std::move(reason)};
+  };
+  if (FindMemberByName(current, event.name_) == nullptr) {
+    return refuse("no voter is named " + event.name_.value());
+  }
+  if (ChangePending(state)) return refuse("another change is under way");
+  Membership changed = WithoutName(current, event.name_);
+  if (!CanCommitUnder(state, changed, ctx.now_)) {
+    return refuse("too few of the other voters answer");
+  }
+  state.operator_waits_ = AppendMembership(ctx, std::move(changed));
+}
+
+void HandleProbe(StepContext ctx, const Message& message, const Probe& probe) {
+  Reply(ctx, message, DescribeSelf(ctx.state_, probe.nonce_), Delivery::kNow);
+}
+
+void HandleProbeReply(StepContext ctx, const Message& message,
+                      const ProbeReply& reply) {
+  if (ctx.state_.formation_.has_value()) {
+    TakeFounder(ctx, message.from_, reply);
+  } else if (reply.nonce_ == 0) {
+    StartRepair(ctx, reply);
+  } else if (ctx.state_.joining_.has_value()) {
+    TakeJoining(ctx, message.from_, reply);
+  }
+}
+
+void HandleFoundRequest(StepContext ctx, const Message& message,
+                        const FoundRequest& request) {
+  RaftState& state = ctx.state_;
+  const std::uint64_t digest = MembershipDigest(request.membership_);
+  if (!IsVoter(request.membership_, state.id_)) return;
+  // One pledge in a folder's life. Two foundings that share a voter can't both
+  // be pledged to by all of theirs, so at most one is ever taken.
+  if (!request.take_ && IsBlank(state) && state.hard_.pledge_ == 0) {
+    state.hard_.pledge_ = digest;
+    WriteHardState(ctx);
+  }
+  const bool accepted = state.hard_.pledge_ == digest;
+  if (accepted && request.take_ && IsBlank(state)) {
+    TakeFounding(ctx, request.membership_);
+  }
+  Reply(ctx, message,
+        FoundReply{.take_ = request.take_,
+                   .accepted_ = accepted,
+                   .name_ = state.name_,
+                   .digest_ = digest},
+        Delivery::kSynced);
+}
+
+void HandleFoundReply(StepContext ctx, const FoundReply& reply) {
+  std::optional<Formation>& formation = ctx.state_.formation_;
+  if (!formation.has_value() || formation->phase_ == FormationPhase::kProbe) {
+    return;
+  }
+  const bool take = formation->phase_ == FormationPhase::kFound;
+  if (reply.take_ != take ||
+      reply.digest_ != MembershipDigest(formation->membership_)) {
+    return;
+  }
+  if (!reply.accepted_) {
+    return FinishInit(
+        ctx, false,
+        "voter " + reply.name_.value() + " has pledged to another founding");
+  }
+  formation->answered_.insert(reply.name_);
+  if (formation->answered_.size() < formation->founders_.size()) return;
+  if (take) return FinishInit(ctx, true, "");
+  StartPhase(ctx, FormationPhase::kFound);
+}
+
+void AnswerStranger(StepContext ctx, const Message& message) {
+  Reply(ctx, message, DescribeSelf(ctx.state_, 0), Delivery::kNow);
+}
+
+}  // namespace flamingohollow::raft_internal
--- /dev/null
+++ b/flamingohollow/raft_message.h
@@ -0,0 +1,158 @@
+// What voters of one group say to each other.
+
+#ifndef FLAMINGOHOLLOW_RAFT_MESSAGE_H_
+#define FLAMINGOHOLLOW_RAFT_MESSAGE_H_
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "flamingohollow/raft_log.h"
+#include "flamingohollow/types.h"
+#include "util/clock.h"
+
+namespace flamingohollow {
+
+// Asks for a vote, or in a pre-vote whether a vote would be granted. The
+// message's term is the one campaigned for.
+struct VoteRequest {
+  bool pre_vote_ = false;
+  // Asked by the old leader to campaign: voters don't stick to that leader.
+  bool transfer_ = false;
+  LogIndex last_index_;
+  Term last_term_;
+
+  friend bool operator==(const VoteRequest&, const VoteRequest&) = default;
+};
+
+// The message's term is the one campaigned for when granted, else the
+// refuser's own.
+struct VoteReply {
+  bool pre_vote_ = false;
+  bool granted_ = false;
+
+  friend bool operator==(const VoteReply&, const VoteReply&) = default;
+};
+
+// Entries after `previous_index_`; a heartbeat has none.
+struct AppendRequest {
+  LogIndex previous_index_;
+  Term previous_term_;
+  LogIndex commit_;
+  // Both come back in the answer and mean something only to the sender.
+  std::uint64_t round_ = 0;
+  Time sent_;
+  std::vector<LogEntry> entries_;
+
+  friend bool operator==(const AppendRequest&, const AppendRequest&) = default;
+};
+
+struct AppendReply {
+  bool accepted_ = false;
+  // Accepted: all up to here is synced and equals the leader's log; 0 claims
+  // nothing. Refused: the leader should go on after this index at most.
+  LogIndex match_;
+  std::uint64_t round_ = 0;
+  Time sent_;
+
+  friend bool operator==(const AppendReply&, const AppendReply&) = default;
+};
+
+struct SnapshotChunk {
+  LogIndex index_;
+  Term term_;
+  Membership membership_;
+  std::uint64_t offset_ = 0;
+  std::uint64_t total_ = 0;
+  std::string data_;
+  std::uint64_t round_ = 0;
+  Time sent_;
+
+  friend bool operator==(const SnapshotChunk&, const SnapshotChunk&) = default;
+};
+
+// Asks for the chunk at `offset_`.
+struct SnapshotReply {
+  LogIndex index_;
+  std::uint64_t offset_ = 0;
+  std::uint64_t round_ = 0;
+  Time sent_;
+
+  friend bool operator==(const SnapshotReply&, const SnapshotReply&) = default;
+};
+
+// The leader hands over: campaign at once.
+struct CampaignNow {
+  friend bool operator==(const CampaignNow&, const CampaignNow&) = default;
+};
+
+// Who is at this address? Addressed to VoterId 0.
+struct Probe {
+  // Comes back in the answer.
+  std::uint64_t nonce_ = 0;
+
+  friend bool operator==(const Probe&, const Probe&) = default;
+};
+
+// How far a voter has come in joining a group.
+enum class JoinState : std::uint8_t {
+  kBlank = 0,
+  // Holds the founding membership and nothing else.
+  kFounded = 1,
+  kFormed = 2,
+};
+
+// Answers a Probe, and any message that was meant for another VoterId at this
+// address.
+struct ProbeReply {
+  // 0 when it answers no Probe.
+  std::uint64_t nonce_ = 0;
+  NodeName name_;
+  std::string address_;
+  JoinState state_ = JoinState::kBlank;
+  // Digest of the founding membership pledged to or held; 0 for none.
+  std::uint64_t pledge_ = 0;
+
+  friend bool operator==(const ProbeReply&, const ProbeReply&) = default;
+};
+
+// Asks a founder to pledge to this founding membership, or, once all have
+// pledged, to take it.
+struct FoundRequest {
+  bool take_ = false;
+  Membership membership_;
+
+  friend bool operator==(const FoundRequest&, const FoundRequest&) = default;
+};
+
+struct FoundReply {
+  bool take_ = false;
+  bool accepted_ = false;
+  NodeName name_;
+  std::uint64_t digest_ = 0;
+
+  friend bool operator==(const FoundReply&, const FoundReply&) = default;
+};
+
+using MessageBody =
+    std::variant<VoteRequest, VoteReply, AppendRequest, AppendReply,
+                 SnapshotChunk, SnapshotReply, CampaignNow, Probe, ProbeReply,
+                 FoundRequest, FoundReply>;
+
+struct Message {
+  GroupId group_;
+  VoterId from_;
+  // 0 only for a Probe.
+  VoterId to_;
+  Term term_;
+  // Where answers go.
+  std::string from_address_;
+  // Where to send it; not part of what is sent.
+  std::string to_address_;
+  MessageBody body_;
+};
+
+}  // namespace flamingohollow
+
+#endif  // FLAMINGOHOLLOW_RAFT_MESSAGE_H_
--- /dev/null
+++ b/flamingohollow/replica_factory.h
@@ -0,0 +1,61 @@
+// Makes the Replica that runs on a data folder of this machine.
+
+#ifndef FLAMINGOHOLLOW_REPLICA_FACTORY_H_
+#define FLAMINGOHOLLOW_REPLICA_FACTORY_H_
+
+#include <boost/leaf/result.hpp>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "flamingohollow/raft.h"
+#include "flamingohollow/replica.h"
+#include "flamingohollow/types.h"
+#include "util/clock.h"
+
+namespace flamingohollow {
+
+struct ReplicaOptions {
+  GroupId group_;
+  NodeName name_;
+  // Where the other voters reach this one, "HOST:PORT".
+  std::string address_;
+  // Made when missing.
+  std::string data_folder_;
+  // Whom `Init` forms the group from, this voter among them.
+  std::vector<Founder> founders_;
+  RaftConfig raft_;
+  // Seeds the election time-outs; differs from voter to voter.
+  std::uint64_t seed_ = 1;
+  // A snapshot is taken once the log since the last one holds this much.
+  std::size_t snapshot_log_bytes_ = std::size_t{4} * 1024 * 1024;
+  std::size_t snapshot_log_entries_ = 10'000;
+};
+
+// Why a replica could not start; the message says which file and what.
+struct ReplicaError {
+  std::string message_;
+};
+
+// Sends one message to the voter at `address`. It may be lost, delayed,
+// repeated or overtaken by another.
+using PeerSender =
+    std::function<void(const std::string& address, std::string message)>;
+// Runs a function later on the control thread. Called from any thread; may
+// drop the function while the process shuts down.
+using Executor = std::function<void(std::function<void()>)>;
+
+// Opens the data folder, restores the owner from its snapshot and starts the
+// disk thread. Call on the control thread, as all methods of the replica.
+// `owner` must outlive the replica; its methods may be called from within
+// `Tick`, `Receive`, `Propose` and functions given to `executor`.
+boost::leaf::result<std::unique_ptr<Replica>> MakeReplica(
+    ReplicaOptions options, ReplicaOwner* owner, PeerSender send,
+    Executor executor, Time now);
+
+}  // namespace flamingohollow
+
+#endif  // FLAMINGOHOLLOW_REPLICA_FACTORY_H_
