--- a/flamingohollow/rpc.cc
+++ b/flamingohollow/rpc.cc
@@ -148,8 +148,9 @@
     const std::uint64_t id = answers_->next_id_++;
     answers_->owed_.emplace(id, kj::mv(pair.fulfiller));
     auto state = std::make_shared<ResponderState>(mailbox_, answers_, id);
-    handler_(static_cast<RpcKind>(params.getKind()), ToString(params.getBody()),
-             [state](std::string body) { state->Answer(std::move(body)); });
+    handler_(
+        static_cast<RpcKind>(params.getKind()), ToString(params.getBody()),
+        [state](const std::string& body) { state->Answer(std::move(body)); });
     context.releaseParams();
     return pair.promise.then([context](std::string body) mutable {
       context.getResults().setBody(AsData(body));
@@ -369,7 +370,7 @@
 }
 
 void RpcNode::Call(const std::string& address, RpcKind kind, std::string body,
-                   Duration timeout, CallCallback done) {
+                   Duration timeout, const CallCallback& done) {
   PendingCall call{address, kind, std::move(body), timeout, done};
   const bool posted = impl_->mailbox_->Post(
       [raw = impl_.get(), call = std::move(call)]() mutable {
--- a/flamingohollow/rpc.h
+++ b/flamingohollow/rpc.h
@@ -57,7 +57,7 @@
 
   // Calls `address`; thread-safe. `done` runs on the RPC thread, exactly once.
   void Call(const std::string& address, RpcKind kind, std::string body,
-            Duration timeout, CallCallback done);
+            Duration timeout, const CallCallback& done);
   // Port that the server listens on.
   std::uint16_t port() const;
 
