--- a/util/strong.h
+++ b/util/strong.h
@@ -23,7 +23,9 @@
 
   constexpr const Rep& value() const { return value_; }
 
-  friend constexpr auto operator<=>(const Strong&, const Strong&) = default;
+  friend constexpr auto operator<=>(const Strong& a, const Strong& b) {
+    return a.value_ <=> b.value_;
+  }
   friend constexpr bool operator==(const Strong&, const Strong&) = default;
 
   // Hashing for Abseil containers.
