--- a/flamingohollow/rpc.cc
+++ b/flamingohollow/rpc.cc
@@ -148,11 +148,10 @@
     const std::uint64_t id = answers_->next_id_++;
     answers_->owed_.emplace(id, kj::mv(pair.fulfiller));
     auto state = std::make_shared<ResponderState>(mailbox_, answers_, id);
-    handler_(
-        static_cast<RpcKind>(params.getKind()), ToString(params.getBody()),
-        [state](const std::string& body) { state->Answer(std::move(body)); });
+    handler_(static_cast<RpcKind>(params.getKind()), ToString(params.getBody()),
+             [state](const std::string& body) { state->Answer(body); });
     context.releaseParams();
-    return pair.promise.then([context](std::string body) mutable {
+    return pair.promise.then([context](const std::string& body) mutable {
       context.getResults().setBody(AsData(body));
     });
   }
--- a/util/json_fields.cc
+++ b/util/json_fields.cc
@@ -37,7 +37,7 @@
 }
 
 std::string JsonFields::String(std::string_view name,
-                               std::optional<std::string> standard) {
+                               const std::optional<std::string>& standard) {
   const json::value* value = Find(name, !standard);
   if (value == nullptr) return standard.value_or("");
   if (const json::string* text = value->if_string()) {
@@ -90,12 +90,12 @@
 }
 
 const json::array& JsonFields::Array(std::string_view name) {
-  static const json::array kEmpty;
+  static const json::array empty;
   const json::value* value = Find(name, false);
-  if (value == nullptr) return kEmpty;
+  if (value == nullptr) return empty;
   if (const json::array* array = value->if_array()) return *array;
   Fail(fmt::format("field \"{}\" is not a list", name));
-  return kEmpty;
+  return empty;
 }
 
 std::optional<std::string> JsonFields::Finish() const {
--- a/util/json_fields.h
+++ b/util/json_fields.h
@@ -30,7 +30,7 @@
 
   // Without a default the field is required.
   std::string String(std::string_view name,
-                     std::optional<std::string> standard = std::nullopt);
+                     const std::optional<std::string>& standard = std::nullopt);
   bool Bool(std::string_view name, std::optional<bool> standard = std::nullopt);
   std::uint64_t Unsigned(std::string_view name,
                          std::optional<std::uint64_t> standard = std::nullopt);
