Jobs: durable records and the controller, from the queue to the one end

Leases that belong to no attempt are stopped and released, and keep their worker from new work meanwhile.

--- a/flamingohollow/job.h
+++ b/flamingohollow/job.h
@@ -20,6 +20,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <variant>
@@ -50,9 +51,14 @@
 struct JobRecords {
   std::map<JobId, JobRecord> jobs_;
   std::map<std::pair<CustomerId, RequestId>, JobId> by_request_;
+  // Ended jobs by the time of their end: which to forget next. Worked out from
+  // `jobs_` by the first ApplyJobCommand, so it needs no place in a snapshot.
+  std::set<std::pair<Time, JobId>> ended_;
+  bool ended_known_ = false;
 };
 
-// Ended jobs are kept for this many later endings, then forgotten.
+// Ended jobs are kept for this many later endings, then forgotten with their
+// request ids.
 inline constexpr std::size_t kKeptEndedJobs = 20000;
 
 enum class ApplyOutcome : std::uint8_t {
@@ -87,10 +93,14 @@
   Duration entry_authority_ = Duration(3000);
   Duration clock_margin_ = Duration(2000);
   std::uint32_t max_attempts_ = 5;
+  // Wall time when the controller is made, for the deadlines of jobs that an
+  // earlier leader accepted; 0 starts them anew.
+  Time wall_at_start_;
   PlacementOptions placement_;
 };
 
-// What the controller wants done.
+// What the controller wants done. Whoever carries it out sets the command's
+// `at_` to the wall time. A proposal that is lost is made again.
 struct ProposeAction {
   Command command_;
 };
--- /dev/null
+++ b/flamingohollow/job_workers.cc
@@ -0,0 +1,332 @@
+// The workers as the leader knows them: see job_workers.h.
+
+#include "flamingohollow/job_workers.h"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace flamingohollow {
+namespace {
+
+const WorkerInfo* FindWorker(const JobController& controller,
+                             const WorkerId& id) {
+  const auto found = controller.workers_.find(id);
+  return found == controller.workers_.end() ? nullptr : &found->second;
+}
+
+bool HoldsUnwanted(const WorkerInfo& worker) {
+  return std::any_of(
+      worker.unwanted_.begin(), worker.unwanted_.end(),
+      [](const auto& entry) { return entry.second.maybe_active_; });
+}
+
+PlacementWorker PlacementWorkerOf(const WorkerInfo& worker) {
+  PlacementWorker placement_worker;
+  placement_worker.id_ = worker.report_.worker_;
+  placement_worker.incarnation_ = worker.report_.incarnation_;
+  placement_worker.place_ = worker.report_.place_;
+  placement_worker.accelerators_ = worker.report_.accelerators_;
+  placement_worker.slots_ = worker.report_.slots_;
+  placement_worker.available_ = worker.available_;
+  return placement_worker;
+}
+
+bool IsAvailable(const Step& step, const WorkerInfo& worker) {
+  return worker.known_ && worker.report_.state_ == WorkerState::kReady &&
+         !IsSilent(step.controller_, worker, step.now_) &&
+         !HoldsUnwanted(worker);
+}
+
+void TellPlacement(Step& step, WorkerInfo& worker) {
+  worker.available_ = IsAvailable(step, worker);
+  SetWorker(*step.controller_.placement_, PlacementWorkerOf(worker), step.now_);
+  step.controller_.decide_ = true;
+}
+
+bool RecentlySent(const Step& step, const std::optional<Time>& sent_at) {
+  return sent_at &&
+         step.now_ - *sent_at < step.controller_.options_.resend_interval_;
+}
+
+void Send(Step& step, const WorkerInfo& worker, WorkerCommand command) {
+  command.worker_ = worker.report_.worker_;
+  command.incarnation_ = worker.report_.incarnation_;
+  command.address_ = worker.report_.address_;
+  command.term_ = step.controller_.term_;
+  command.lease_ = step.controller_.options_.lease_;
+  step.actions_.push_back(SendAction{std::move(command)});
+  ++step.commands_;
+}
+
+// Stops an unwanted lease, or releases it once it has ended.
+void Clean(Step& step, const WorkerInfo& worker, const LeaseKey& key,
+           UnwantedLease& lease) {
+  if (RecentlySent(step, lease.sent_at_)) return;
+  lease.sent_at_ = step.now_;
+  WorkerCommand command;
+  command.kind_ = lease.maybe_active_ ? WorkerCommandKind::kStop
+                                      : WorkerCommandKind::kRelease;
+  command.job_ = key.job_;
+  command.attempt_ = key.attempt_;
+  command.task_ = key.task_;
+  command.accelerators_ = lease.accelerators_;
+  Send(step, worker, std::move(command));
+}
+
+void AddUnwanted(Step& step, const WorkerId& id, WorkerInfo& worker,
+                 const LeaseKey& key, UnwantedLease lease) {
+  UnwantedLease& added = worker.unwanted_[key];
+  added = lease;
+  step.controller_.cleaning_.insert(id);
+  if (worker.known_) Clean(step, worker, key, added);
+}
+
+// The attempt's task behind a reported lease; null when it is unwanted.
+AttemptTask* FindTask(Step& step, const WorkerReport& report,
+                      const LeaseKey& key) {
+  const auto found = step.controller_.jobs_.find(key.job_);
+  if (found == step.controller_.jobs_.end()) return nullptr;
+  LiveJob& job = found->second;
+  job.last_attempt_ = std::max(job.last_attempt_, key.attempt_);
+  if (!job.attempt_ || job.attempt_->id_ != key.attempt_) return nullptr;
+  if (key.task_.value() >= job.attempt_->tasks_.size()) return nullptr;
+  AttemptTask& task = job.attempt_->tasks_[key.task_.value()];
+  const bool same_worker = task.slice_.worker_ == report.worker_ &&
+                           task.slice_.incarnation_ == report.incarnation_;
+  return same_worker ? &task : nullptr;
+}
+
+void RecordResult(Step& step, const LeaseKey& key, const AttemptTask& task) {
+  const bool finished = task.state_ == TaskState::kFinished;
+  if (!finished && task.state_ != TaskState::kFailed) return;
+  RecordTaskResult(*step.controller_.placement_, key.job_, task.slice_.worker_,
+                   finished, step.now_);
+}
+
+// Sorts the reported leases into tasks and unwanted leases.
+void TakeLeases(Step& step, WorkerInfo& worker, const WorkerReport& report,
+                std::set<LeaseKey>& seen, std::vector<JobId>& changed) {
+  std::map<LeaseKey, UnwantedLease> unwanted;
+  for (const LeaseReport& lease : report.leases_) {
+    const LeaseKey key{lease.job_, lease.attempt_, lease.task_};
+    if (AttemptTask* task = FindTask(step, report, key)) {
+      seen.insert(key);
+      if (!ApplyLeaseReport(*task, lease)) continue;
+      RecordResult(step, key, *task);
+      changed.push_back(key.job_);
+      continue;
+    }
+    UnwantedLease& entry = unwanted[key];
+    entry.maybe_active_ = IsActive(lease.state_);
+    entry.accelerators_ = lease.accelerators_;
+    const auto old = worker.unwanted_.find(key);
+    const bool known = old != worker.unwanted_.end() &&
+                       old->second.maybe_active_ == entry.maybe_active_;
+    if (known) entry.sent_at_ = old->second.sent_at_;
+  }
+  worker.unwanted_ = std::move(unwanted);
+}
+
+// Tasks whose lease the report no longer shows are lost, and so are those of
+// an earlier incarnation. A lease that was never granted may still come.
+void MarkMissing(Step& step, const WorkerInfo& worker,
+                 const std::set<LeaseKey>& seen, std::vector<JobId>& changed) {
+  for (const LeaseKey& key : worker.tasks_) {
+    if (seen.contains(key)) continue;
+    LiveJob& job = step.controller_.jobs_.at(key.job_);
+    AttemptTask& task = job.attempt_->tasks_[key.task_.value()];
+    const bool restarted =
+        task.slice_.incarnation_ < worker.report_.incarnation_;
+    if (!restarted && !task.granted_) continue;
+    if (MarkLost(task)) changed.push_back(key.job_);
+  }
+}
+
+void SortUnique(std::vector<JobId>& jobs) {
+  std::sort(jobs.begin(), jobs.end());
+  jobs.erase(std::unique(jobs.begin(), jobs.end()), jobs.end());
+}
+
+void CleanWorker(Step& step, const WorkerId& id) {
+  WorkerInfo& worker = step.controller_.workers_.at(id);
+  for (auto& [key, lease] : worker.unwanted_) {
+    Clean(step, worker, key, lease);
+  }
+}
+
+// Sends what unwanted leases need; workers without any leave the list.
+void CleanWorkers(Step& step) {
+  std::set<WorkerId>& cleaning = step.controller_.cleaning_;
+  for (auto it = cleaning.begin(); it != cleaning.end();) {
+    if (step.commands_ >= kMaxCommandsPerTick) return;
+    const WorkerInfo& worker = step.controller_.workers_.at(*it);
+    if (worker.unwanted_.empty()) {
+      it = cleaning.erase(it);
+      continue;
+    }
+    const bool reachable =
+        worker.known_ && !IsSilent(step.controller_, worker, step.now_);
+    if (reachable) CleanWorker(step, *it);
+    ++it;
+  }
+}
+
+bool IsForgotten(const Step& step, const WorkerInfo& worker) {
+  return worker.tasks_.empty() && step.now_ - worker.heard_at_ > kForgetWorker;
+}
+
+}  // namespace
+
+LeaseKey TaskKey(const LiveJob& job, std::size_t task) {
+  return {job.id_, job.attempt_->id_,
+          TaskIndex(static_cast<std::uint32_t>(task))};
+}
+
+bool IsSilent(const JobController& controller, const WorkerInfo& worker,
+              Time now) {
+  return now - worker.heard_at_ >= controller.options_.worker_silence_;
+}
+
+bool IsLost(const JobController& controller, const WorkerInfo& worker,
+            Time now) {
+  return now - worker.heard_at_ >= controller.options_.lease_;
+}
+
+bool TakesWork(const Step& step, const AttemptTask& task) {
+  const WorkerInfo* worker = FindWorker(step.controller_, task.slice_.worker_);
+  return worker != nullptr &&
+         worker->report_.incarnation_ == task.slice_.incarnation_ &&
+         worker->report_.state_ == WorkerState::kReady &&
+         !IsSilent(step.controller_, *worker, step.now_);
+}
+
+bool IsOutOfReach(const Step& step, const AttemptTask& task) {
+  const WorkerInfo* worker = FindWorker(step.controller_, task.slice_.worker_);
+  return worker == nullptr || IsSilent(step.controller_, *worker, step.now_);
+}
+
+bool IsWorkerLost(const Step& step, const AttemptTask& task) {
+  const WorkerInfo* worker = FindWorker(step.controller_, task.slice_.worker_);
+  return worker == nullptr || IsLost(step.controller_, *worker, step.now_);
+}
+
+void AddTasks(Step& step, const LiveJob& job) {
+  for (std::size_t i = 0; i < job.attempt_->tasks_.size(); ++i) {
+    const Slice& slice = job.attempt_->tasks_[i].slice_;
+    const auto [it, is_new] =
+        step.controller_.workers_.try_emplace(slice.worker_);
+    WorkerInfo& worker = it->second;
+    if (is_new) {
+      worker.report_.worker_ = slice.worker_;
+      worker.report_.incarnation_ = slice.incarnation_;
+      worker.heard_at_ = step.now_;
+    }
+    worker.tasks_.insert(TaskKey(job, i));
+  }
+}
+
+void RemoveTasks(Step& step, const LiveJob& job) {
+  for (std::size_t i = 0; i < job.attempt_->tasks_.size(); ++i) {
+    const AttemptTask& task = job.attempt_->tasks_[i];
+    const WorkerId& id = task.slice_.worker_;
+    WorkerInfo& worker = step.controller_.workers_.at(id);
+    worker.tasks_.erase(TaskKey(job, i));
+    const bool gone = task.slice_.incarnation_ != worker.report_.incarnation_ ||
+                      task.state_ == TaskState::kLost;
+    if (gone) continue;
+    AddUnwanted(step, id, worker, TaskKey(job, i),
+                {!IsOver(task.state_), task.slice_.accelerators_, {}});
+    UpdateAvailable(step, worker);
+  }
+}
+
+void SendTask(Step& step, LiveJob& job, std::size_t task,
+              WorkerCommandKind kind) {
+  AttemptTask& target = job.attempt_->tasks_[task];
+  if (RecentlySent(step, target.sent_at_)) return;
+  const WorkerInfo& worker =
+      step.controller_.workers_.at(target.slice_.worker_);
+  if (!worker.known_) return;
+  if (worker.report_.incarnation_ != target.slice_.incarnation_) return;
+  target.sent_at_ = step.now_;
+  const LeaseKey key = TaskKey(job, task);
+  WorkerCommand command;
+  command.kind_ = kind;
+  command.job_ = key.job_;
+  command.attempt_ = key.attempt_;
+  command.task_ = key.task_;
+  command.accelerators_ = target.slice_.accelerators_;
+  command.request_id_ = job.spec_.request_id_;
+  command.customer_ = job.spec_.customer_;
+  command.run_time_ = job.spec_.run_time_;
+  Send(step, worker, std::move(command));
+}
+
+void ForgetSent(Attempt& attempt) {
+  for (AttemptTask& task : attempt.tasks_) task.sent_at_.reset();
+}
+
+std::vector<JobId> TakeReport(Step& step, const WorkerReport& report) {
+  WorkerInfo& worker = step.controller_.workers_[report.worker_];
+  const WorkerReport& old = worker.report_;
+  if (worker.known_ || !worker.tasks_.empty()) {
+    if (report.incarnation_ < old.incarnation_) return {};
+  }
+  const bool same = worker.known_ && report.incarnation_ == old.incarnation_;
+  if (same && report.sequence_ < old.sequence_) return {};
+  worker.heard_at_ = step.now_;
+  if (same && report.sequence_ == old.sequence_) {
+    UpdateAvailable(step, worker);
+    return {};
+  }
+
+  std::set<LeaseKey> seen;
+  std::vector<JobId> changed;
+  TakeLeases(step, worker, report, seen, changed);
+  worker.report_ = report;
+  for (LeaseReport& lease : worker.report_.leases_) lease.part_.clear();
+  worker.known_ = true;
+  worker.silent_ = false;
+  MarkMissing(step, worker, seen, changed);
+  TellPlacement(step, worker);
+  if (!worker.unwanted_.empty()) {
+    step.controller_.cleaning_.insert(report.worker_);
+    CleanWorker(step, report.worker_);
+  }
+  SortUnique(changed);
+  return changed;
+}
+
+void TakeAlive(Step& step, const WorkerId& id) {
+  const auto found = step.controller_.workers_.find(id);
+  if (found == step.controller_.workers_.end()) return;
+  if (!found->second.known_) return;
+  found->second.heard_at_ = step.now_;
+  UpdateAvailable(step, found->second);
+}
+
+void UpdateAvailable(Step& step, WorkerInfo& worker) {
+  worker.silent_ = IsSilent(step.controller_, worker, step.now_);
+  if (!worker.known_) return;
+  if (IsAvailable(step, worker) != worker.available_) {
+    TellPlacement(step, worker);
+  }
+}
+
+void TickWorkers(Step& step) {
+  auto& workers = step.controller_.workers_;
+  for (auto it = workers.begin(); it != workers.end();) {
+    if (IsForgotten(step, it->second)) {
+      RemoveWorker(*step.controller_.placement_, it->first, step.now_);
+      step.controller_.cleaning_.erase(it->first);
+      it = workers.erase(it);
+      continue;
+    }
+    UpdateAvailable(step, it->second);
+    ++it;
+  }
+  CleanWorkers(step);
+}
+
+}  // namespace flamingohollow
