--- /dev/null
+++ b/flamingohollow/control_exchanges.cc
@@ -0,0 +1,187 @@
+// Holds exchanges, gathers news for them and answers them.
+
+#include "flamingohollow/control_exchanges.h"
+
+#include <utility>
+
+namespace flamingohollow {
+namespace {
+
+// The table without its history, which entries have no use for.
+Table RowsOnly(const Table& table) {
+  Table copy;
+  copy.version_ = table.version_;
+  copy.rows_ = table.rows_;
+  return copy;
+}
+
+}  // namespace
+
+void EntryExchanges::Open(const EntrySync& sync, SyncResponder respond,
+                          const LeaderView& view, Entries& entries, Time now) {
+  const HolderId id{sync.entry_, sync.incarnation_};
+  ConfirmVersion(entries, id, sync.table_version_);
+  if (peers_.size() >= entries.options_.max_holders_ && !peers_.contains(id)) {
+    respond(ControlSync{});
+    return;
+  }
+  Peer& peer = peers_[id];
+  if (peer.open_) Answer(id, peer, view, entries, now);
+
+  OpenExchange open;
+  open.respond_ = std::move(respond);
+  open.received_ = now;
+  open.table_version_ = sync.table_version_;
+  open.exclusions_version_ = sync.exclusions_version_;
+  for (const WorkerReport& report : sync.reports_) {
+    open.acknowledged_.push_back(report.worker_);
+  }
+  open.wants_reports_ = !SetRoutes(sync, id, now);
+  peer.open_ = std::move(open);
+  SetWatched(peer, sync.watched_);
+}
+
+bool EntryExchanges::SetRoutes(const EntrySync& sync, const HolderId& id,
+                               Time now) {
+  for (const WorkerReport& report : sync.reports_) {
+    routes_[report.worker_] = Route{id, now, /*reported_=*/true};
+  }
+  bool all_reported = true;
+  for (const WorkerId& worker : sync.alive_) {
+    Route& route = routes_[worker];
+    route.holder_ = id;
+    route.heard_ = now;
+    all_reported = all_reported && route.reported_;
+  }
+  return all_reported;
+}
+
+void EntryExchanges::SetWatched(Peer& peer, const std::vector<JobId>& watched) {
+  std::map<JobId, std::optional<Told>> next;
+  for (const JobId job : watched) {
+    const auto before = peer.watched_.find(job);
+    std::optional<Told>& told = next[job];
+    if (before != peer.watched_.end()) told = before->second;
+    // An entry that still watches an ended job has not heard of its end.
+    if (told && IsTerminal(told->outcome_)) told.reset();
+  }
+  peer.watched_ = std::move(next);
+  peer.changed_ = watched;
+}
+
+void EntryExchanges::QueueCommand(const WorkerCommand& command) {
+  const auto route = routes_.find(command.worker_);
+  const auto peer = route == routes_.end() ? peers_.end()
+                                           : peers_.find(route->second.holder_);
+  if (peer == peers_.end()) {
+    ++counters_.commands_without_route_;
+    return;
+  }
+  // A command that is sent again takes the place of its former self.
+  const CommandKey key(command.worker_, command.job_, command.attempt_,
+                       command.task_, command.kind_);
+  auto& commands = peer->second.commands_;
+  if (commands.size() >= kMaxCommands && !commands.contains(key)) {
+    ++counters_.commands_dropped_;
+    return;
+  }
+  commands[key] = command;
+}
+
+void EntryExchanges::JobChanged(JobId job) {
+  for (auto& [id, peer] : peers_) {
+    if (peer.watched_.contains(job)) peer.changed_.push_back(job);
+  }
+}
+
+void EntryExchanges::GatherNews(Peer& peer, const LeaderView& view) {
+  for (const JobId job : std::exchange(peer.changed_, {})) {
+    const auto watched = peer.watched_.find(job);
+    if (watched == peer.watched_.end()) continue;
+    const std::optional<JobView> news = ViewJob(*view.controller_, job);
+    if (!news) continue;
+    const Told now_told{news->outcome_, news->attempt_};
+    if (watched->second == now_told) continue;
+    watched->second = now_told;
+    peer.news_[job] = *news;
+  }
+}
+
+bool EntryExchanges::IsDue(const Peer& peer, const LeaderView& view,
+                           const Entries& entries, Time now) {
+  const OpenExchange& open = *peer.open_;
+  return !peer.known_ || !peer.commands_.empty() || !peer.news_.empty() ||
+         !open.acknowledged_.empty() || open.wants_reports_ ||
+         open.table_version_ < view.table_->version_ ||
+         open.exclusions_version_ != entries.exclusions_version_ ||
+         now - open.received_ >= kMaxHold;
+}
+
+void EntryExchanges::Answer(const HolderId& id, Peer& peer,
+                            const LeaderView& view, Entries& entries,
+                            Time now) {
+  OpenExchange open = std::move(*peer.open_);
+  peer.open_.reset();
+
+  ControlSync sync;
+  sync.is_leader_ = true;
+  sync.term_ = view.term_;
+  sync.table_version_ = view.table_->version_;
+  if (open.table_version_ < view.table_->version_) {
+    sync.table_ = RowsOnly(*view.table_);
+  }
+  // An entry that is ahead has heard from a later leader: no lease from here.
+  if (open.table_version_ <= view.table_->version_) {
+    sync.lease_ =
+        GrantLease(entries, id, sync.table_version_, open.received_, now);
+  }
+  sync.exclusions_version_ = entries.exclusions_version_;
+  if (open.exclusions_version_ != entries.exclusions_version_) {
+    sync.exclusions_.emplace(entries.exclusions_.begin(),
+                             entries.exclusions_.end());
+  }
+  sync.worker_lease_ = view.worker_lease_;
+  sync.acknowledged_ = std::move(open.acknowledged_);
+  sync.send_all_reports_ = !peer.known_ || open.wants_reports_;
+  for (auto& [key, command] : std::exchange(peer.commands_, {})) {
+    sync.commands_.push_back(std::move(command));
+  }
+  for (auto& [job, news] : std::exchange(peer.news_, {})) {
+    sync.jobs_.push_back(std::move(news));
+  }
+  peer.known_ = true;
+  ++counters_.answered_;
+  counters_.commands_ += sync.commands_.size();
+  open.respond_(sync);
+}
+
+void EntryExchanges::AnswerDue(const LeaderView& view, Entries& entries,
+                               Time now) {
+  for (auto& [id, peer] : peers_) {
+    if (!peer.open_) continue;
+    GatherNews(peer, view);
+    if (IsDue(peer, view, entries, now)) {
+      Answer(id, peer, view, entries, now);
+    }
+  }
+}
+
+void EntryExchanges::AnswerAll(const ControlSync& sync) {
+  for (auto& [id, peer] : peers_) {
+    if (!peer.open_) continue;
+    const SyncResponder respond = std::move(peer.open_->respond_);
+    peer.open_.reset();
+    respond(sync);
+  }
+}
+
+void EntryExchanges::Prune(const Entries& entries, Time now) {
+  std::erase_if(routes_, [&](const auto& route) {
+    return now - route.second.heard_ > kRouteLifetime;
+  });
+  std::erase_if(peers_, [&](const auto& peer) {
+    return !peer.second.open_ && !entries.holders_.contains(peer.first);
+  });
+}
+
+}  // namespace flamingohollow
