--- /dev/null
+++ b/flamingohollow/http_client.cc
@@ -0,0 +1,266 @@
+// HTTP by Boost.Beast; all state belongs to one loop.
+
+#include "flamingohollow/http_client.h"
+
+#include <atomic>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+#include <chrono>
+#include <deque>
+#include <iterator>
+#include <map>
+#include <optional>
+#include <utility>
+
+#include "util/address.h"
+
+namespace flamingohollow {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+using Tcp = asio::ip::tcp;
+
+constexpr auto kUseTuple = asio::as_tuple(asio::use_awaitable);
+constexpr std::uint32_t kMaxHeaderBytes = 8192;
+// How often unused connections are looked through.
+constexpr Duration kSweepInterval = Duration(5000);
+
+std::chrono::milliseconds Ms(Duration duration) {
+  return std::chrono::milliseconds(duration.ms());
+}
+
+struct Connection {
+  explicit Connection(asio::io_context& loop) : stream_(loop) {}
+  beast::tcp_stream stream_;
+  beast::flat_buffer buffer_;
+  bool connected_ = false;
+  // When it was last given back.
+  Time idle_since_;
+};
+using ConnectionPtr = std::unique_ptr<Connection>;
+
+struct Waiting {
+  HttpPost post_;
+  HttpClient::Callback done_;
+  Time deadline_;
+};
+
+// One address.
+struct Host {
+  // Connections in use; never above max_connections_ with the idle ones.
+  std::uint32_t busy_ = 0;
+  std::deque<ConnectionPtr> idle_;
+  std::deque<Waiting> waiting_;
+};
+
+}  // namespace
+
+struct HttpClientState : std::enable_shared_from_this<HttpClientState> {
+  HttpClientState(const HttpClientOptions& options, IoThreads& threads,
+                  std::size_t loop)
+      : options_(options), loop_(threads.Loop(loop)), sweep_timer_(loop_) {}
+
+  const HttpClientOptions options_;
+  asio::io_context& loop_;
+  asio::steady_timer sweep_timer_;
+  std::map<std::string, Host> hosts_;
+  std::atomic<std::uint64_t> open_{0};
+
+  void Submit(Waiting request);
+  void Run(Waiting request);
+  ConnectionPtr Take(Host& host);
+  void GiveBack(const std::string& address, ConnectionPtr connection,
+                bool reusable);
+  void StartNext(const std::string& address);
+  void Sweep();
+  void ScheduleSweep();
+  asio::awaitable<void> Exchange(Waiting request, ConnectionPtr connection);
+};
+
+namespace {
+
+http::request<http::string_body> ToMessage(HttpPost& post) {
+  http::request<http::string_body> message(http::verb::post, post.target_, 11);
+  message.set(http::field::host, post.address_);
+  message.set(http::field::content_type, "application/json");
+  if (!post.trace_parent_.empty()) {
+    message.set("traceparent", post.trace_parent_);
+  }
+  message.body() = std::move(post.body_);
+  message.prepare_payload();
+  return message;
+}
+
+asio::awaitable<HttpClientError> Connect(Connection& connection,
+                                         const std::string& text) {
+  const std::optional<Address> address = ParseAddress(text);
+  if (!address.has_value()) co_return HttpClientError::kBadAddress;
+  error_code error;
+  const Tcp::endpoint endpoint(asio::ip::make_address(address->ip_, error),
+                               address->port_);
+  if (error) co_return HttpClientError::kBadAddress;
+  const auto [connect_error] =
+      co_await connection.stream_.async_connect(endpoint, kUseTuple);
+  if (connect_error) co_return HttpClientError::kConnectFailed;
+  connection.stream_.socket().set_option(Tcp::no_delay(true), error);
+  connection.connected_ = true;
+  co_return HttpClientError::kNone;
+}
+
+}  // namespace
+
+asio::awaitable<void> HttpClientState::Exchange(Waiting request,
+                                                ConnectionPtr connection) {
+  const std::string address = request.post_.address_;
+  HttpResult result;
+  bool reusable = false;
+  connection->stream_.expires_after(Ms(request.deadline_ - MonotonicNow()));
+  if (!connection->connected_) {
+    result.error_ = co_await Connect(*connection, address);
+  }
+  if (result.error_ == HttpClientError::kNone) {
+    result.error_ = HttpClientError::kNoAnswer;
+    auto message = ToMessage(request.post_);
+    const auto [write_error, written] =
+        co_await http::async_write(connection->stream_, message, kUseTuple);
+    http::response_parser<http::string_body> parser;
+    parser.header_limit(kMaxHeaderBytes);
+    parser.body_limit(options_.max_response_bytes_);
+    error_code error = write_error;
+    if (!error) {
+      const auto [read_error, bytes] = co_await http::async_read(
+          connection->stream_, connection->buffer_, parser, kUseTuple);
+      error = read_error;
+    }
+    if (!error) {
+      result.error_ = HttpClientError::kNone;
+      result.status_ = parser.get().result_int();
+      result.body_ = std::move(parser.get().body());
+      reusable = parser.keep_alive();
+    }
+  }
+  GiveBack(address, std::move(connection), reusable);
+  request.done_(std::move(result));
+}
+
+ConnectionPtr HttpClientState::Take(Host& host) {
+  const Time now = MonotonicNow();
+  while (!host.idle_.empty()) {
+    ConnectionPtr connection = std::move(host.idle_.back());
+    host.idle_.pop_back();
+    if (now - connection->idle_since_ < options_.max_idle_) return connection;
+    --open_;
+  }
+  ++open_;
+  return std::make_unique<Connection>(loop_);
+}
+
+void HttpClientState::Run(Waiting request) {
+  if (request.deadline_ <= MonotonicNow()) {
+    StartNext(request.post_.address_);
+    request.done_({HttpClientError::kConnectFailed, 0, ""});
+    return;
+  }
+  Host& host = hosts_[request.post_.address_];
+  ++host.busy_;
+  ConnectionPtr connection = Take(host);
+  asio::co_spawn(
+      loop_,
+      [state = shared_from_this(), request = std::move(request),
+       connection = std::move(connection)]() mutable {
+        return state->Exchange(std::move(request), std::move(connection));
+      },
+      asio::detached);
+}
+
+void HttpClientState::Submit(Waiting request) {
+  Host& host = hosts_[request.post_.address_];
+  if (host.busy_ < options_.max_connections_) {
+    Run(std::move(request));
+  } else if (host.waiting_.size() < options_.max_queued_) {
+    host.waiting_.push_back(std::move(request));
+  } else {
+    request.done_({HttpClientError::kOverloaded, 0, ""});
+  }
+}
+
+void HttpClientState::GiveBack(const std::string& address,
+                               ConnectionPtr connection, bool reusable) {
+  Host& host = hosts_[address];
+  --host.busy_;
+  if (reusable) {
+    connection->stream_.expires_never();
+    connection->idle_since_ = MonotonicNow();
+    host.idle_.push_back(std::move(connection));
+  } else {
+    --open_;
+  }
+  StartNext(address);
+}
+
+void HttpClientState::StartNext(const std::string& address) {
+  Host& host = hosts_[address];
+  if (host.waiting_.empty() || host.busy_ >= options_.max_connections_) return;
+  Waiting next = std::move(host.waiting_.front());
+  host.waiting_.pop_front();
+  Run(std::move(next));
+}
+
+void HttpClientState::Sweep() {
+  const Time now = MonotonicNow();
+  for (auto it = hosts_.begin(); it != hosts_.end();) {
+    Host& host = it->second;
+    // The longest unused ones are in front.
+    while (!host.idle_.empty() &&
+           now - host.idle_.front()->idle_since_ >= options_.max_idle_) {
+      host.idle_.pop_front();
+      --open_;
+    }
+    const bool unused =
+        host.busy_ == 0 && host.idle_.empty() && host.waiting_.empty();
+    it = unused ? hosts_.erase(it) : std::next(it);
+  }
+}
+
+void HttpClientState::ScheduleSweep() {
+  sweep_timer_.expires_after(Ms(kSweepInterval));
+  sweep_timer_.async_wait([weak = weak_from_this()](error_code error) {
+    const auto state = weak.lock();
+    if (error || state == nullptr) return;
+    state->Sweep();
+    state->ScheduleSweep();
+  });
+}
+
+HttpClient::HttpClient(const HttpClientOptions& options, IoThreads& threads,
+                       std::size_t loop)
+    : state_(std::make_shared<HttpClientState>(options, threads, loop)) {
+  asio::post(state_->loop_, [state = state_] { state->ScheduleSweep(); });
+}
+
+HttpClient::~HttpClient() = default;
+
+void HttpClient::Post(HttpPost post, Callback done) {
+  const Time deadline = MonotonicNow() + post.timeout_;
+  asio::post(state_->loop_, [state = state_,
+                             request = Waiting{std::move(post), std::move(done),
+                                               deadline}]() mutable {
+    state->Submit(std::move(request));
+  });
+}
+
+std::uint64_t HttpClient::open_connections() const { return state_->open_; }
+
+}  // namespace flamingohollow
--- /dev/null
+++ b/flamingohollow/http_client.h
@@ -0,0 +1,83 @@
+// HTTP/1.1 requests to workers over pooled connections.
+//
+// Per address at most max_connections_ are open and max_queued_ requests wait
+// for one; beyond that a request fails at once. Every request ends within its
+// time-out, waiting included. Nothing is sent twice: whether to try again is
+// the caller's decision.
+
+#ifndef FLAMINGOHOLLOW_HTTP_CLIENT_H_
+#define FLAMINGOHOLLOW_HTTP_CLIENT_H_
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "util/clock.h"
+#include "util/io_threads.h"
+
+namespace flamingohollow {
+
+struct HttpClientOptions {
+  std::uint32_t max_connections_ = 60;
+  std::uint32_t max_queued_ = 256;
+  std::uint32_t max_response_bytes_ = 4 * 1024 * 1024;
+  // An unused connection is not taken again after this long.
+  Duration max_idle_ = Duration(10000);
+};
+
+enum class HttpClientError : std::uint8_t {
+  kNone,
+  kBadAddress,
+  // Too many requests to this address wait; nothing was sent.
+  kOverloaded,
+  // No connection; nothing was sent.
+  kConnectFailed,
+  // Sent in part or whole; the peer may have acted on it.
+  kNoAnswer,
+};
+
+struct HttpResult {
+  HttpClientError error_ = HttpClientError::kNone;
+  // Set when `error_` is kNone.
+  unsigned status_ = 0;
+  std::string body_;
+};
+
+struct HttpPost {
+  // "IP:PORT".
+  std::string address_;
+  std::string target_;
+  // JSON.
+  std::string body_;
+  // W3C trace context; empty for none.
+  std::string trace_parent_;
+  Duration timeout_ = Duration(2000);
+};
+
+struct HttpClientState;
+
+class HttpClient {
+ public:
+  // Runs on the client's loop, exactly once unless the threads stop first.
+  using Callback = std::function<void(HttpResult)>;
+
+  // Uses loop `loop` of `threads`, which must outlive the client.
+  HttpClient(const HttpClientOptions& options, IoThreads& threads,
+             std::size_t loop);
+  ~HttpClient();
+  HttpClient(const HttpClient&) = delete;
+  HttpClient& operator=(const HttpClient&) = delete;
+
+  // Thread-safe.
+  void Post(HttpPost post, Callback done);
+  std::uint64_t open_connections() const;
+
+ private:
+  // Shared with the requests under way.
+  std::shared_ptr<HttpClientState> state_;
+};
+
+}  // namespace flamingohollow
+
+#endif  // FLAMINGOHOLLOW_HTTP_CLIENT_H_
--- /dev/null
+++ b/flamingohollow/http_server.cc
@@ -0,0 +1,509 @@
+// HTTP by Boost.Beast: one coroutine a connection, on that connection's loop.
+//
+// Sockets are spread over the loops in turn as they are accepted. A session's
+// state is touched only on its loop's thread; the server's shared counts are
+// atomic. The handler may answer from any thread: the answer is posted to the
+// session's loop and wakes the coroutine through a timer.
+
+#include "flamingohollow/http_server.h"
+
+#include <atomic>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/error.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+#include <boost/leaf/error.hpp>
+#include <chrono>
+#include <optional>
+#include <set>
+#include <utility>
+#include <vector>
+
+#include "util/address.h"
+
+namespace flamingohollow {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+using Tcp = asio::ip::tcp;
+using RequestParser = http::request_parser<http::string_body>;
+
+constexpr auto kUseTuple = asio::as_tuple(asio::use_awaitable);
+constexpr std::size_t kReadChunk = 4096;
+constexpr std::uint32_t kMaxHeaderBytes = 8192;
+// An idle connection may still get a request this long into the drain.
+constexpr Duration kIdleLinger = Duration(500);
+// After an early answer, the rest of the input is read for this long and this
+// far, so that closing does not destroy the answer on its way.
+constexpr Duration kDiscardTime = Duration(1000);
+constexpr std::size_t kDiscardBytes = 1024 * 1024;
+constexpr Duration kAcceptRetry = Duration(20);
+
+std::chrono::milliseconds Ms(Duration duration) {
+  return std::chrono::milliseconds(duration.ms());
+}
+
+std::string ErrorBody(const char* code, const char* message,
+                      Duration retry_after) {
+  std::string body =
+      std::string(R"({"error":")") + code + R"(","message":")" + message + "\"";
+  if (retry_after > Duration(0)) {
+    body += ",\"retry_after_ms\":" + std::to_string(retry_after.ms());
+  }
+  return body + "}";
+}
+
+HttpResponse ErrorResponse(unsigned status, const char* code,
+                           const char* message, Duration retry_after) {
+  return {status, "application/json", ErrorBody(code, message, retry_after),
+          retry_after};
+}
+
+std::string Header(const http::fields& fields, std::string_view name) {
+  const auto found = fields.find(name);
+  return found == fields.end() ? std::string() : std::string(found->value());
+}
+
+HttpRequest ToRequest(RequestParser& parser) {
+  auto& message = parser.get();
+  HttpRequest request;
+  request.method_ = std::string(message.method_string());
+  request.target_ = std::string(message.target());
+  request.authorization_ = Header(message, "Authorization");
+  request.idempotency_key_ = Header(message, "Idempotency-Key");
+  request.trace_parent_ = Header(message, "traceparent");
+  request.body_ = std::move(message.body());
+  return request;
+}
+
+http::response<http::string_body> ToMessage(HttpResponse response,
+                                            unsigned version, bool keep_alive) {
+  http::response<http::string_body> message;
+  message.version(version);
+  message.result(response.status_);
+  message.set(http::field::content_type, response.content_type_);
+  if (response.retry_after_ > Duration(0)) {
+    const std::int64_t seconds = (response.retry_after_.ms() + 999) / 1000;
+    message.set(http::field::retry_after, std::to_string(seconds));
+  }
+  message.keep_alive(keep_alive);
+  message.body() = std::move(response.body_);
+  message.prepare_payload();
+  return message;
+}
+
+// The answer that one request waits for; touched only on its loop's thread.
+struct PendingAnswer {
+  explicit PendingAnswer(asio::io_context& loop) : wake_(loop) {
+    wake_.expires_at(asio::steady_timer::time_point::max());
+  }
+  asio::steady_timer wake_;
+  std::optional<HttpResponse> response_;
+};
+
+// Counts one in `count` for as long as it lives.
+class Counted {
+ public:
+  explicit Counted(std::atomic<std::uint64_t>& count) : count_(count) {
+    ++count_;
+  }
+  ~Counted() { --count_; }
+  Counted(const Counted&) = delete;
+  Counted& operator=(const Counted&) = delete;
+
+ private:
+  std::atomic<std::uint64_t>& count_;
+};
+
+// A share of the memory for bodies; empty when the limit is reached.
+class BodyReservation {
+ public:
+  BodyReservation(std::atomic<std::uint64_t>& total, std::uint64_t bytes,
+                  std::uint64_t limit)
+      : total_(total), bytes_(bytes) {
+    if (total_.fetch_add(bytes_) + bytes_ > limit) Release();
+  }
+  ~BodyReservation() { Release(); }
+  BodyReservation(const BodyReservation&) = delete;
+  BodyReservation& operator=(const BodyReservation&) = delete;
+  bool held() const { return held_; }
+
+ private:
+  void Release() {
+    if (held_) total_ -= bytes_;
+    held_ = false;
+  }
+
+  std::atomic<std::uint64_t>& total_;
+  const std::uint64_t bytes_;
+  bool held_ = true;
+};
+
+}  // namespace
+
+struct HttpSession;
+
+struct HttpServerState : std::enable_shared_from_this<HttpServerState> {
+  HttpServerState(const HttpServerOptions& options, IoThreads& threads,
+                  HttpHandler handler)
+      : options_(options),
+        threads_(threads),
+        handler_(std::move(handler)),
+        acceptor_(threads.Loop(0)),
+        drain_timer_(threads.Loop(0)),
+        idle_(threads.size()) {}
+
+  const HttpServerOptions options_;
+  IoThreads& threads_;
+  const HttpHandler handler_;
+  // The listener and its timer belong to loop 0.
+  Tcp::acceptor acceptor_;
+  asio::steady_timer drain_timer_;
+  std::uint16_t port_ = 0;
+
+  // The sessions that wait for a request, by loop; each set is touched only
+  // on its loop's thread.
+  std::vector<std::set<HttpSession*>> idle_;
+
+  std::atomic<bool> draining_{false};
+  std::atomic<bool> listener_closed_{false};
+  std::atomic<std::uint64_t> open_{0};
+  std::atomic<std::uint64_t> refusing_{0};
+  // Bytes of bodies that are reserved.
+  std::atomic<std::uint64_t> body_bytes_{0};
+  std::atomic<std::uint64_t> requests_{0};
+  std::atomic<std::uint64_t> refused_connections_{0};
+  std::atomic<std::uint64_t> refused_bodies_{0};
+  std::atomic<std::uint64_t> malformed_{0};
+  std::atomic<std::uint64_t> timed_out_{0};
+
+  error_code Listen();
+  asio::awaitable<void> AcceptLoop();
+  void Adopt(Tcp::socket socket, std::size_t loop);
+  void CloseListener();
+  void HurryIdle(std::size_t loop);
+};
+
+// One connection.
+struct HttpSession : std::enable_shared_from_this<HttpSession> {
+  HttpSession(std::shared_ptr<HttpServerState> server, Tcp::socket socket,
+              std::size_t loop_index)
+      : server_(std::move(server)),
+        loop_index_(loop_index),
+        loop_(server_->threads_.Loop(loop_index)),
+        stream_(std::move(socket)),
+        idle_timer_(loop_),
+        counted_(server_->open_) {}
+
+  const std::shared_ptr<HttpServerState> server_;
+  const std::size_t loop_index_;
+  asio::io_context& loop_;
+  beast::tcp_stream stream_;
+  beast::flat_buffer buffer_;
+  // Ends the wait for a request; in force only while `idle_` is true.
+  asio::steady_timer idle_timer_;
+  bool idle_ = false;
+  const Counted counted_;
+  // Held by a connection over the limit.
+  std::optional<Counted> refusing_;
+};
+
+namespace {
+
+using SessionPtr = std::shared_ptr<HttpSession>;
+
+// Ends the session's wait for a request after `timeout`. Called again, it
+// replaces the earlier time-out.
+void EndIdleAfter(const SessionPtr& session, Duration timeout) {
+  session->idle_timer_.expires_after(Ms(timeout));
+  session->idle_timer_.async_wait([session](error_code error) {
+    if (error || !session->idle_) return;
+    session->stream_.socket().cancel(error);
+  });
+}
+
+// Waits for the first bytes of a request. False when the connection is over.
+asio::awaitable<bool> AwaitRequest(SessionPtr session) {
+  if (session->buffer_.size() > 0) co_return true;
+  HttpServerState& server = *session->server_;
+  session->idle_ = true;
+  server.idle_[session->loop_index_].insert(session.get());
+  EndIdleAfter(session, server.listener_closed_
+                            ? kIdleLinger
+                            : server.options_.idle_timeout_);
+  const auto [error] = co_await session->stream_.socket().async_wait(
+      Tcp::socket::wait_read, kUseTuple);
+  server.idle_[session->loop_index_].erase(session.get());
+  session->idle_ = false;
+  session->idle_timer_.cancel();
+  co_return !error;
+}
+
+asio::awaitable<bool> Write(SessionPtr session, HttpResponse response,
+                            unsigned version, bool keep_alive) {
+  auto message = ToMessage(std::move(response), version, keep_alive);
+  session->stream_.expires_after(Ms(session->server_->options_.write_timeout_));
+  const auto [error, bytes] =
+      co_await http::async_write(session->stream_, message, kUseTuple);
+  co_return !error && keep_alive;
+}
+
+// Ends our side, then reads until the peer ends its own, within limits.
+asio::awaitable<void> Close(SessionPtr session) {
+  error_code ignored;
+  session->stream_.socket().shutdown(Tcp::socket::shutdown_send, ignored);
+  session->stream_.expires_after(Ms(kDiscardTime));
+  std::vector<char> discarded(kReadChunk);
+  std::size_t total = 0;
+  while (total < kDiscardBytes) {
+    const auto [error, bytes] = co_await session->stream_.async_read_some(
+        asio::buffer(discarded), kUseTuple);
+    if (error) break;
+    total += bytes;
+  }
+}
+
+// Calls the handler and waits for its answer.
+asio::awaitable<HttpResponse> Handle(SessionPtr session, HttpRequest request) {
+  auto pending = std::make_shared<PendingAnswer>(session->loop_);
+  asio::io_context& loop = session->loop_;
+  HttpResponder respond = [pending, &loop](HttpResponse response) {
+    asio::post(loop, [pending, response = std::move(response)]() mutable {
+      if (pending->response_.has_value()) return;
+      pending->response_ = std::move(response);
+      pending->wake_.cancel();
+    });
+  };
+  session->server_->handler_(std::move(request), std::move(respond));
+  while (!pending->response_.has_value()) {
+    const auto [cancelled] = co_await pending->wake_.async_wait(kUseTuple);
+    static_cast<void>(cancelled);
+  }
+  co_return std::move(*pending->response_);
+}
+
+// What a request that could not be read is answered with; nothing when the
+// connection itself is over.
+std::optional<HttpResponse> ReadErrorResponse(HttpServerState& server,
+                                              error_code error) {
+  if (error == http::error::body_limit) {
+    ++server.refused_bodies_;
+    return ErrorResponse(413, "too_large", "the body is over the limit",
+                         Duration(0));
+  }
+  if (error == http::error::header_limit) {
+    ++server.refused_bodies_;
+    return ErrorResponse(431, "too_large", "the headers are over the limit",
+                         Duration(0));
+  }
+  if (error == beast::error::timeout) {
+    ++server.timed_out_;
+    return ErrorResponse(408, "invalid", "the request did not arrive in time",
+                         Duration(0));
+  }
+  const bool is_http_error =
+      error.category() == make_error_code(http::error::bad_method).category();
+  if (is_http_error && error != http::error::end_of_stream &&
+      error != http::error::partial_message) {
+    ++server.malformed_;
+    return ErrorResponse(400, "invalid", "not an HTTP request", Duration(0));
+  }
+  return std::nullopt;
+}
+
+// Reads, handles and answers one request. True when the connection goes on.
+asio::awaitable<bool> ServeOne(SessionPtr session) {
+  HttpServerState& server = *session->server_;
+  RequestParser parser;
+  parser.header_limit(kMaxHeaderBytes);
+  parser.body_limit(server.options_.max_body_bytes_);
+  session->stream_.expires_after(Ms(server.options_.request_timeout_));
+  auto [error, header_bytes] = co_await http::async_read_header(
+      session->stream_, session->buffer_, parser, kUseTuple);
+  const std::uint64_t body_bytes =
+      parser.content_length().value_or(server.options_.max_body_bytes_);
+  const bool has_body = !error && !parser.is_done();
+  const BodyReservation reservation(server.body_bytes_,
+                                    has_body ? body_bytes : 0,
+                                    server.options_.max_total_body_bytes_);
+  if (!error && !reservation.held()) {
+    ++server.refused_bodies_;
+    co_await Write(session,
+                   ErrorResponse(503, "unavailable", "too many bodies at once",
+                                 server.options_.retry_after_),
+                   11, false);
+    co_return false;
+  }
+  if (has_body) {
+    const auto [body_error, bytes] = co_await http::async_read(
+        session->stream_, session->buffer_, parser, kUseTuple);
+    error = body_error;
+  }
+  if (error) {
+    auto response = ReadErrorResponse(server, error);
+    if (response.has_value()) {
+      co_await Write(session, std::move(*response), 11, false);
+    }
+    co_return false;
+  }
+  ++server.requests_;
+  const unsigned version = parser.get().version();
+  const bool wants_more = parser.keep_alive();
+  HttpResponse response = co_await Handle(session, ToRequest(parser));
+  co_return co_await Write(session, std::move(response), version,
+                           wants_more && !server.draining_);
+}
+
+asio::awaitable<void> Serve(SessionPtr session) {
+  bool go_on = true;
+  while (go_on) {
+    go_on = co_await AwaitRequest(session);
+    if (go_on) go_on = co_await ServeOne(session);
+  }
+  co_await Close(session);
+}
+
+// Answers a connection over the limit.
+asio::awaitable<void> Refuse(SessionPtr session) {
+  session->stream_.expires_after(Ms(kDiscardTime));
+  const auto [error, bytes] = co_await session->stream_.async_read_some(
+      session->buffer_.prepare(kReadChunk), kUseTuple);
+  if (error) co_return;
+  co_await Write(session,
+                 ErrorResponse(503, "unavailable", "too many connections",
+                               session->server_->options_.retry_after_),
+                 11, false);
+  co_await Close(session);
+}
+
+}  // namespace
+
+error_code HttpServerState::Listen() {
+  const std::optional<Address> address = ParseAddress(options_.address_);
+  if (!address.has_value()) {
+    return make_error_code(boost::system::errc::invalid_argument);
+  }
+  error_code error;
+  const Tcp::endpoint endpoint(asio::ip::make_address(address->ip_, error),
+                               address->port_);
+  if (!error) acceptor_.open(endpoint.protocol(), error);
+  if (!error) acceptor_.set_option(Tcp::acceptor::reuse_address(true), error);
+  if (!error) acceptor_.bind(endpoint, error);
+  if (!error)
+    acceptor_.listen(asio::socket_base::max_listen_connections, error);
+  if (!error) port_ = acceptor_.local_endpoint(error).port();
+  return error;
+}
+
+asio::awaitable<void> HttpServerState::AcceptLoop() {
+  asio::steady_timer pause(threads_.Loop(0));
+  std::size_t next_loop = 0;
+  while (acceptor_.is_open()) {
+    if (refusing_ >= kMaxRefusing) {
+      pause.expires_after(Ms(kAcceptRetry));
+      co_await pause.async_wait(kUseTuple);
+      continue;
+    }
+    const std::size_t loop = next_loop++ % threads_.size();
+    auto [error, socket] =
+        co_await acceptor_.async_accept(threads_.Loop(loop), kUseTuple);
+    if (!error) {
+      Adopt(std::move(socket), loop);
+    } else if (acceptor_.is_open()) {
+      // Out of file descriptors, or the peer has gone: try again shortly.
+      pause.expires_after(Ms(kAcceptRetry));
+      co_await pause.async_wait(kUseTuple);
+    }
+  }
+}
+
+void HttpServerState::Adopt(Tcp::socket socket, std::size_t loop) {
+  error_code ignored;
+  socket.set_option(Tcp::no_delay(true), ignored);
+  const bool over_limit = open_ >= options_.max_connections_ + refusing_;
+  auto session = std::make_shared<HttpSession>(shared_from_this(),
+                                               std::move(socket), loop);
+  if (over_limit) {
+    ++refused_connections_;
+    session->refusing_.emplace(refusing_);
+    asio::co_spawn(threads_.Loop(loop), Refuse(std::move(session)),
+                   asio::detached);
+  } else {
+    asio::co_spawn(threads_.Loop(loop), Serve(std::move(session)),
+                   asio::detached);
+  }
+}
+
+void HttpServerState::CloseListener() {
+  error_code error;
+  acceptor_.non_blocking(true, error);
+  // Connections that wait in the listen queue have been accepted by the
+  // system already: serve them, closing would reset them.
+  for (std::uint32_t i = 0; !error && i < options_.max_connections_; ++i) {
+    Tcp::socket socket(threads_.Loop(0));
+    acceptor_.accept(socket, error);
+    if (!error) Adopt(std::move(socket), 0);
+  }
+  acceptor_.close(error);
+  listener_closed_ = true;
+  for (std::size_t loop = 0; loop < threads_.size(); ++loop) {
+    asio::post(threads_.Loop(loop),
+               [state = shared_from_this(), loop] { state->HurryIdle(loop); });
+  }
+}
+
+void HttpServerState::HurryIdle(std::size_t loop) {
+  for (HttpSession* session : idle_[loop]) {
+    EndIdleAfter(session->shared_from_this(), kIdleLinger);
+  }
+}
+
+HttpServer::HttpServer(std::shared_ptr<HttpServerState> state)
+    : state_(std::move(state)) {}
+
+HttpServer::~HttpServer() = default;
+
+boost::leaf::result<std::unique_ptr<HttpServer>> HttpServer::Create(
+    const HttpServerOptions& options, IoThreads& threads, HttpHandler handler) {
+  auto state =
+      std::make_shared<HttpServerState>(options, threads, std::move(handler));
+  if (state->Listen()) {
+    return boost::leaf::new_error(HttpServerError::kBadAddress);
+  }
+  asio::co_spawn(
+      threads.Loop(0), [state] { return state->AcceptLoop(); }, asio::detached);
+  return std::unique_ptr<HttpServer>(new HttpServer(std::move(state)));
+}
+
+std::uint16_t HttpServer::port() const { return state_->port_; }
+
+std::uint64_t HttpServer::open_connections() const { return state_->open_; }
+
+HttpServerCounts HttpServer::Counts() const {
+  return {
+      state_->open_,           state_->requests_,  state_->refused_connections_,
+      state_->refused_bodies_, state_->malformed_, state_->timed_out_};
+}
+
+void HttpServer::Drain(Duration grace) {
+  state_->draining_ = true;
+  asio::post(state_->threads_.Loop(0), [state = state_, grace] {
+    state->drain_timer_.expires_after(Ms(grace));
+    state->drain_timer_.async_wait([state](error_code error) {
+      if (!error) state->CloseListener();
+    });
+  });
+}
+
+}  // namespace flamingohollow
--- /dev/null
+++ b/flamingohollow/http_server.h
@@ -0,0 +1,96 @@
+// An HTTP/1.1 server with bounded connections, memory and waits.
+//
+// Each connection belongs to one traffic thread and carries one request at a
+// time. Bounds, each answered and not dropped:
+//   - more connections than allowed: 503 with Retry-After, then closed. Of
+//     such connections kMaxRefusing at most are open; while there are more,
+//     new ones wait in the system's listen queue;
+//   - a body over the limit: 413;
+//   - more bytes of bodies in memory than allowed: 503 with Retry-After.
+// A request must arrive whole within request_timeout_, and an idle connection
+// is closed after idle_timeout_.
+
+#ifndef FLAMINGOHOLLOW_HTTP_SERVER_H_
+#define FLAMINGOHOLLOW_HTTP_SERVER_H_
+
+#include <boost/leaf/result.hpp>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "flamingohollow/http_types.h"
+#include "util/clock.h"
+#include "util/io_threads.h"
+
+namespace flamingohollow {
+
+struct HttpServerOptions {
+  // "IP:PORT"; port 0 for any free one.
+  std::string address_;
+  std::uint32_t max_connections_ = 1024;
+  std::uint32_t max_body_bytes_ = 1024 * 1024;
+  // Bodies held in memory at one time, over all connections.
+  std::uint64_t max_total_body_bytes_ = 64ULL * 1024 * 1024;
+  Duration idle_timeout_ = Duration(60000);
+  Duration request_timeout_ = Duration(10000);
+  Duration write_timeout_ = Duration(10000);
+  // What a refused caller is told to wait.
+  Duration retry_after_ = Duration(1000);
+};
+
+enum class HttpServerError : std::uint8_t {
+  // The address could not be parsed or bound.
+  kBadAddress,
+};
+
+// Gives the answer; any thread, once.
+using HttpResponder = std::function<void(HttpResponse)>;
+// Called on a traffic thread; must not block.
+using HttpHandler = std::function<void(HttpRequest, HttpResponder)>;
+
+// Since the start; for /metrics.
+struct HttpServerCounts {
+  std::uint64_t open_connections_ = 0;
+  std::uint64_t requests_ = 0;
+  std::uint64_t refused_connections_ = 0;
+  std::uint64_t refused_bodies_ = 0;
+  std::uint64_t malformed_ = 0;
+  std::uint64_t timed_out_ = 0;
+};
+
+inline constexpr std::uint32_t kMaxRefusing = 64;
+
+struct HttpServerState;
+
+class HttpServer {
+ public:
+  // Binds and starts to serve. `threads` must outlive the server.
+  static boost::leaf::result<std::unique_ptr<HttpServer>> Create(
+      const HttpServerOptions& options, IoThreads& threads,
+      HttpHandler handler);
+  ~HttpServer();
+  HttpServer(const HttpServer&) = delete;
+  HttpServer& operator=(const HttpServer&) = delete;
+
+  std::uint16_t port() const;
+  HttpServerCounts Counts() const;
+
+  // Stops gracefully. First every answer says "Connection: close" while new
+  // connections are still served for `grace`, so that a balancer can turn
+  // away; then the listener closes and each connection ends after the request
+  // that it carries. Idle ones end after a last wait for a request that may
+  // be under way. Thread-safe.
+  void Drain(Duration grace);
+  // Connections that are still open.
+  std::uint64_t open_connections() const;
+
+ private:
+  explicit HttpServer(std::shared_ptr<HttpServerState> state);
+  // Shared with the open connections.
+  std::shared_ptr<HttpServerState> state_;
+};
+
+}  // namespace flamingohollow
+
+#endif  // FLAMINGOHOLLOW_HTTP_SERVER_H_
--- /dev/null
+++ b/flamingohollow/http_types.h
@@ -0,0 +1,35 @@
+// HTTP requests and responses as the rest of the code sees them; the library
+// that carries them stays inside http_server.cc and http_client.cc.
+
+#ifndef FLAMINGOHOLLOW_HTTP_TYPES_H_
+#define FLAMINGOHOLLOW_HTTP_TYPES_H_
+
+#include <string>
+
+#include "util/clock.h"
+
+namespace flamingohollow {
+
+struct HttpRequest {
+  // "GET", "POST", "DELETE", ...
+  std::string method_;
+  // Path and query, as sent.
+  std::string target_;
+  // Headers that the product reads; empty when not sent.
+  std::string authorization_;
+  std::string idempotency_key_;
+  std::string trace_parent_;
+  std::string body_;
+};
+
+struct HttpResponse {
+  unsigned status_ = 200;
+  std::string content_type_ = "application/json";
+  std::string body_;
+  // Sent as Retry-After, in seconds rounded up; 0 for none.
+  Duration retry_after_;
+};
+
+}  // namespace flamingohollow
+
+#endif  // FLAMINGOHOLLOW_HTTP_TYPES_H_
--- /dev/null
+++ b/flamingohollow/testing/settings_test.cc
@@ -0,0 +1,133 @@
+// Tests of the settings: each mistake is named with its line and key.
+
+#include "flamingohollow/settings.h"
+
+#include <doctest/doctest.h>
+
+#include <boost/leaf/handle_errors.hpp>
+#include <string>
+#include <vector>
+
+namespace flamingohollow {
+namespace {
+
+const char* const kEntry = R"(role: entry
+name: entry-0
+group: 1
+region: nam-bo
+failure_domain: saigon-a
+data_folder: data/entry-0
+trace_file: traces.jsonl
+http: 127.0.0.1:8000
+controls: [127.0.0.1:7000, 127.0.0.1:7001]
+tokens:
+  - {token_file: operator.token, role: operator, name: operator}
+  - {token_file: acme.token, role: customer, name: acme}
+limits:
+  max_body_bytes: 4096
+  max_connections: 10
+  max_worker_connections: 6
+  drain_ms: 500
+)";
+
+const char* const kControl = R"(role: control
+name: control-0
+region: nam-bo
+failure_domain: saigon-a
+data_folder: data/control-0
+listen: 127.0.0.1:7000
+voters:
+  - {name: control-0, address: 127.0.0.1:7000, failure_domain: saigon-a}
+)";
+
+// The mistakes of `text`, each as "LINE KEY".
+std::vector<std::string> Mistakes(const std::string& text) {
+  std::vector<std::string> found;
+  boost::leaf::try_handle_all(
+      [&]() -> boost::leaf::result<void> {
+        BOOST_LEAF_CHECK(ParseSettings(text, "f.yaml"));
+        return {};
+      },
+      [&](const SettingsMistakes& mistakes) {
+        for (const SettingsMistake& mistake : mistakes.mistakes_) {
+          CHECK(mistake.file_ == "f.yaml");
+          CHECK_FALSE(mistake.message_.empty());
+          found.push_back(std::to_string(mistake.line_) + " " + mistake.key_);
+        }
+      },
+      [] { FAIL("another error than SettingsMistakes"); });
+  return found;
+}
+
+// `text` with the first `from` replaced by `to`.
+std::string Edited(std::string text, const std::string& from,
+                   const std::string& to) {
+  const std::size_t at = text.find(from);
+  REQUIRE(at != std::string::npos);
+  return text.replace(at, from.size(), to);
+}
+
+using Lines = std::vector<std::string>;
+
+TEST_CASE("good settings are read whole") {
+  const auto entry = ParseSettings(kEntry, "f.yaml");
+  REQUIRE(entry);
+  CHECK(entry->role_ == ProcessRole::kEntry);
+  CHECK(entry->controls_.size() == 2);
+  CHECK(entry->tokens_[1].role_ == TokenRole::kCustomer);
+  CHECK(entry->tokens_[1].name_ == "acme");
+  CHECK(entry->limits_.max_connections_ == 10);
+  CHECK(entry->limits_.drain_ == Duration(500));
+  const auto control = ParseSettings(kControl, "f.yaml");
+  REQUIRE(control);
+  CHECK(control->voters_[0].failure_domain_ == FailureDomain("saigon-a"));
+}
+
+TEST_CASE("each mistake is named with line and key") {
+  struct Case {
+    std::string text_;
+    Lines mistakes_;
+  };
+  const std::vector<Case> cases = {
+      {Edited(kEntry, "role: entry", "role: boss"), {"1 role"}},
+      {Edited(kEntry, "region: nam-bo", "regoin: nam-bo"),
+       {"1 region", "4 regoin"}},
+      {Edited(kEntry, "group: 1", "group: 2"), {"3 group"}},
+      {Edited(kEntry, "group: 1", "name: other"), {"3 name"}},
+      {Edited(kEntry, "name: entry-0", "name: entry 0"), {"2 name"}},
+      {Edited(kEntry, "127.0.0.1:8000", "localhost"), {"8 http"}},
+      {Edited(kEntry, "127.0.0.1:7001", "127.0.0.1:70010"), {"9 controls[1]"}},
+      {Edited(kEntry, "127.0.0.1:7001", "127.0.0.1:7000"), {"9 controls[1]"}},
+      {Edited(kEntry, "role: customer", "role: guest"), {"12 tokens[1].role"}},
+      {Edited(kEntry, "token_file: acme.token, ", ""),
+       {"12 tokens[1].token_file"}},
+      {Edited(kEntry, "4096", "1"), {"14 limits.max_body_bytes"}},
+      {Edited(kEntry, "connections: 6", "connections: 61"),
+       {"16 limits.max_worker_connections"}},
+      {Edited(kEntry, "500", "-1"), {"17 limits.drain_ms"}},
+      {Edited(kEntry, "500", "5s"), {"17 limits.drain_ms"}},
+      {Edited(kEntry, "http:", "listen:"), {"1 http", "8 listen"}},
+      {Edited(kControl, "address: 127.0.0.1:7000", "address: x"),
+       {"8 voters[0].address"}},
+      {std::string(kControl) +
+           "  - {name: b, address: 127.0.0.1:7001, failure_domain: d}\n",
+       {"8 voters"}},
+      {Edited(kControl, "voters:\n", "voters: 3\nname: [\n"), {"9 "}},
+      {"", {"0 "}},
+      {"- a\n", {"1 "}},
+  };
+  for (const Case& c : cases) {
+    CAPTURE(c.text_);
+    CHECK(Mistakes(c.text_) == c.mistakes_);
+  }
+}
+
+TEST_CASE("all mistakes of a file are named at once") {
+  std::string text = Edited(kEntry, "500", "x");
+  text = Edited(text, "group: 1", "group: one");
+  text = Edited(text, "127.0.0.1:8000", "8000");
+  CHECK(Mistakes(text) == Lines{"3 group", "8 http", "17 limits.drain_ms"});
+}
+
+}  // namespace
+}  // namespace flamingohollow
