--- /dev/null
+++ b/flamingohollow/entry_core.h
@@ -0,0 +1,130 @@
+// An entry's control state and the one thread that owns it.
+//
+// The parts are pure (entry_table.h, entry_workers.h, dispatcher.h,
+// rate_limit.h); this class feeds them. Everything here runs on the entry's
+// control thread, so nothing needs a lock, except Post and the counts that
+// other threads read.
+//
+// One exchange with the leader is open nearly always; the leader holds it
+// until it has news. A change among the workers or the waiting callers opens
+// a second one at once, which makes the leader answer the first.
+
+#ifndef FLAMINGOHOLLOW_ENTRY_CORE_H_
+#define FLAMINGOHOLLOW_ENTRY_CORE_H_
+
+#include <atomic>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <random>
+#include <string>
+
+#include "flamingohollow/dispatcher.h"
+#include "flamingohollow/entry_table.h"
+#include "flamingohollow/entry_workers.h"
+#include "flamingohollow/filter.h"
+#include "flamingohollow/http_client.h"
+#include "flamingohollow/http_server.h"
+#include "flamingohollow/job_waiters.h"
+#include "flamingohollow/leader_link.h"
+#include "flamingohollow/metrics.h"
+#include "flamingohollow/rate_limit.h"
+#include "flamingohollow/rpc.h"
+#include "flamingohollow/trace.h"
+#include "flamingohollow/types.h"
+#include "util/io_threads.h"
+
+namespace flamingohollow {
+
+struct EntryCoreOptions {
+  NodeName name_;
+  Incarnation incarnation_;
+  std::vector<std::string> controls_;
+  std::uint64_t seed_ = 0;
+  CallOptions call_;
+};
+
+class EntryCore {
+ public:
+  // All references must outlive the core. `threads` has one thread, the
+  // control thread.
+  EntryCore(const EntryCoreOptions& options, IoThreads& threads, RpcNode& rpc,
+            HttpClient& client, Metrics& metrics, SpanLog& spans);
+  ~EntryCore();
+  EntryCore(const EntryCore&) = delete;
+  EntryCore& operator=(const EntryCore&) = delete;
+
+  // Starts the exchanges and the timer.
+  void Start();
+  // Answers waiting callers with their job's present state; later ones are
+  // answered without waiting.
+  void Drain();
+  // A request that passed the traffic filters.
+  void Handle(Passage passage, HttpResponder respond);
+
+  // Whether the entry takes new work: it holds a lease and does not drain.
+  bool IsReady() const;
+  // Sets the gauges and counters that are kept elsewhere.
+  void ExportMetrics();
+
+  // These may be called on any thread.
+  void Post(std::function<void()> task);
+  // Requests and commands that are under way.
+  std::uint64_t in_flight() const { return in_flight_; }
+
+ private:
+  void HandleCall(Passage passage, HttpResponder respond);
+  void HandleAnnounce(const Passage& passage, const HttpResponder& respond);
+  void OnCallResult(const std::shared_ptr<Passage>& passage,
+                    const HttpResponder& respond, CallResult result);
+  bool WaitForEnd(const std::shared_ptr<Passage>& passage,
+                  const HttpResponder& respond, const CallReply& reply);
+
+  void Tick();
+  void ScheduleTick();
+  void MaybeSync();
+  void SendSync();
+  void OnSync(const WorkerNews& news, Time sent_at,
+              std::optional<ControlSync> answer);
+  void TakeLeaderNews(const ControlSync& sync, Time sent_at);
+  void SendCommands();
+  void OnCommandsAnswered(const Batch& batch, Time sent_at, HttpResult result);
+  void RecordDispatchSpans(const Batch& batch, Time started_at,
+                           Duration duration);
+  void NoteLease();
+  PostTask MakePostTask();
+
+  const EntryCoreOptions options_;
+  IoThreads& threads_;
+  RpcNode& rpc_;
+  HttpClient& client_;
+  Metrics& metrics_;
+  SpanLog& spans_;
+
+  std::mt19937_64 random_;
+  EntryTable table_;
+  EntryWorkers workers_;
+  Dispatcher dispatcher_;
+  RateLimits limits_;
+  JobWaiters waiters_;
+  LeaderLink link_;
+
+  bool draining_ = false;
+  bool had_lease_ = false;
+  // Exchanges under way; at most kMaxOpenSyncs.
+  std::uint32_t open_syncs_ = 0;
+  Time last_sync_at_;
+  // No exchange before this, after one that failed.
+  Time next_sync_at_;
+  // The waiting callers changed since the last exchange was sent.
+  bool watch_changed_ = false;
+  std::atomic<std::uint64_t> in_flight_{0};
+
+  // Asio's timers, kept out of this header.
+  struct Timers;
+  std::unique_ptr<Timers> timers_;
+};
+
+}  // namespace flamingohollow
+
+#endif  // FLAMINGOHOLLOW_ENTRY_CORE_H_
--- /dev/null
+++ b/flamingohollow/entry_table.cc
@@ -0,0 +1,72 @@
+// Takes table versions, leases and exclusions from control's answers.
+
+#include "flamingohollow/entry_table.h"
+
+#include <algorithm>
+
+namespace flamingohollow {
+namespace {
+
+// Whether after this the entry holds the exclusions that `sync` speaks of, or
+// newer ones. A newer set holds all that the leader of its time excluded, and
+// control counts on the newest that the entry has confirmed.
+bool TakeExclusions(EntryTable& table, const ControlSync& sync) {
+  if (sync.exclusions_version_ <= table.exclusions_version_) return true;
+  if (!sync.exclusions_.has_value()) return false;
+  table.exclusions_version_ = sync.exclusions_version_;
+  table.exclusions_.clear();
+  table.exclusions_.insert(sync.exclusions_->begin(), sync.exclusions_->end());
+  return true;
+}
+
+// Whether after this the entry holds the table that `sync` speaks of.
+bool TakeTable(EntryTable& table, const ControlSync& sync) {
+  if (sync.table_.has_value() && sync.table_->version_ == sync.table_version_ &&
+      sync.table_version_ > table.table_.version_) {
+    table.table_ = *sync.table_;
+  }
+  // Version 0 is the empty table, which needs no sending.
+  return table.table_.version_ == sync.table_version_;
+}
+
+}  // namespace
+
+SyncOutcome TakeSync(EntryTable& table, const ControlSync& sync, Time sent_at) {
+  if (!sync.is_leader_) return SyncOutcome::kNoLease;
+  if (sync.term_ < table.term_ || sync.table_version_ < table.table_.version_) {
+    return SyncOutcome::kStale;
+  }
+  table.term_ = sync.term_;
+  const bool has_exclusions = TakeExclusions(table, sync);
+  if (sync.lease_ <= Duration(0)) return SyncOutcome::kNoLease;
+  if (!TakeTable(table, sync)) return SyncOutcome::kIncomplete;
+
+  table.confirmed_ = true;
+  table.worker_lease_ = sync.worker_lease_;
+  table.lease_until_ = std::max(table.lease_until_, sent_at + sync.lease_);
+  if (has_exclusions) {
+    table.renew_until_ = std::max(table.renew_until_, sent_at + sync.lease_);
+  }
+  return SyncOutcome::kGranted;
+}
+
+bool HasLease(const EntryTable& table, Time now) {
+  return table.confirmed_ && now < table.lease_until_;
+}
+
+bool MayRenew(const EntryTable& table, Time now) {
+  return table.confirmed_ && now < table.renew_until_;
+}
+
+TableVersion EnforcedVersion(const EntryTable& table) {
+  return table.confirmed_ ? table.table_.version_ : TableVersion(0);
+}
+
+const Row* FindRow(const EntryTable& table, const CustomerId& customer,
+                   Time now) {
+  if (!HasLease(table, now)) return nullptr;
+  const auto row = table.table_.rows_.find(customer);
+  return row == table.table_.rows_.end() ? nullptr : &row->second;
+}
+
+}  // namespace flamingohollow
--- /dev/null
+++ b/flamingohollow/entry_workers.cc
@@ -0,0 +1,167 @@
+// Keeps the newest report of each worker and what control has of it.
+
+#include "flamingohollow/entry_workers.h"
+
+#include <algorithm>
+
+namespace flamingohollow {
+namespace {
+
+bool IsFresh(const EntryWorkers& workers, const EntryWorker& worker, Time now) {
+  return now - worker.heard_at_ < workers.options_.fresh_;
+}
+
+std::size_t AnswerBytes(const WorkerReport& report) {
+  std::size_t bytes = 0;
+  for (const LeaseReport& lease : report.leases_) bytes += lease.part_.size();
+  return bytes;
+}
+
+bool SameReport(const WorkerReport& a, const WorkerReport& b) {
+  return a.incarnation_ == b.incarnation_ && a.sequence_ == b.sequence_;
+}
+
+void MarkHeard(EntryWorker& worker, Time now) {
+  worker.heard_at_ = now;
+  worker.alive_ = true;
+}
+
+AnnounceOutcome TakeShort(EntryWorkers& workers, const WorkerReport& report,
+                          Time now) {
+  const auto found = workers.workers_.find(report.worker_);
+  if (found == workers.workers_.end() ||
+      !SameReport(found->second.report_, report)) {
+    return AnnounceOutcome::kUnknown;
+  }
+  MarkHeard(found->second, now);
+  return AnnounceOutcome::kUnchanged;
+}
+
+}  // namespace
+
+AnnounceOutcome TakeAnnouncement(EntryWorkers& workers,
+                                 const Announcement& announcement, Time now) {
+  const WorkerReport& report = announcement.report_;
+  if (!announcement.whole_) return TakeShort(workers, report, now);
+
+  const auto found = workers.workers_.find(report.worker_);
+  if (found == workers.workers_.end()) {
+    if (workers.workers_.size() >= workers.options_.max_workers_) {
+      return AnnounceOutcome::kFull;
+    }
+    EntryWorker& worker = workers.workers_[report.worker_];
+    worker.report_ = report;
+    MarkHeard(worker, now);
+    return AnnounceOutcome::kChanged;
+  }
+  EntryWorker& worker = found->second;
+  const WorkerReport& held = worker.report_;
+  if (report.incarnation_ < held.incarnation_ ||
+      (report.incarnation_ == held.incarnation_ &&
+       report.sequence_ < held.sequence_)) {
+    return AnnounceOutcome::kOld;
+  }
+  MarkHeard(worker, now);
+  if (SameReport(report, held)) return AnnounceOutcome::kUnchanged;
+  worker.report_ = report;
+  worker.unacknowledged_ = true;
+  worker.in_flight_ = false;
+  return AnnounceOutcome::kChanged;
+}
+
+AnnounceReply MakeAnnounceReply(const EntryWorkers& workers,
+                                const EntryTable& table,
+                                const Announcement& announcement,
+                                AnnounceOutcome outcome, Time now) {
+  AnnounceReply reply;
+  reply.announce_after_ = workers.options_.announce_interval_;
+  // An old announcement is a late message: there is nothing more to ask for,
+  // and nothing to renew, since its worker has announced anew.
+  reply.known_ = outcome != AnnounceOutcome::kUnknown;
+  const bool is_newest = outcome == AnnounceOutcome::kChanged ||
+                         outcome == AnnounceOutcome::kUnchanged;
+  if (!is_newest || !MayRenew(table, now)) return reply;
+  reply.renew_ = table.worker_lease_;
+  const auto found = workers.workers_.find(announcement.report_.worker_);
+  if (found == workers.workers_.end()) return reply;
+  // Leases that the worker got after it announced need not be named: their
+  // own term is no shorter than what this renewal could give them.
+  for (const LeaseReport& lease : found->second.report_.leases_) {
+    if (table.exclusions_.contains(lease.job_)) {
+      reply.excluded_.push_back(lease.job_);
+    }
+  }
+  return reply;
+}
+
+bool HasReportsToSend(const EntryWorkers& workers, Time now) {
+  return std::any_of(workers.workers_.begin(), workers.workers_.end(),
+                     [&](const auto& entry) {
+                       const EntryWorker& worker = entry.second;
+                       return worker.unacknowledged_ && !worker.in_flight_ &&
+                              IsFresh(workers, worker, now);
+                     });
+}
+
+WorkerNews TakeNews(EntryWorkers& workers, Time now) {
+  WorkerNews news;
+  const EntryWorkersOptions& options = workers.options_;
+  std::size_t bytes = 0;
+  const bool alive_due =
+      now - workers.alive_sent_at_ >= options.alive_interval_;
+  for (auto& [id, worker] : workers.workers_) {
+    if (!IsFresh(workers, worker, now)) continue;
+    const bool to_send = worker.unacknowledged_ && !worker.in_flight_;
+    if (to_send && news.reports_.size() < options.max_reports_ &&
+        bytes <= options.max_report_bytes_) {
+      bytes += AnswerBytes(worker.report_);
+      worker.in_flight_ = true;
+      worker.alive_ = false;
+      news.reports_.push_back(worker.report_);
+    } else if (alive_due && worker.alive_ && !worker.unacknowledged_) {
+      worker.alive_ = false;
+      news.alive_.push_back(id);
+    }
+  }
+  if (alive_due) workers.alive_sent_at_ = now;
+  return news;
+}
+
+void OnNewsAnswered(EntryWorkers& workers, const WorkerNews& news,
+                    const std::vector<WorkerId>& acknowledged) {
+  for (const WorkerReport& sent : news.reports_) {
+    const auto found = workers.workers_.find(sent.worker_);
+    if (found == workers.workers_.end()) continue;
+    EntryWorker& worker = found->second;
+    // A report that changed in the meantime has yet to be sent.
+    if (!SameReport(worker.report_, sent)) continue;
+    worker.in_flight_ = false;
+    const bool taken = std::find(acknowledged.begin(), acknowledged.end(),
+                                 sent.worker_) != acknowledged.end();
+    if (taken) worker.unacknowledged_ = false;
+  }
+}
+
+void OnNewsLost(EntryWorkers& workers, const WorkerNews& news) {
+  OnNewsAnswered(workers, news, {});
+  // They are named again with the next exchange.
+  for (const WorkerId& id : news.alive_) {
+    const auto found = workers.workers_.find(id);
+    if (found != workers.workers_.end()) found->second.alive_ = true;
+  }
+  if (!news.alive_.empty()) workers.alive_sent_at_ = Time();
+}
+
+void SendAllAgain(EntryWorkers& workers) {
+  for (auto& [id, worker] : workers.workers_) {
+    worker.unacknowledged_ = true;
+  }
+}
+
+void ForgetSilent(EntryWorkers& workers, Time now) {
+  std::erase_if(workers.workers_, [&](const auto& entry) {
+    return now - entry.second.heard_at_ >= workers.options_.forget_after_;
+  });
+}
+
+}  // namespace flamingohollow
--- a/flamingohollow/http_server.cc
+++ b/flamingohollow/http_server.cc
@@ -54,22 +54,6 @@
   return std::chrono::milliseconds(duration.ms());
 }
 
-std::string ErrorBody(const char* code, const char* message,
-                      Duration retry_after) {
-  std::string body =
-      std::string(R"({"error":")") + code + R"(","message":")" + message + "\"";
-  if (retry_after > Duration(0)) {
-    body += ",\"retry_after_ms\":" + std::to_string(retry_after.ms());
-  }
-  return body + "}";
-}
-
-HttpResponse ErrorResponse(unsigned status, const char* code,
-                           const char* message, Duration retry_after) {
-  return {status, "application/json", ErrorBody(code, message, retry_after),
-          retry_after};
-}
-
 std::string Header(const http::fields& fields, std::string_view name) {
   const auto found = fields.find(name);
   return found == fields.end() ? std::string() : std::string(found->value());
@@ -299,25 +283,22 @@
                                               error_code error) {
   if (error == http::error::body_limit) {
     ++server.refused_bodies_;
-    return ErrorResponse(413, "too_large", "the body is over the limit",
-                         Duration(0));
+    return ErrorResponse(413, "too_large", "the body is over the limit");
   }
   if (error == http::error::header_limit) {
     ++server.refused_bodies_;
-    return ErrorResponse(431, "too_large", "the headers are over the limit",
-                         Duration(0));
+    return ErrorResponse(431, "too_large", "the headers are over the limit");
   }
   if (error == beast::error::timeout) {
     ++server.timed_out_;
-    return ErrorResponse(408, "invalid", "the request did not arrive in time",
-                         Duration(0));
+    return ErrorResponse(408, "invalid", "the request did not arrive in time");
   }
   const bool is_http_error =
       error.category() == make_error_code(http::error::bad_method).category();
   if (is_http_error && error != http::error::end_of_stream &&
       error != http::error::partial_message) {
     ++server.malformed_;
-    return ErrorResponse(400, "invalid", "not an HTTP request", Duration(0));
+    return ErrorResponse(400, "invalid", "not an HTTP request");
   }
   return std::nullopt;
 }
--- a/flamingohollow/http_types.h
+++ b/flamingohollow/http_types.h
@@ -5,6 +5,7 @@
 #define FLAMINGOHOLLOW_HTTP_TYPES_H_
 
 #include <string>
+#include <string_view>
 
 #include "util/clock.h"
 
@@ -30,6 +31,12 @@
   Duration retry_after_;
 };
 
+// `{"error": CODE, "message": TEXT, "retry_after_ms": N}` as docs/HTTP.md has
+// it; `retry_after` of 0 is left out.
+HttpResponse ErrorResponse(unsigned status, std::string_view code,
+                           std::string_view message,
+                           Duration retry_after = Duration(0));
+
 }  // namespace flamingohollow
 
 #endif  // FLAMINGOHOLLOW_HTTP_TYPES_H_
--- /dev/null
+++ b/flamingohollow/leader_finder.cc
@@ -0,0 +1,106 @@
+// Follows hints, goes round the known addresses, bounds retries.
+
+#include "flamingohollow/leader_finder.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace flamingohollow {
+namespace {
+
+void TryNext(LeaderFinder& finder) {
+  finder.found_ = false;
+  finder.address_ = finder.controls_[finder.next_];
+  finder.next_ = (finder.next_ + 1) % finder.controls_.size();
+}
+
+}  // namespace
+
+LeaderFinder MakeLeaderFinder(std::vector<std::string> controls,
+                              std::uint64_t seed) {
+  LeaderFinder finder;
+  finder.controls_ = std::move(controls);
+  finder.next_ = seed % finder.controls_.size();
+  TryNext(finder);
+  return finder;
+}
+
+void OnLeaderAnswer(LeaderFinder& finder, const std::string& from) {
+  finder.address_ = from;
+  finder.found_ = true;
+}
+
+void OnNotLeader(LeaderFinder& finder, const std::string& from,
+                 const std::string& hint) {
+  // News of an address that is no longer asked changes nothing.
+  if (from != finder.address_) return;
+  if (hint.empty() || hint == from) {
+    TryNext(finder);
+    return;
+  }
+  finder.found_ = false;
+  finder.address_ = hint;
+}
+
+void OnNoAnswer(LeaderFinder& finder, const std::string& from) {
+  if (from == finder.address_) TryNext(finder);
+}
+
+bool IsRead(CallKind kind) {
+  switch (kind) {
+    case CallKind::kTableShow:
+    case CallKind::kTableStatus:
+    case CallKind::kJobShow:
+    case CallKind::kJobList:
+    case CallKind::kWorkers:
+    case CallKind::kStatus:
+    case CallKind::kTableHistory:
+      return true;
+    case CallKind::kInit:
+    case CallKind::kTableApply:
+    case CallKind::kSubmit:
+    case CallKind::kJobCancel:
+    case CallKind::kVoterAdd:
+    case CallKind::kVoterRemove:
+      return false;
+  }
+  return false;
+}
+
+bool IsIdempotent(CallKind kind) {
+  // Submissions and table changes carry a request id; a second cancel finds
+  // the job cancelled. A cluster is formed, and a voter added or removed, only
+  // once: the second time would be refused, and that refusal would hide that
+  // the first one worked.
+  return IsRead(kind) || kind == CallKind::kSubmit ||
+         kind == CallKind::kTableApply || kind == CallKind::kJobCancel;
+}
+
+CallDecision AfterAttempt(CallProgress& progress, const CallOptions& options,
+                          CallKind kind, AttemptOutcome outcome, Time now) {
+  ++progress.attempts_;
+  if (outcome == AttemptOutcome::kUnknown && !IsRead(kind)) {
+    progress.maybe_done_ = true;
+  }
+  const bool may_try =
+      progress.attempts_ < options.max_attempts_ && now < progress.deadline_;
+  const bool harmless = !progress.maybe_done_ || IsIdempotent(kind);
+  if (may_try && harmless) return CallDecision::kRetry;
+  return progress.maybe_done_ ? CallDecision::kGiveUpUnknown
+                              : CallDecision::kGiveUpNotDone;
+}
+
+Duration RetryPause(const CallProgress& progress, const CallOptions& options,
+                    std::uint64_t random) {
+  constexpr std::uint32_t kMaxDoublings = 10;
+  const std::uint32_t doublings =
+      std::min(std::max(progress.attempts_, 1U) - 1, kMaxDoublings);
+  const std::int64_t top =
+      std::min(options.first_pause_.ms() << doublings, options.max_pause_.ms());
+  // Between half of it and all of it.
+  const std::int64_t low = (top + 1) / 2;
+  const auto span = static_cast<std::uint64_t>(top - low + 1);
+  return Duration(low + static_cast<std::int64_t>(random % span));
+}
+
+}  // namespace flamingohollow
--- /dev/null
+++ b/flamingohollow/leader_link.cc
@@ -0,0 +1,173 @@
+// Sends calls and exchanges, follows the leader, retries within bounds.
+
+#include "flamingohollow/leader_link.h"
+
+#include <absl/random/random.h>
+
+#include <algorithm>
+#include <boost/leaf/result.hpp>
+#include <random>
+#include <utility>
+
+#include "flamingohollow/codec.h"
+
+namespace flamingohollow {
+namespace {
+
+constexpr std::uint16_t kOutcomeUnknownStatus = 504;
+
+}  // namespace
+
+struct LeaderLinkState : std::enable_shared_from_this<LeaderLinkState> {
+  struct PendingCall {
+    CallRequest request_;
+    std::string body_;
+    CallProgress progress_;
+    LeaderLink::CallDone done_;
+    // The leader's own "outcome unknown", given when all tries end there.
+    std::optional<CallReply> last_reply_;
+  };
+  using PendingPtr = std::shared_ptr<PendingCall>;
+
+  LeaderLinkState(std::vector<std::string> controls, const CallOptions& options,
+                  RpcNode& rpc, PostTask post, std::uint64_t seed)
+      : options_(options),
+        rpc_(rpc),
+        post_(std::move(post)),
+        random_(seed),
+        finder_(MakeLeaderFinder(std::move(controls), seed)) {}
+
+  const CallOptions options_;
+  RpcNode& rpc_;
+  const PostTask post_;
+  std::mt19937_64 random_;
+  LeaderFinder finder_;
+  LinkCounts counts_;
+
+  // Calls the present address; `done` runs on the control thread.
+  void Send(
+      RpcKind kind, const std::string& body, Duration timeout,
+      std::function<void(bool ok, const std::string& from, std::string answer)>
+          done) {
+    const std::string from = finder_.address_;
+    rpc_.Call(from, kind, body, timeout,
+              [state = shared_from_this(), from, done = std::move(done)](
+                  bool ok, std::string answer) mutable {
+                state->post_(Duration(0), [ok, from, done = std::move(done),
+                                           answer = std::move(answer)] {
+                  done(ok, from, answer);
+                });
+              });
+  }
+
+  void Try(const PendingPtr& call) {
+    const Duration left = call->progress_.deadline_ - MonotonicNow();
+    const Duration timeout =
+        std::clamp(left, Duration(1), options_.attempt_timeout_);
+    Send(RpcKind::kCall, call->body_, timeout,
+         [this, self = shared_from_this(), call](
+             bool ok, const std::string& from, const std::string& answer) {
+           OnAttempt(call, ok, from, answer);
+         });
+  }
+
+  void OnAttempt(const PendingPtr& call, bool ok, const std::string& from,
+                 const std::string& answer) {
+    boost::leaf::result<CallReply> reply =
+        ok ? DecodeCallReply(answer)
+           : boost::leaf::result<CallReply>(boost::leaf::new_error());
+    if (!reply) {
+      OnNoAnswer(finder_, from);
+      return Decide(call, AttemptOutcome::kUnknown);
+    }
+    if (!reply->is_leader_) {
+      OnNotLeader(finder_, from, reply->leader_address_);
+      return Decide(call, AttemptOutcome::kNotDone);
+    }
+    OnLeaderAnswer(finder_, from);
+    if (reply->status_ == kOutcomeUnknownStatus &&
+        IsIdempotent(call->request_.kind_)) {
+      call->last_reply_ = *reply;
+      return Decide(call, AttemptOutcome::kUnknown);
+    }
+    call->done_({std::move(*reply), CallFailure::kNotDone});
+  }
+
+  void Decide(const PendingPtr& call, AttemptOutcome outcome) {
+    const CallDecision decision =
+        AfterAttempt(call->progress_, options_, call->request_.kind_, outcome,
+                     MonotonicNow());
+    if (decision == CallDecision::kRetry) {
+      ++counts_.retries_;
+      const Duration pause = RetryPause(call->progress_, options_, random_());
+      post_(pause, [state = shared_from_this(), call] { state->Try(call); });
+      return;
+    }
+    CallResult result;
+    if (decision == CallDecision::kGiveUpUnknown) {
+      ++counts_.unknown_;
+      result.failure_ = CallFailure::kUnknown;
+      result.reply_ = std::move(call->last_reply_);
+    } else {
+      ++counts_.not_done_;
+    }
+    call->done_(std::move(result));
+  }
+
+  void OnSyncAnswer(bool ok, const std::string& from, const std::string& answer,
+                    const LeaderLink::SyncDone& done) {
+    boost::leaf::result<ControlSync> sync =
+        ok ? DecodeControlSync(answer)
+           : boost::leaf::result<ControlSync>(boost::leaf::new_error());
+    if (!sync) {
+      ++counts_.syncs_lost_;
+      OnNoAnswer(finder_, from);
+      done(std::nullopt);
+      return;
+    }
+    if (sync->is_leader_) {
+      OnLeaderAnswer(finder_, from);
+    } else {
+      OnNotLeader(finder_, from, sync->leader_address_);
+    }
+    done(std::move(*sync));
+  }
+};
+
+LeaderLink::LeaderLink(std::vector<std::string> controls,
+                       const CallOptions& options, RpcNode& rpc, PostTask post,
+                       std::uint64_t seed)
+    : state_(std::make_shared<LeaderLinkState>(std::move(controls), options,
+                                               rpc, std::move(post), seed)) {}
+
+LeaderLink::~LeaderLink() = default;
+
+void LeaderLink::Call(CallRequest request, CallDone done) {
+  ++state_->counts_.calls_;
+  auto call = std::make_shared<LeaderLinkState::PendingCall>();
+  call->body_ = Encode(request);
+  call->request_ = std::move(request);
+  call->progress_.deadline_ = MonotonicNow() + state_->options_.timeout_;
+  call->done_ = std::move(done);
+  state_->Try(call);
+}
+
+void LeaderLink::Sync(const EntrySync& sync, SyncDone done) {
+  ++state_->counts_.syncs_;
+  state_->Send(
+      RpcKind::kSync, Encode(sync), kSyncTimeout,
+      [state = state_, done = std::move(done)](bool ok, const std::string& from,
+                                               const std::string& answer) {
+        state->OnSyncAnswer(ok, from, answer, done);
+      });
+}
+
+bool LeaderLink::found() const { return state_->finder_.found_; }
+
+const std::string& LeaderLink::address() const {
+  return state_->finder_.address_;
+}
+
+const LinkCounts& LeaderLink::counts() const { return state_->counts_; }
+
+}  // namespace flamingohollow
