--- a/flamingohollow/entry.cc
+++ b/flamingohollow/entry.cc
@@ -138,9 +138,9 @@
                                Time received_at, const HttpResponder& respond,
                                HttpResponse response) {
   const Time now = MonotonicNow();
-  metrics_.Count("entry_requests_total",
-                 {{"route", route},
-                  {"status", std::to_string(response.status_)}});
+  metrics_.Count(
+      "entry_requests_total",
+      {{"route", route}, {"status", std::to_string(response.status_)}});
   metrics_.Observe("entry_request_ms",
                    static_cast<double>((now - received_at).ms()), now,
                    {{"route", route}});
@@ -231,10 +231,9 @@
       [&]() -> boost::leaf::result<std::unique_ptr<EntryServer>> {
         // Nobody calls an entry by RPC.
         BOOST_LEAF_AUTO(
-            rpc, RpcNode::Create("", [](RpcKind, const std::string&,
-                                        const RpcResponder& respond) {
-              respond({});
-            }));
+            rpc, RpcNode::Create(
+                     "", [](RpcKind, const std::string&,
+                            const RpcResponder& respond) { respond({}); }));
         auto impl = std::make_unique<Impl>(settings, tokens, std::move(rpc));
         Impl* const self = impl.get();
         BOOST_LEAF_ASSIGN(
--- a/flamingohollow/entry_core.cc
+++ b/flamingohollow/entry_core.cc
@@ -199,14 +199,14 @@
     post.trace_parent_ =
         FormatTraceParent(JobTrace(first.customer_, first.request_id_));
     ++in_flight_;
-    client_.Post(std::move(post), [this, batch = std::move(batch),
-                                   sent_at = MonotonicNow()](
-                                      HttpResult result) mutable {
-      Post([this, batch = std::move(batch), sent_at,
-            result = std::move(result)] {
-        OnCommandsAnswered(batch, sent_at, result);
-      });
-    });
+    client_.Post(std::move(post),
+                 [this, batch = std::move(batch),
+                  sent_at = MonotonicNow()](HttpResult result) mutable {
+                   Post([this, batch = std::move(batch), sent_at,
+                         result = std::move(result)] {
+                     OnCommandsAnswered(batch, sent_at, result);
+                   });
+                 });
   }
 }
 
--- a/flamingohollow/entry_requests.cc
+++ b/flamingohollow/entry_requests.cc
@@ -60,13 +60,12 @@
     case RouteKind::kAnnounce:
       return HandleAnnounce(passage, respond);
     case RouteKind::kReady:
-      return respond(IsReady()
-                         ? HttpResponse{kOk, "application/json",
-                                        R"({"ready":true})", Duration(0)}
-                         : ErrorResponse(kUnavailable, "unavailable",
-                                         draining_ ? "shutting down"
-                                                   : "no confirmed table",
-                                         kNoLeaseRetryAfter));
+      return respond(IsReady() ? HttpResponse{kOk, "application/json",
+                                              R"({"ready":true})", Duration(0)}
+                               : ErrorResponse(kUnavailable, "unavailable",
+                                               draining_ ? "shutting down"
+                                                         : "no confirmed table",
+                                               kNoLeaseRetryAfter));
     case RouteKind::kMetrics:
       ExportMetrics();
       return respond({kOk, "text/plain; version=0.0.4",
--- a/flamingohollow/http_client.cc
+++ b/flamingohollow/http_client.cc
@@ -105,16 +105,13 @@
 
 asio::awaitable<HttpClientError> Connect(Connection& connection,
                                          const std::string& text) {
-  const std::optional<Address> address = ParseAddress(text);
-  if (!address.has_value()) co_return HttpClientError::kBadAddress;
-  error_code error;
-  const Tcp::endpoint endpoint(asio::ip::make_address(address->ip_, error),
-                               address->port_);
-  if (error) co_return HttpClientError::kBadAddress;
+  const std::optional<Tcp::endpoint> endpoint = ParseTcpAddress(text);
+  if (!endpoint.has_value()) co_return HttpClientError::kBadAddress;
   const auto [connect_error] =
-      co_await connection.stream_.async_connect(endpoint, kUseTuple);
+      co_await connection.stream_.async_connect(*endpoint, kUseTuple);
   if (connect_error) co_return HttpClientError::kConnectFailed;
-  connection.stream_.socket().set_option(Tcp::no_delay(true), error);
+  error_code ignored;
+  connection.stream_.socket().set_option(Tcp::no_delay(true), ignored);
   connection.connected_ = true;
   co_return HttpClientError::kNone;
 }
--- a/flamingohollow/http_server.cc
+++ b/flamingohollow/http_server.cc
@@ -371,16 +371,15 @@
 }  // namespace
 
 error_code HttpServerState::Listen() {
-  const std::optional<Address> address = ParseAddress(options_.address_);
-  if (!address.has_value()) {
+  const std::optional<Tcp::endpoint> endpoint =
+      ParseTcpAddress(options_.address_);
+  if (!endpoint.has_value()) {
     return make_error_code(boost::system::errc::invalid_argument);
   }
   error_code error;
-  const Tcp::endpoint endpoint(asio::ip::make_address(address->ip_, error),
-                               address->port_);
-  if (!error) acceptor_.open(endpoint.protocol(), error);
+  acceptor_.open(endpoint->protocol(), error);
   if (!error) acceptor_.set_option(Tcp::acceptor::reuse_address(true), error);
-  if (!error) acceptor_.bind(endpoint, error);
+  if (!error) acceptor_.bind(*endpoint, error);
   if (!error)
     acceptor_.listen(asio::socket_base::max_listen_connections, error);
   if (!error) port_ = acceptor_.local_endpoint(error).port();
--- a/flamingohollow/settings.cc
+++ b/flamingohollow/settings.cc
@@ -134,7 +134,7 @@
                         const std::string& key) {
   const std::string allowed = "IP:PORT, such as 127.0.0.1:7000";
   const std::string text = TakeScalar(check, node, key, allowed);
-  if (!text.empty() && !ParseAddress(text).has_value()) {
+  if (!text.empty() && !ParseTcpAddress(text).has_value()) {
     AddMistake(check, node, key, "\"" + text + "\"; allowed: " + allowed);
   }
   return text;
--- a/util/address.cc
+++ b/util/address.cc
@@ -1,42 +1,34 @@
-// Parses "IP:PORT".
+// Parses addresses without any name service.
 
 #include "util/address.h"
 
-#include <arpa/inet.h>
-
+#include <boost/asio/ip/address.hpp>
 #include <charconv>
+#include <cstddef>
+#include <cstdint>
+#include <string>
 
 namespace flamingohollow {
-namespace {
 
-std::optional<std::uint16_t> ParsePort(std::string_view text) {
-  std::uint16_t port = 0;
-  const char* const end = text.data() + text.size();
-  const auto [parsed, error] = std::from_chars(text.data(), end, port);
-  if (error != std::errc() || parsed != end) return std::nullopt;
-  return port;
-}
+namespace asio = boost::asio;
 
-bool IsNumericIp(const std::string& ip, int family) {
-  unsigned char bytes[sizeof(in6_addr)];
-  return inet_pton(family, ip.c_str(), bytes) == 1;
-}
-
-}  // namespace
-
-std::optional<Address> ParseAddress(std::string_view text) {
-  const std::size_t colon = text.rfind(':');
+std::optional<asio::ip::tcp::endpoint> ParseTcpAddress(
+    std::string_view address) {
+  const std::size_t colon = address.rfind(':');
   if (colon == std::string_view::npos) return std::nullopt;
-  const std::optional<std::uint16_t> port = ParsePort(text.substr(colon + 1));
-  if (!port.has_value()) return std::nullopt;
-  std::string ip(text.substr(0, colon));
-  int family = AF_INET;
-  if (ip.size() >= 2 && ip.front() == '[' && ip.back() == ']') {
-    ip = ip.substr(1, ip.size() - 2);
-    family = AF_INET6;
+  std::string_view host = address.substr(0, colon);
+  const std::string_view port_text = address.substr(colon + 1);
+  if (host.size() > 2 && host.front() == '[' && host.back() == ']') {
+    host = host.substr(1, host.size() - 2);
   }
-  if (!IsNumericIp(ip, family)) return std::nullopt;
-  return Address{std::move(ip), *port};
+  boost::system::error_code error;
+  const auto ip = asio::ip::make_address(std::string(host), error);
+  if (error) return std::nullopt;
+  std::uint16_t port = 0;
+  const char* end = port_text.data() + port_text.size();
+  const auto [stop, failed] = std::from_chars(port_text.data(), end, port);
+  if (failed != std::errc() || stop != end) return std::nullopt;
+  return asio::ip::tcp::endpoint(ip, port);
 }
 
 }  // namespace flamingohollow
--- a/util/address.h
+++ b/util/address.h
@@ -1,26 +1,17 @@
-// Addresses of processes: "IP:PORT" with a numeric IPv4 or IPv6 address
-// ("127.0.0.1:8000", "[::1]:8000").
+// "HOST:PORT" addresses by IP number.
 
 #ifndef UTIL_ADDRESS_H_
 #define UTIL_ADDRESS_H_
 
-#include <cstdint>
+#include <boost/asio/ip/tcp.hpp>
 #include <optional>
-#include <string>
 #include <string_view>
 
 namespace flamingohollow {
 
-struct Address {
-  // Without brackets.
-  std::string ip_;
-  std::uint16_t port_ = 0;
-
-  friend bool operator==(const Address&, const Address&) = default;
-};
-
-// Nothing when `text` is not a numeric address and a port of 0 to 65535.
-std::optional<Address> ParseAddress(std::string_view text);
+// Nothing when `address` is not "IP:PORT" ("[IPV6]:PORT" for version 6).
+std::optional<boost::asio::ip::tcp::endpoint> ParseTcpAddress(
+    std::string_view address);
 
 }  // namespace flamingohollow
 
