--- a/flamingohollow/shape_text.cc
+++ b/flamingohollow/shape_text.cc
@@ -50,7 +50,8 @@
   return text;
 }
 
-boost::leaf::result<GuaranteedShape> ParseShape(std::string_view text) {
+boost::leaf::result<GuaranteedShape> ParseShape(std::string_view text,
+                                                std::string_view where) {
   GuaranteedShape shape;
   if (text.empty()) return shape;
   std::size_t begin = 0;
@@ -60,9 +61,9 @@
     const auto cell = ParseCell(part);
     if (!cell) {
       return boost::leaf::new_error(TableFormatError{fmt::format(
-          "cell \"{}\" is not COUNTxACCELERATORS@ADJACENCY, with adjacency "
+          "{}cell \"{}\" is not COUNTxACCELERATORS@ADJACENCY, with adjacency "
           "worker, rack, failure_domain or region",
-          part)});
+          where, part)});
     }
     shape.push_back(*cell);
     begin = end + 1;
--- a/flamingohollow/shape_text.h
+++ b/flamingohollow/shape_text.h
@@ -20,8 +20,9 @@
 };
 
 std::string FormatShape(const GuaranteedShape& shape);
-// Fails with TableFormatError that names the cell.
-boost::leaf::result<GuaranteedShape> ParseShape(std::string_view text);
+// Fails with TableFormatError that names the cell, after `where`.
+boost::leaf::result<GuaranteedShape> ParseShape(std::string_view text,
+                                                std::string_view where = "");
 
 }  // namespace flamingohollow
 
--- a/flamingohollow/table_csv.cc
+++ b/flamingohollow/table_csv.cc
@@ -7,7 +7,6 @@
 #include <algorithm>
 #include <array>
 #include <boost/leaf/error.hpp>
-#include <boost/leaf/handle_errors.hpp>
 #include <charconv>
 #include <map>
 #include <optional>
@@ -30,9 +29,13 @@
   return leaf::new_error(TableFormatError{std::move(message)});
 }
 
+std::string CellName(std::size_t row, std::string_view column) {
+  return fmt::format("row {}, column \"{}\": ", row, column);
+}
+
 leaf::error_id FailCell(std::size_t row, std::string_view column,
                         std::string_view why) {
-  return Fail(fmt::format("row {}, column \"{}\": {}", row, column, why));
+  return Fail(CellName(row, column).append(why));
 }
 
 // The fields of one line; none when a quote is not closed or not at the
@@ -92,14 +95,6 @@
   return value;
 }
 
-leaf::result<GuaranteedShape> ReadShape(const Line& line) {
-  return leaf::try_handle_some(
-      [&] { return ParseShape(line.fields_.at("guaranteed")); },
-      [&](const TableFormatError& error) -> leaf::result<GuaranteedShape> {
-        return FailCell(line.row_, "guaranteed", error.message_);
-      });
-}
-
 leaf::result<Row> ReadRow(const Line& line) {
   Row row;
   row.customer_ = CustomerId(line.fields_.at("customer"));
@@ -108,7 +103,9 @@
   }
   BOOST_LEAF_ASSIGN(row.weight_,
                     ReadNumber<double>(line, "weight", "a number"));
-  BOOST_LEAF_ASSIGN(row.guaranteed_, ReadShape(line));
+  BOOST_LEAF_ASSIGN(row.guaranteed_,
+                    ParseShape(line.fields_.at("guaranteed"),
+                               CellName(line.row_, "guaranteed")));
   BOOST_LEAF_ASSIGN(
       row.max_borrowed_,
       ReadNumber<std::uint32_t>(line, "max_borrowed", "a whole number"));
--- a/flamingohollow/table_json.cc
+++ b/flamingohollow/table_json.cc
@@ -7,7 +7,6 @@
 #include <algorithm>
 #include <boost/json/array.hpp>
 #include <boost/leaf/error.hpp>
-#include <boost/leaf/handle_errors.hpp>
 #include <initializer_list>
 #include <limits>
 #include <string>
@@ -33,8 +32,7 @@
       : object_(object), where_(std::move(where)) {}
 
   leaf::error_id FailField(std::string_view name, std::string_view why) const {
-    const std::string_view kind = where_.empty() ? "field" : "column";
-    return Fail(fmt::format("{}{} \"{}\": {}", where_, kind, name, why));
+    return Fail(FieldName(name).append(why));
   }
 
   leaf::result<const json::value*> Find(std::string_view name) const {
@@ -69,11 +67,7 @@
 
   leaf::result<GuaranteedShape> Shape(std::string_view name) const {
     BOOST_LEAF_AUTO(text, Text(name));
-    return leaf::try_handle_some(
-        [&] { return ParseShape(text); },
-        [&](const TableFormatError& error) -> leaf::result<GuaranteedShape> {
-          return FailField(name, error.message_);
-        });
+    return ParseShape(text, FieldName(name));
   }
 
   // Refuses fields other than `known`.
@@ -89,6 +83,11 @@
   }
 
  private:
+  std::string FieldName(std::string_view name) const {
+    const std::string_view kind = where_.empty() ? "field" : "column";
+    return fmt::format("{}{} \"{}\": ", where_, kind, name);
+  }
+
   const json::object& object_;
   std::string where_;
 };
