--- /dev/null
+++ b/flamingohollow/testing/control_test.cc
@@ -0,0 +1,446 @@
+// Tests of the control core on a fake replica, and of the server around it.
+
+#include "flamingohollow/control.h"
+
+#include <doctest/doctest.h>
+
+#include <boost/json/parse.hpp>
+#include <boost/json/value.hpp>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "flamingohollow/control_core.h"
+#include "flamingohollow/testing/fake_replica.h"
+
+namespace flamingohollow {
+namespace {
+
+// A core that leads, with a clock that the test moves.
+class Fixture {
+ public:
+  Fixture()
+      : core_(JobControllerOptions{},
+              {[this] { return now_; }, [] { return Time(1000); }}),
+        replica_(&core_) {
+    core_.SetReplica(&replica_);
+  }
+
+  void Lead() {
+    replica_.TakeOffice();
+    Advance(Duration(0));
+  }
+
+  void Advance(Duration time) {
+    now_ = now_ + time;
+    core_.Tick();
+    core_.Flush();
+  }
+
+  // The reply, or none so far.
+  std::optional<CallReply> Call(const CallRequest& request) {
+    auto reply = std::make_shared<std::optional<CallReply>>();
+    core_.HandleCall(request, [reply](const CallReply& given) {
+      CHECK_FALSE(reply->has_value());
+      *reply = given;
+    });
+    core_.Flush();
+    last_ = reply;
+    return *reply;
+  }
+
+  // The answer, or none so far.
+  std::shared_ptr<std::optional<ControlSync>> Sync(const EntrySync& sync) {
+    auto answer = std::make_shared<std::optional<ControlSync>>();
+    core_.HandleSync(sync, [answer](const ControlSync& given) {
+      CHECK_FALSE(answer->has_value());
+      *answer = given;
+    });
+    core_.Flush();
+    return answer;
+  }
+
+  CallReply Apply(const std::string& id, std::uint64_t base, double weight) {
+    return Call(ApplyRequest(id, base, weight)).value();
+  }
+
+  static CallRequest ApplyRequest(const std::string& id, std::uint64_t base,
+                                  double weight) {
+    CallRequest request;
+    request.kind_ = CallKind::kTableApply;
+    request.caller_ = "ana";
+    request.change_.request_id_ = RequestId(id);
+    request.change_.base_version_ = TableVersion(base);
+    Row row;
+    row.customer_ = CustomerId("acme");
+    row.weight_ = weight;
+    row.max_queued_ = 2;
+    row.max_borrowed_ = 64;
+    row.max_rate_ = 10;
+    request.change_.upserts_ = {row};
+    return request;
+  }
+
+  static CallRequest SubmitRequest(const std::string& id) {
+    CallRequest request;
+    request.kind_ = CallKind::kSubmit;
+    request.spec_.customer_ = CustomerId("acme");
+    request.spec_.request_id_ = RequestId(id);
+    request.spec_.accelerators_ = Accelerators(8);
+    return request;
+  }
+
+  static CallRequest Ask(CallKind kind) {
+    CallRequest request;
+    request.kind_ = kind;
+    return request;
+  }
+
+  static EntrySync EntryAt(std::uint64_t version) {
+    EntrySync sync;
+    sync.entry_ = NodeName("entry-0");
+    sync.incarnation_ = Incarnation(1);
+    sync.table_version_ = TableVersion(version);
+    return sync;
+  }
+
+  boost::json::value Status() {
+    return boost::json::parse(Call(Ask(CallKind::kTableStatus))->body_);
+  }
+
+  Time now_ = Time(100000);
+  ControlCore core_;
+  FakeReplica replica_;
+  // Filled in by the last call once it is answered.
+  std::shared_ptr<std::optional<CallReply>> last_;
+};
+
+TEST_CASE("a node that does not lead says so and names the leader") {
+  Fixture f;
+  const auto reply = f.Call(Fixture::Ask(CallKind::kTableShow));
+  CHECK_FALSE(reply->is_leader_);
+  CHECK_FALSE((*f.Sync(Fixture::EntryAt(0)))->is_leader_);
+}
+
+TEST_CASE("init forms the cluster once") {
+  Fixture f;
+  CHECK(f.Call(Fixture::Ask(CallKind::kInit))->status_ == 200);
+  CHECK(f.Call(Fixture::Ask(CallKind::kInit))->status_ == 409);
+}
+
+TEST_CASE("racing operators: one change is accepted, the other is told") {
+  Fixture f;
+  f.Lead();
+  CHECK(f.Apply("a", 0, 1).body_ == R"({"outcome":"accepted","version":1})");
+  const auto second = f.Apply("b", 0, 2);
+  CHECK(second.status_ == 409);
+  CHECK(boost::json::parse(second.body_).at("version").to_number<int>() == 1);
+  CHECK(f.Apply("a", 0, 1).body_ == R"({"outcome":"accepted","version":1})");
+  CHECK(f.Apply("a", 1, 5).status_ == 422);
+}
+
+TEST_CASE("both changes in flight on one version: the log decides") {
+  Fixture f;
+  f.Lead();
+  f.replica_.prompt_ = false;
+  CHECK_FALSE(f.Call(Fixture::ApplyRequest("a", 0, 1)).has_value());
+  const auto first = f.last_;
+  CHECK_FALSE(f.Call(Fixture::ApplyRequest("b", 0, 2)).has_value());
+  const auto second = f.last_;
+  f.replica_.CommitAll();
+  CHECK((*first)->status_ == 200);
+  CHECK((*second)->status_ == 409);
+}
+
+TEST_CASE("a dry run tells the outcome and changes nothing") {
+  Fixture f;
+  f.Lead();
+  auto request = Fixture::ApplyRequest("a", 0, 1);
+  request.dry_run_ = true;
+  CHECK(f.Call(request)->body_ == R"({"outcome":"accepted","version":1})");
+  CHECK(f.Call(Fixture::Ask(CallKind::kTableShow))->body_ ==
+        R"({"version":0,"rows":[]})");
+}
+
+TEST_CASE("reads wait for the proof of leadership") {
+  Fixture f;
+  f.Lead();
+  f.replica_.prompt_ = false;
+  CHECK_FALSE(f.Call(Fixture::Ask(CallKind::kTableShow)).has_value());
+  f.replica_.ConfirmAll();
+  CHECK((*f.last_)->status_ == 200);
+  CHECK_FALSE(f.Call(Fixture::Ask(CallKind::kTableShow)).has_value());
+  f.replica_.LoseOffice(ProposeOutcome::kUnknown);
+  CHECK_FALSE((*f.last_)->is_leader_);
+}
+
+TEST_CASE("refusals wait for the proof of leadership too") {
+  Fixture f;
+  f.Lead();
+  f.replica_.prompt_ = false;
+  CHECK_FALSE(f.Call(Fixture::SubmitRequest("r")).has_value());
+  f.replica_.LoseOffice(ProposeOutcome::kUnknown);
+  CHECK_FALSE((*f.last_)->is_leader_);
+}
+
+TEST_CASE("a proposal in flight when leadership is lost") {
+  Fixture f;
+  f.Lead();
+  f.replica_.prompt_ = false;
+  CHECK_FALSE(f.Call(Fixture::ApplyRequest("a", 0, 1)).has_value());
+  SUBCASE("may have happened") {
+    f.replica_.LoseOffice(ProposeOutcome::kUnknown);
+    CHECK((*f.last_)->status_ == 504);
+    CHECK((*f.last_)->is_leader_);
+  }
+  SUBCASE("surely did not happen, so another node may be asked") {
+    f.replica_.LoseOffice(ProposeOutcome::kNotLeader);
+    CHECK_FALSE((*f.last_)->is_leader_);
+  }
+}
+
+TEST_CASE("a submission is accepted once, whatever is resent") {
+  Fixture f;
+  f.Lead();
+  f.Apply("t", 0, 1);
+  const auto first = f.Call(Fixture::SubmitRequest("r"));
+  CHECK(first->status_ == 202);
+  REQUIRE(first->job_.has_value());
+  const auto again = f.Call(Fixture::SubmitRequest("r"));
+  REQUIRE(again->job_.has_value());
+  CHECK(again->job_->job_ == first->job_->job_);
+  auto other = Fixture::SubmitRequest("r");
+  other.spec_.accelerators_ = Accelerators(16);
+  CHECK(f.Call(other)->status_ == 422);
+}
+
+TEST_CASE("resends in flight together get one job") {
+  Fixture f;
+  f.Lead();
+  f.Apply("t", 0, 1);
+  f.replica_.prompt_ = false;
+  f.Call(Fixture::SubmitRequest("r"));
+  const auto first = f.last_;
+  f.Call(Fixture::SubmitRequest("r"));
+  const auto second = f.last_;
+  f.replica_.CommitAll();
+  CHECK((*first)->job_->job_ == (*second)->job_->job_);
+}
+
+TEST_CASE("a customer's queue is limited, in flight included") {
+  Fixture f;
+  f.Lead();
+  f.Apply("t", 0, 1);
+  f.replica_.prompt_ = false;
+  CHECK_FALSE(f.Call(Fixture::SubmitRequest("a")).has_value());
+  CHECK_FALSE(f.Call(Fixture::SubmitRequest("b")).has_value());
+  CHECK_FALSE(f.Call(Fixture::SubmitRequest("c")).has_value());
+  f.replica_.ConfirmAll();
+  CHECK((*f.last_)->status_ == 429);
+  CHECK((*f.last_)->retry_after_ > Duration(0));
+}
+
+TEST_CASE("submissions that can't be: unknown customer, foreign token") {
+  Fixture f;
+  f.Lead();
+  CHECK(f.Call(Fixture::SubmitRequest("r"))->status_ == 400);
+  auto foreign = Fixture::SubmitRequest("r");
+  foreign.on_behalf_of_ = CustomerId("other");
+  CHECK(f.Call(foreign)->status_ == 403);
+}
+
+TEST_CASE("a full log answers at once with when to come back") {
+  Fixture f;
+  f.Lead();
+  f.Apply("t", 0, 1);
+  f.replica_.overloaded_ = true;
+  const auto reply = f.Call(Fixture::SubmitRequest("r"));
+  CHECK(reply->status_ == 503);
+  CHECK(reply->retry_after_ > Duration(0));
+  f.replica_.overloaded_ = false;
+  CHECK(f.Call(Fixture::SubmitRequest("r"))->status_ == 202);
+}
+
+TEST_CASE("a cancelled job is shown as cancelled, to its customer only") {
+  Fixture f;
+  f.Lead();
+  f.Apply("t", 0, 1);
+  auto cancel = Fixture::Ask(CallKind::kJobCancel);
+  cancel.job_ = f.Call(Fixture::SubmitRequest("r"))->job_->job_;
+  cancel.on_behalf_of_ = CustomerId("other");
+  CHECK(f.Call(cancel)->status_ == 404);
+  cancel.on_behalf_of_ = CustomerId("acme");
+  const auto reply = f.Call(cancel);
+  REQUIRE(reply.has_value());
+  CHECK(reply->job_->outcome_ == Outcome::kCancelled);
+}
+
+TEST_CASE("an entry gets the table at once, with a lease, and then waits") {
+  Fixture f;
+  f.Lead();
+  f.Apply("t", 0, 1);
+  const auto first = f.Sync(Fixture::EntryAt(0));
+  REQUIRE(first->has_value());
+  CHECK((*first)->lease_ == Duration(3000));
+  REQUIRE((*first)->table_.has_value());
+  CHECK((*first)->table_->rows_.size() == 1);
+  CHECK((*first)->table_->history_.empty());
+
+  auto synced = Fixture::EntryAt(1);
+  synced.exclusions_version_ = (*first)->exclusions_version_;
+  const auto idle = f.Sync(synced);
+  CHECK_FALSE(idle->has_value());
+  f.Advance(kMaxHold);
+  REQUIRE(idle->has_value());
+  CHECK_FALSE((*idle)->table_.has_value());
+
+  const auto woken = f.Sync(synced);
+  CHECK_FALSE(woken->has_value());
+  f.Apply("u", 1, 2);
+  REQUIRE(woken->has_value());
+  CHECK((*woken)->table_->version_ == TableVersion(2));
+}
+
+TEST_CASE("a change is in force once entries confirm or their leases lapse") {
+  Fixture f;
+  f.Lead();
+  f.Apply("t", 0, 1);
+  const auto in_force = [&] { return f.Status().at("in_force").as_bool(); };
+  // Leases of former leaders may still run.
+  CHECK_FALSE(in_force());
+  f.Advance(Duration(3500));
+  CHECK(in_force());
+
+  const auto first = f.Sync(Fixture::EntryAt(0));
+  CHECK(in_force());
+  f.Apply("u", 1, 2);
+  CHECK_FALSE(in_force());
+  SUBCASE("confirmed") {
+    f.Sync(Fixture::EntryAt(2));
+    CHECK(in_force());
+  }
+  SUBCASE("lapsed") {
+    f.Advance(Duration(3499));
+    CHECK_FALSE(in_force());
+    f.Advance(Duration(1));
+    CHECK(in_force());
+  }
+  SUBCASE("a restarted entry's former self still counts") {
+    auto restarted = Fixture::EntryAt(2);
+    restarted.incarnation_ = Incarnation(2);
+    f.Sync(restarted);
+    CHECK_FALSE(in_force());
+  }
+}
+
+TEST_CASE("a leader without fresh proof grants shorter leases, then none") {
+  Fixture f;
+  f.Lead();
+  f.replica_.prompt_ = false;
+  f.Advance(Duration(1000));
+  CHECK((*f.Sync(Fixture::EntryAt(0)))->lease_ == Duration(2000));
+  f.Advance(Duration(2500));
+  auto late = Fixture::EntryAt(0);
+  late.incarnation_ = Incarnation(2);
+  CHECK((*f.Sync(late))->lease_ == Duration(0));
+}
+
+TEST_CASE("an entry that is ahead gets no lease") {
+  Fixture f;
+  f.Lead();
+  CHECK((*f.Sync(Fixture::EntryAt(7)))->lease_ == Duration(0));
+}
+
+TEST_CASE("a watched job's end is told until the entry drops it") {
+  Fixture f;
+  f.Lead();
+  f.Apply("t", 0, 1);
+  const auto job = f.Call(Fixture::SubmitRequest("r"))->job_->job_;
+  auto sync = Fixture::EntryAt(1);
+  sync.watched_ = {job};
+  const auto known = f.Sync(sync);
+  sync.exclusions_version_ = (*known)->exclusions_version_;
+  const auto held = f.Sync(sync);
+  CHECK_FALSE(held->has_value());
+  auto cancel = Fixture::Ask(CallKind::kJobCancel);
+  cancel.job_ = job;
+  f.Call(cancel);
+  REQUIRE(held->has_value());
+  REQUIRE((*held)->jobs_.size() == 1);
+  CHECK((*held)->jobs_[0].outcome_ == Outcome::kCancelled);
+  // The answer was lost: the entry still watches.
+  const auto again = f.Sync(sync);
+  REQUIRE(again->has_value());
+  CHECK((*again)->jobs_.size() == 1);
+}
+
+TEST_CASE("commands go to the entry that carried the worker's report") {
+  Fixture f;
+  f.Lead();
+  f.Apply("t", 0, 1);
+  auto sync = Fixture::EntryAt(1);
+  WorkerReport report;
+  report.worker_ = WorkerId("worker-0");
+  report.incarnation_ = Incarnation(1);
+  report.sequence_ = 1;
+  report.accelerators_ = Accelerators(8);
+  report.slots_ = 8;
+  sync.reports_ = {report};
+  const auto first = f.Sync(sync);
+  REQUIRE(first->has_value());
+  CHECK((*first)->acknowledged_ == std::vector<WorkerId>{WorkerId("worker-0")});
+  sync.reports_.clear();
+  sync.exclusions_version_ = (*first)->exclusions_version_;
+  const auto held = f.Sync(sync);
+  auto submit = Fixture::SubmitRequest("r");
+  submit.spec_.idempotent_ = true;
+  f.Call(submit);
+  f.Advance(kControllerInterval);
+  REQUIRE(held->has_value());
+  REQUIRE((*held)->commands_.size() == 1);
+  CHECK((*held)->commands_[0].kind_ == WorkerCommandKind::kPrepare);
+}
+
+TEST_CASE("a new leader asks for whole reports") {
+  Fixture f;
+  f.Lead();
+  auto sync = Fixture::EntryAt(0);
+  sync.alive_ = {WorkerId("worker-0")};
+  const auto first = f.Sync(sync);
+  CHECK((*first)->send_all_reports_);
+  // Still unreported: the answer may have been lost.
+  sync.exclusions_version_ = (*first)->exclusions_version_;
+  CHECK((*f.Sync(sync))->send_all_reports_);
+}
+
+TEST_CASE("state survives a snapshot") {
+  Fixture f;
+  f.Lead();
+  f.Apply("t", 0, 1);
+  f.Call(Fixture::SubmitRequest("r"));
+  const std::string snapshot = f.core_.EncodeSnapshot();
+  Fixture g;
+  CHECK_FALSE(g.core_.RestoreSnapshot("junk"));
+  CHECK(g.core_.RestoreSnapshot(snapshot));
+  CHECK(g.core_.EncodeSnapshot() == snapshot);
+}
+
+TEST_CASE("while stopping, callers are sent elsewhere and nothing is left") {
+  Fixture f;
+  f.Lead();
+  f.Apply("t", 0, 1);
+  f.replica_.prompt_ = false;
+  f.Call(Fixture::SubmitRequest("r"));
+  const auto in_flight = f.last_;
+  f.core_.StartStopping();
+  CHECK_FALSE(f.core_.Idle());
+  CHECK_FALSE(f.Call(Fixture::SubmitRequest("s"))->is_leader_);
+  f.replica_.CommitAll();
+  CHECK((*in_flight)->status_ == 202);
+  CHECK(f.core_.Idle());
+}
+
+}  // namespace
+}  // namespace flamingohollow
--- /dev/null
+++ b/flamingohollow/testing/fake_replica.h
@@ -0,0 +1,62 @@
+// A Replica of one voter in memory, driven by the test: it commits, confirms
+// and changes office only when told to.
+
+#ifndef FLAMINGOHOLLOW_TESTING_FAKE_REPLICA_H_
+#define FLAMINGOHOLLOW_TESTING_FAKE_REPLICA_H_
+
+#include <cstdint>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "flamingohollow/replica.h"
+
+namespace flamingohollow {
+
+class FakeReplica final : public Replica {
+ public:
+  explicit FakeReplica(ReplicaOwner* owner) : owner_(owner) {}
+
+  // While set, proposals commit and leadership is confirmed at once; while
+  // not, both wait for CommitAll, ConfirmAll or LoseOffice.
+  bool prompt_ = true;
+  // While set, proposals are refused as too many.
+  bool overloaded_ = false;
+
+  void TakeOffice();
+  // Proposals that wait end with `outcome`, confirmations with no.
+  void LoseOffice(ProposeOutcome outcome);
+  void CommitAll();
+  void ConfirmAll();
+  std::size_t waiting_proposals() const { return proposals_.size(); }
+
+  void Propose(std::string command, ProposeCallback done) override;
+  void ConfirmLeadership(DoneCallback done) override;
+  void Init(DoneCallback done) override;
+  void AddVoter(const NodeName& name, const std::string& address,
+                DoneCallback done) override;
+  void RemoveVoter(const NodeName& name, DoneCallback done) override;
+  void TransferLeadership(DoneCallback done) override;
+  ReplicaStatus Status() const override;
+  bool HasQuorum(Time now) const override;
+  void Receive(std::string message) override;
+  void Tick(Time now) override;
+
+ private:
+  struct Proposal {
+    std::string command_;
+    ProposeCallback done_;
+  };
+
+  ReplicaOwner* owner_;
+  bool formed_ = false;
+  bool is_leader_ = false;
+  std::uint64_t term_ = 0;
+  std::uint64_t committed_ = 0;
+  std::vector<Proposal> proposals_;
+  std::vector<DoneCallback> confirmations_;
+};
+
+}  // namespace flamingohollow
+
+#endif  // FLAMINGOHOLLOW_TESTING_FAKE_REPLICA_H_
