Fault matrix of a request's path: every fault at every step

A small world of fakes round the real controller and lease table (messages, entries with authority, a log, leaders that freeze, die and linger) runs 34 faults at 12 steps, for an idempotent and a non-idempotent gang, and checks at the end: no start before JobMayRun, none of a job that was not run, one start of a non-idempotent task, no two attempts at once, no part of a gang beyond its lease's bound, whole answers in order, one outcome a request, nothing held by nobody.

--- /dev/null
+++ b/flamingohollow/testing/job_world.cc
@@ -0,0 +1,656 @@
+// The world round the job controller: see job_world.h.
+
+#include "flamingohollow/testing/job_world.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace flamingohollow {
+namespace {
+
+constexpr int kControls = 3;
+constexpr int kEntries = 3;
+constexpr int kWorkers = 4;
+constexpr Duration kTick = Duration(100);
+constexpr Duration kAnnounce = Duration(500);
+constexpr Duration kElection = Duration(1500);
+constexpr Duration kCommit = Duration(5);
+
+Node EntryNode(int index) { return {Role::kEntry, index}; }
+Node ControlNode(int index) { return {Role::kControl, index}; }
+Node WorkerNode(int index) { return {Role::kWorker, index}; }
+
+bool RunsNow(const World& world, Node node) {
+  const NodeState& state = world.nodes_.at(node);
+  return state.alive_ && state.frozen_until_ <= world.now_;
+}
+
+Fate PassHop(World& world, Hop hop, Node from, Node to) {
+  Fate fate = world.fate_ ? world.fate_(from, to) : Fate();
+  if (hop == Hop::kNone || world.trigger_.hop_ != hop) return fate;
+  world.trigger_.hop_ = Hop::kNone;
+  return world.trigger_.act_(from, to);
+}
+
+void Deliver(World& world, Node to, int life, std::function<void()> run) {
+  const NodeState& state = world.nodes_.at(to);
+  if (!state.alive_ || state.life_ != life) return;
+  if (state.frozen_until_ > world.now_) {
+    At(world, state.frozen_until_ - world.now_,
+       [&world, to, life, run = std::move(run)] {
+         Deliver(world, to, life, run);
+       });
+    return;
+  }
+  run();
+}
+
+void Send(World& world, Hop hop, Node from, Node to,
+          const std::function<void()>& run) {
+  const Fate fate = PassHop(world, hop, from, to);
+  if (world.cut_.contains({from, to})) return;
+  const int life = world.nodes_.at(to).life_;
+  for (const Duration delay : fate.delays_) {
+    At(world, delay,
+       [&world, to, life, run] { Deliver(world, to, life, run); });
+  }
+}
+
+bool IsTarget(const World& world, JobId job) { return world.target_ == job; }
+
+// --- workers
+
+WorkerReport ReportOf(World& world, int index) {
+  WorldWorker& worker = world.workers_[index];
+  WorkerReport report;
+  report.worker_ = WorkerId(fmt::format("w{}", index));
+  report.incarnation_ = worker.table_.incarnation_;
+  report.sequence_ = worker.table_.changes_ + 1;
+  report.address_ = fmt::format("worker-{}", index);
+  report.place_ = {Region("r"), FailureDomain("d"), Rack("k")};
+  report.accelerators_ = worker.table_.accelerators_;
+  report.slots_ = worker.table_.slots_;
+  report.state_ = worker.table_.state_;
+  report.leases_ = ReportLeases(worker.table_);
+  worker.reported_changes_ = worker.table_.changes_;
+  return report;
+}
+
+void EndRun(World& world, WorldWorker& worker, const LeaseKey& key,
+            bool finished) {
+  const auto found = worker.running_.find(key);
+  if (found == worker.running_.end()) return;
+  Run& run = world.runs_[found->second];
+  run.ended_at_ = world.now_;
+  run.finished_ = finished;
+  // What is ended on thawing has not run since the freeze.
+  const NodeState& state = world.nodes_.at(WorkerNode(run.worker_));
+  const bool thawing = world.now_ - state.frozen_until_ <= kTick * 2 &&
+                       run.began_at_ <= state.frozen_from_;
+  if (!finished && thawing) run.ended_at_ = state.frozen_from_;
+  worker.running_.erase(found);
+}
+
+void CarryOut(World& world, int index, const LeaseEvents& events) {
+  WorldWorker& worker = world.workers_[index];
+  for (const LeaseEvent& event : events) {
+    if (event.kind_ == LeaseEventKind::kStarted) {
+      worker.running_[event.key_] = world.runs_.size();
+      world.runs_.push_back({event.key_, index, world.now_, {}, false});
+      if (IsTarget(world, event.key_.job_)) {
+        const Node node = WorkerNode(index);
+        At(world, Duration(50),
+           [&world, node] { PassHop(world, Hop::kRun, node, node); });
+      }
+    }
+    if (event.kind_ == LeaseEventKind::kStopped) {
+      EndRun(world, worker, event.key_, false);
+    }
+    if (event.kind_ == LeaseEventKind::kRefused &&
+        worker.table_.state_ == WorkerState::kReady) {
+      ++world.capacity_refusals_;
+    }
+  }
+}
+
+void TakeReport(World& world, int entry, const WorkerReport& report);
+
+void TickWorker(World& world, int index) {
+  WorldWorker& worker = world.workers_[index];
+  const Node node = WorkerNode(index);
+  CarryOut(world, index, ExpireLeases(worker.table_, world.now_));
+  std::vector<LeaseKey> done;
+  for (const auto& [key, run] : worker.running_) {
+    if (world.now_ - world.runs_[run].began_at_ >= world.run_time_) {
+      done.push_back(key);
+    }
+  }
+  for (const LeaseKey& key : done) {
+    FinishTask(worker.table_, key, !worker.fails_,
+               fmt::format("{}/{}/{}", key.job_.value(), key.attempt_.value(),
+                           key.task_.value()));
+    EndRun(world, worker, key, !worker.fails_);
+  }
+  if (worker.answered_at_ + kAnnounce * 2 < world.now_) {
+    worker.entry_ = (worker.entry_ + 1) % kEntries;
+    worker.answered_at_ = world.now_;
+  }
+  const bool changed = worker.reported_changes_ != worker.table_.changes_;
+  if (!changed && world.now_ - worker.announced_at_ < kAnnounce) return;
+  worker.announced_at_ = world.now_;
+  const int entry = worker.entry_;
+  const Time sent_at = world.now_;
+  Send(world, Hop::kNone, node, EntryNode(entry),
+       [&world, index, entry, node, sent_at, report = ReportOf(world, index)] {
+         TakeReport(world, entry, report);
+         const WorldEntry& from = world.entries_[entry];
+         const bool may_renew = world.now_ < from.authority_until_;
+         const Duration renew = may_renew ? world.options_.lease_ : Duration(0);
+         Send(world, Hop::kNone, EntryNode(entry), node,
+              [&world, index, sent_at, renew, excluded = from.exclusions_] {
+                WorldWorker& renewed = world.workers_[index];
+                renewed.answered_at_ = world.now_;
+                CarryOut(world, index,
+                         ExpireLeases(renewed.table_, world.now_));
+                RenewLeases(renewed.table_, sent_at, renew, excluded);
+              });
+       });
+}
+
+void CommandWorker(World& world, int entry, const WorkerCommand& command) {
+  const int index = std::stoi(command.worker_.value().substr(1));
+  Hop hop = Hop::kNone;
+  if (IsTarget(world, command.job_)) {
+    if (command.kind_ == WorkerCommandKind::kPrepare) hop = Hop::kPrepare;
+    if (command.kind_ == WorkerCommandKind::kStart) hop = Hop::kStart;
+  }
+  const Node node = WorkerNode(index);
+  Send(world, hop, EntryNode(entry), node,
+       [&world, entry, index, node, command] {
+         CarryOut(world, index,
+                  ApplyWorkerCommand(world.workers_[index].table_, command,
+                                     world.now_));
+         Send(world, Hop::kNone, node, EntryNode(entry),
+              [&world, entry, report = ReportOf(world, index)] {
+                TakeReport(world, entry, report);
+              });
+       });
+}
+
+// --- the leader
+
+void CarryOut(World& world, WorldLeader& leader, const JobActions& actions);
+
+void StampTime(Command& command, Time now) {
+  std::visit([now](auto& record) { record.at_ = now; }, command);
+}
+
+void ApplyNext(World& world, WorldLeader& leader, const Command& command) {
+  const LogIndex index(world.log_.size());
+  const JobApplyResult result =
+      ApplyJobCommand(leader.records_, index, command);
+  CarryOut(world, leader,
+           OnCommitted(*leader.controller_, command, result, world.now_));
+}
+
+void NoteTarget(World& world, const Command& command) {
+  const auto* accepted = std::get_if<JobAccepted>(&command);
+  if (accepted == nullptr || world.target_) return;
+  if (accepted->spec_ != world.requests_.front().spec_) return;
+  world.target_ = JobId(world.log_.size());
+}
+
+void AppendToLog(World& world, const Command& command) {
+  world.log_.push_back(command);
+  NoteTarget(world, command);
+}
+
+// Commits what the present leader appended, if it still leads.
+void CommitNext(World& world, Term term) {
+  if (term != world.term_ || world.appends_.empty()) return;
+  WorldLeader* leader = PresentLeader(world);
+  if (leader == nullptr || !RunsNow(world, ControlNode(leader->control_))) {
+    return;
+  }
+  const Command command = world.appends_.front().command_;
+  world.appends_.erase(world.appends_.begin());
+  AppendToLog(world, command);
+  ApplyNext(world, *leader, command);
+}
+
+Hop HopOf(const World& world, const Command& command) {
+  if (const auto* accepted = std::get_if<JobAccepted>(&command)) {
+    const bool target = accepted->spec_ == world.requests_.front().spec_;
+    return target ? Hop::kRecord : Hop::kNone;
+  }
+  if (const auto* may_run = std::get_if<JobMayRun>(&command)) {
+    return IsTarget(world, may_run->job_) ? Hop::kMayRun : Hop::kNone;
+  }
+  if (const auto* ended = std::get_if<JobEnded>(&command)) {
+    return IsTarget(world, ended->job_) ? Hop::kAssemble : Hop::kNone;
+  }
+  return Hop::kNone;
+}
+
+void Propose(World& world, WorldLeader& leader, Command command) {
+  StampTime(command, world.now_);
+  const Hop hop = HopOf(world, command);
+  const Term term = leader.term_;
+  if (term != world.term_ || leader.dead_) return;
+  const Node node = ControlNode(leader.control_);
+  // Appended before the fault strikes: it may or may not reach a successor.
+  world.appends_.push_back({command, term});
+  const Fate fate = PassHop(world, hop, node, node);
+  if (fate.delays_.empty() && !world.appends_.empty()) {
+    world.appends_.pop_back();
+  }
+  for (std::size_t i = 0; i < fate.delays_.size(); ++i) {
+    if (i > 0) world.appends_.push_back({command, term});
+    At(world, fate.delays_[i] + kCommit,
+       [&world, term] { CommitNext(world, term); });
+  }
+}
+
+void CarryOut(World& world, WorldLeader& leader, const JobActions& actions) {
+  for (const JobAction& action : actions) {
+    if (const auto* propose = std::get_if<ProposeAction>(&action)) {
+      Propose(world, leader, propose->command_);
+    }
+    if (const auto* send = std::get_if<SendAction>(&action)) {
+      const int entry = leader.entry_of_[send->command_.worker_];
+      leader.outbox_[entry].push_back(send->command_);
+    }
+    if (const auto* exclude = std::get_if<ExcludeFromRenewalAction>(&action)) {
+      ++leader.exclusions_version_;
+      if (exclude->excluded_) leader.exclusions_.insert(exclude->job_);
+      if (!exclude->excluded_) leader.exclusions_.erase(exclude->job_);
+    }
+  }
+}
+
+WorldLeader* LeaderAt(World& world, int control) {
+  for (auto& leader : world.leaders_) {
+    if (leader->control_ == control && !leader->dead_) return leader.get();
+  }
+  return nullptr;
+}
+
+void TakeOffice(World& world, int control) {
+  if (world.keeps_appends_) {
+    for (const Append& append : world.appends_) {
+      AppendToLog(world, append.command_);
+    }
+  }
+  world.appends_.clear();
+  world.term_ = Next(world.term_);
+  std::erase_if(world.leaders_, [control](const auto& leader) {
+    return leader->control_ == control;
+  });
+  auto leader = std::make_unique<WorldLeader>();
+  leader->control_ = control;
+  leader->term_ = world.term_;
+  leader->confirmed_at_ = world.now_;
+  leader->exclusions_version_ = world.term_.value() << 32;
+  for (std::size_t i = 0; i < world.log_.size(); ++i) {
+    ApplyJobCommand(leader->records_, LogIndex(i + 1), world.log_[i]);
+  }
+  JobControllerOptions options = world.options_;
+  options.wall_at_start_ = world.now_;
+  leader->controller_ = MakeJobController(
+      options, &leader->records_, world.table_, world.term_, world.now_);
+  world.leaders_.push_back(std::move(leader));
+  ++world.elections_;
+}
+
+bool IsCutOff(const World& world, Node node) {
+  const Node peer = ControlNode((node.index_ + 1) % kControls);
+  return world.cut_.contains({node, peer}) || world.cut_.contains({peer, node});
+}
+
+void Elect(World& world) {
+  WorldLeader* present = PresentLeader(world);
+  if (present != nullptr) {
+    const Node node = ControlNode(present->control_);
+    if (RunsNow(world, node) && !IsCutOff(world, node)) {
+      present->confirmed_at_ = world.now_;
+      world.leaderless_since_.reset();
+      return;
+    }
+  }
+  if (!world.leaderless_since_) world.leaderless_since_ = world.now_;
+  if (world.now_ - *world.leaderless_since_ < kElection) return;
+  const int last = world.leaders_.empty() ? -1 : LeaderNode(world).index_;
+  for (int i = 1; i <= kControls; ++i) {
+    const Node node = ControlNode((last + i + kControls) % kControls);
+    if (!RunsNow(world, node) || IsCutOff(world, node)) continue;
+    TakeOffice(world, node.index_);
+    world.leaderless_since_.reset();
+    return;
+  }
+}
+
+// A former leader goes on acting, on what it knows, until it notices.
+void StandDown(World& world) {
+  std::erase_if(world.leaders_, [&world](const auto& leader) {
+    if (leader->term_ == world.term_) return false;
+    if (leader->dead_) return true;
+    if (!RunsNow(world, ControlNode(leader->control_))) return false;
+    if (!leader->doubtful_since_) leader->doubtful_since_ = world.now_;
+    return world.now_ - *leader->doubtful_since_ > kTick * 5;
+  });
+}
+
+struct Reply {
+  bool is_leader_ = false;
+  Term term_;
+  Duration authority_;
+  std::uint64_t exclusions_version_ = 0;
+  std::vector<JobId> exclusions_;
+  std::vector<WorkerCommand> commands_;
+};
+
+Reply TakeSync(World& world, int control, int entry,
+               const std::vector<WorkerReport>& reports,
+               const std::vector<WorkerId>& alive) {
+  Reply reply;
+  WorldLeader* leader = LeaderAt(world, control);
+  if (leader == nullptr) return reply;
+  for (const WorkerReport& report : reports) {
+    leader->entry_of_[report.worker_] = entry;
+    CarryOut(world, *leader,
+             OnWorkerReport(*leader->controller_, report, world.now_));
+  }
+  for (const WorkerId& worker : alive) leader->entry_of_[worker] = entry;
+  CarryOut(world, *leader,
+           OnWorkersAlive(*leader->controller_, alive, world.now_));
+  reply.is_leader_ = true;
+  reply.term_ = leader->term_;
+  reply.authority_ =
+      world.options_.entry_authority_ - (world.now_ - leader->confirmed_at_);
+  reply.exclusions_version_ = leader->exclusions_version_;
+  reply.exclusions_.assign(leader->exclusions_.begin(),
+                           leader->exclusions_.end());
+  reply.commands_ = std::move(leader->outbox_[entry]);
+  leader->outbox_[entry].clear();
+  return reply;
+}
+
+// --- entries
+
+void TakeReply(World& world, int index, Time sent_at,
+               const std::vector<WorkerReport>& reports, const Reply& reply) {
+  WorldEntry& entry = world.entries_[index];
+  entry.asked_at_.reset();
+  if (!reply.is_leader_) {
+    entry.control_ = (entry.control_ + 1) % kControls;
+    return;
+  }
+  if (reply.term_ < entry.term_) return;
+  if (reply.term_ > entry.term_) entry.acknowledged_.clear();
+  entry.term_ = reply.term_;
+  entry.authority_until_ =
+      std::max(entry.authority_until_, sent_at + reply.authority_);
+  if (reply.exclusions_version_ >= entry.exclusions_version_) {
+    entry.exclusions_version_ = reply.exclusions_version_;
+    entry.exclusions_ = reply.exclusions_;
+  }
+  for (const WorkerReport& report : reports) {
+    entry.acknowledged_[report.worker_] = report.sequence_;
+  }
+  for (const WorkerCommand& command : reply.commands_) {
+    CommandWorker(world, index, command);
+  }
+}
+
+Hop HopOf(const World& world, const std::vector<WorkerReport>& reports) {
+  Hop hop = Hop::kNone;
+  for (const WorkerReport& report : reports) {
+    for (const LeaseReport& lease : report.leases_) {
+      if (!IsTarget(world, lease.job_)) continue;
+      if (lease.state_ == LeaseState::kFinished) return Hop::kPart;
+      if (lease.state_ == LeaseState::kPrepared) hop = Hop::kGrant;
+    }
+  }
+  return hop;
+}
+
+void SyncEntry(World& world, int index) {
+  WorldEntry& entry = world.entries_[index];
+  if (entry.asked_at_ && world.now_ - *entry.asked_at_ > Duration(500)) {
+    entry.control_ = (entry.control_ + 1) % kControls;
+  }
+  std::vector<WorkerReport> reports;
+  for (const auto& [id, report] : entry.reports_) {
+    const auto found = entry.acknowledged_.find(id);
+    const bool acknowledged =
+        found != entry.acknowledged_.end() && found->second == report.sequence_;
+    if (!acknowledged && entry.alive_.contains(id)) reports.push_back(report);
+  }
+  const std::vector<WorkerId> alive(entry.alive_.begin(), entry.alive_.end());
+  entry.alive_.clear();
+  const Time sent_at = world.now_;
+  if (!entry.asked_at_) entry.asked_at_ = sent_at;
+  const int control = entry.control_;
+  Send(world, HopOf(world, reports), EntryNode(index), ControlNode(control),
+       [&world, index, control, reports, alive, sent_at] {
+         const Reply reply = TakeSync(world, control, index, reports, alive);
+         Send(world, Hop::kNone, ControlNode(control), EntryNode(index),
+              [&world, index, sent_at, reports, reply] {
+                TakeReply(world, index, sent_at, reports, reply);
+              });
+       });
+}
+
+void TakeReport(World& world, int index, const WorkerReport& report) {
+  WorldEntry& entry = world.entries_[index];
+  const auto found = entry.reports_.find(report.worker_);
+  const auto age = [](const WorkerReport& of) {
+    return std::pair(of.incarnation_, of.sequence_);
+  };
+  if (found != entry.reports_.end() && age(found->second) > age(report)) return;
+  const bool news =
+      found == entry.reports_.end() || age(found->second) < age(report);
+  const bool restarted = found != entry.reports_.end() &&
+                         found->second.incarnation_ != report.incarnation_;
+  if (restarted) entry.acknowledged_.erase(report.worker_);
+  entry.reports_[report.worker_] = report;
+  entry.alive_.insert(report.worker_);
+  if (news) SyncEntry(world, index);
+}
+
+// --- callers
+
+std::optional<JobView> TakeSubmit(World& world, int control,
+                                  const JobSpec& spec) {
+  WorldLeader* leader = LeaderAt(world, control);
+  if (leader == nullptr) return std::nullopt;
+  const auto found =
+      leader->records_.by_request_.find({spec.customer_, spec.request_id_});
+  if (found != leader->records_.by_request_.end()) {
+    return ViewJob(*leader->controller_, found->second);
+  }
+  Propose(world, *leader, JobAccepted{spec, Time()});
+  return std::nullopt;
+}
+
+void TakeAnswer(World& world, std::size_t index, const JobView& view) {
+  WorldRequest& request = world.requests_[index];
+  const bool ended = request.last_ && IsTerminal(request.last_->outcome_);
+  const bool changed = ended && (request.last_->outcome_ != view.outcome_ ||
+                                 request.last_->parts_ != view.parts_);
+  // Late answers of earlier states are of no matter to the caller.
+  if (ended && !IsTerminal(view.outcome_)) return;
+  if (changed) world.violations_.push_back("a terminal outcome changed");
+  request.last_ = view;
+}
+
+// The request, sent again and again: the same id gives the job's present view.
+void Ask(World& world, std::size_t index) {
+  WorldRequest& request = world.requests_[index];
+  request.entry_ = (request.entry_ + 1) % kEntries;
+  const int entry = request.entry_;
+  const JobSpec spec = request.spec_;
+  const Node caller{Role::kCaller, 0};
+  const auto hop = [index](Hop wanted) {
+    return index == 0 ? wanted : Hop::kNone;
+  };
+  Send(world, hop(Hop::kSubmit), caller, EntryNode(entry), [=, &world] {
+    PassHop(world, hop(Hop::kFilter), EntryNode(entry), EntryNode(entry));
+    if (!RunsNow(world, EntryNode(entry))) return;
+    const int control = world.entries_[entry].control_;
+    const Node to = ControlNode(control);
+    Send(world, hop(Hop::kHandOver), EntryNode(entry), to, [=, &world] {
+      const std::optional<JobView> view = TakeSubmit(world, control, spec);
+      if (!view) return;
+      Send(world, Hop::kNone, to, EntryNode(entry), [=, &world] {
+        const bool ended = IsTerminal(view->outcome_);
+        Send(world, ended ? hop(Hop::kAnswer) : Hop::kNone, EntryNode(entry),
+             caller, [=, &world] { TakeAnswer(world, index, *view); });
+      });
+    });
+  });
+}
+
+// --- the clock
+
+void TickLeaders(World& world) {
+  for (std::size_t i = 0; i < world.leaders_.size(); ++i) {
+    WorldLeader& leader = *world.leaders_[i];
+    if (leader.dead_) continue;
+    if (!RunsNow(world, ControlNode(leader.control_))) continue;
+    CarryOut(world, leader, OnTick(*leader.controller_, world.now_));
+  }
+}
+
+void Tick(World& world) {
+  StandDown(world);
+  Elect(world);
+  TickLeaders(world);
+  for (int i = 0; i < kEntries; ++i) {
+    if (RunsNow(world, EntryNode(i))) SyncEntry(world, i);
+  }
+  for (int i = 0; i < kWorkers; ++i) {
+    if (RunsNow(world, WorkerNode(i))) TickWorker(world, i);
+  }
+  for (std::size_t i = 0; i < world.requests_.size(); ++i) {
+    const Duration since = world.now_ - world.requests_[i].asked_at_;
+    if (since < kTick * 3) continue;
+    world.requests_[i].asked_at_ = world.now_;
+    Ask(world, i);
+  }
+  At(world, kTick, [&world] { Tick(world); });
+}
+
+void Restart(World& world, Node node) {
+  NodeState& state = world.nodes_.at(node);
+  state.alive_ = true;
+  if (node.role_ == Role::kEntry) world.entries_[node.index_] = WorldEntry();
+  if (node.role_ != Role::kWorker) return;
+  WorldWorker& worker = world.workers_[node.index_];
+  const LeaseTable old = std::move(worker.table_);
+  worker.table_ = LeaseTable();
+  worker.table_.incarnation_ = Next(old.incarnation_);
+  worker.table_.accelerators_ = old.accelerators_;
+  worker.table_.slots_ = old.slots_;
+  worker.reported_changes_ = 0;
+}
+
+}  // namespace
+
+World::World(std::uint64_t seed) {
+  table_.version_ = TableVersion(1);
+  Row row;
+  row.customer_ = CustomerId("c");
+  row.guaranteed_ = {{1, Accelerators(8), Adjacency::kRegion}};
+  row.max_borrowed_ = 8;
+  row.max_queued_ = 100;
+  table_.rows_[row.customer_] = row;
+  entries_.resize(kEntries);
+  workers_.resize(kWorkers);
+  for (int i = 0; i < kControls; ++i) nodes_[ControlNode(i)];
+  for (int i = 0; i < kEntries; ++i) nodes_[EntryNode(i)];
+  nodes_[{Role::kCaller, 0}];
+  for (int i = 0; i < kWorkers; ++i) {
+    nodes_[WorkerNode(i)];
+    workers_[i].table_.incarnation_ = Incarnation(1);
+    workers_[i].table_.accelerators_ = Accelerators(4);
+    workers_[i].table_.slots_ = 4;
+    workers_[i].entry_ = static_cast<int>((seed + i) % kEntries);
+    workers_[i].answered_at_ = now_;
+  }
+  TakeOffice(*this, 0);
+  At(*this, Duration(0), [this] { Tick(*this); });
+}
+
+void At(World& world, Duration delay, std::function<void()> run) {
+  world.events_.push({world.now_ + delay, ++world.order_, std::move(run)});
+}
+
+void RunFor(World& world, Duration duration) {
+  const Time end = world.now_ + duration;
+  while (!world.events_.empty() && world.events_.top().at_ <= end) {
+    const World::Event event = world.events_.top();
+    world.events_.pop();
+    world.now_ = event.at_;
+    event.run_();
+  }
+  world.now_ = end;
+}
+
+void AddRequest(World& world, const JobSpec& spec) {
+  WorldRequest request;
+  request.spec_ = spec;
+  world.requests_.push_back(request);
+}
+
+void Kill(World& world, Node node, Duration down) {
+  NodeState& state = world.nodes_.at(node);
+  if (!state.alive_) return;
+  state.alive_ = false;
+  ++state.life_;
+  const int life = state.life_;
+  if (node.role_ == Role::kWorker) {
+    WorldWorker& worker = world.workers_[node.index_];
+    while (!worker.running_.empty()) {
+      EndRun(world, worker, LeaseKey(worker.running_.begin()->first), false);
+    }
+  }
+  At(world, down, [&world, node, life] {
+    if (world.nodes_.at(node).life_ == life) Restart(world, node);
+  });
+  if (node.role_ != Role::kControl) return;
+  if (WorldLeader* leader = LeaderAt(world, node.index_)) leader->dead_ = true;
+}
+
+void Freeze(World& world, Node node, Duration duration) {
+  NodeState& state = world.nodes_.at(node);
+  if (state.frozen_until_ <= world.now_) state.frozen_from_ = world.now_;
+  state.frozen_until_ = std::max(state.frozen_until_, world.now_ + duration);
+}
+
+void Cut(World& world, Node node, bool from, bool to, Duration duration) {
+  std::vector<std::pair<Node, Node>> links;
+  for (const auto& [other, state] : world.nodes_) {
+    if (other == node) continue;
+    if (from) links.emplace_back(node, other);
+    if (to) links.emplace_back(other, node);
+  }
+  world.cut_.insert(links.begin(), links.end());
+  At(world, duration, [&world, links] {
+    for (const auto& link : links) world.cut_.erase(link);
+  });
+}
+
+Node LeaderNode(const World& world) {
+  return ControlNode(world.leaders_.back()->control_);
+}
+
+WorldLeader* PresentLeader(World& world) {
+  for (auto& leader : world.leaders_) {
+    if (leader->term_ == world.term_ && !leader->dead_) return leader.get();
+  }
+  return nullptr;
+}
+
+}  // namespace flamingohollow
