--- /dev/null
+++ b/flamingohollow/http_types.h
@@ -0,0 +1,42 @@
+// HTTP requests and responses as the rest of the code sees them; the library
+// that carries them stays inside http_server.cc and http_client.cc.
+
+#ifndef FLAMINGOHOLLOW_HTTP_TYPES_H_
+#define FLAMINGOHOLLOW_HTTP_TYPES_H_
+
+#include <string>
+#include <string_view>
+
+#include "util/clock.h"
+
+namespace flamingohollow {
+
+struct HttpRequest {
+  // "GET", "POST", "DELETE", ...
+  std::string method_;
+  // Path and query, as sent.
+  std::string target_;
+  // Headers that the product reads; empty when not sent.
+  std::string authorization_;
+  std::string idempotency_key_;
+  std::string trace_parent_;
+  std::string body_;
+};
+
+struct HttpResponse {
+  unsigned status_ = 200;
+  std::string content_type_ = "application/json";
+  std::string body_;
+  // Sent as Retry-After, in seconds rounded up; 0 for none.
+  Duration retry_after_;
+};
+
+// `{"error": CODE, "message": TEXT, "retry_after_ms": N}` as docs/HTTP.md has
+// it; `retry_after` of 0 is left out.
+HttpResponse ErrorResponse(unsigned status, std::string_view code,
+                           std::string_view message,
+                           Duration retry_after = Duration(0));
+
+}  // namespace flamingohollow
+
+#endif  // FLAMINGOHOLLOW_HTTP_TYPES_H_
