Log: random schedules of faults against an oracle, and single rules

Simulated voters run the real step functions over the real folder code on disks that forget what was not synced; messages are lost, repeated, delayed and cut one way and both ways; folders are wiped, processes crash, freeze, restart all at once, disks fail and fill, operators add, remove and transfer.

Trials of single rules: raft_test, 9 cases.

--- a/flamingohollow/raft.cc
+++ b/flamingohollow/raft.cc
@@ -148,10 +148,21 @@
   Campaign(ctx, true);
 }
 
+// Whether a campaign makes sense: this voter is in the newest membership, or
+// in one that may still be in force. Until its removal is committed, a removed
+// voter may be the only one with a log long enough to win.
+bool MayCampaign(const RaftState& state) {
+  const std::vector<MembershipAt>& memberships = state.log_.memberships_;
+  for (auto at = memberships.rbegin(); at != memberships.rend(); ++at) {
+    if (IsVoter(at->membership_, state.id_)) return true;
+    if (at->index_ <= state.commit_) return false;
+  }
+  return false;
+}
+
 void TickFollower(StepContext ctx) {
   const RaftState& state = ctx.state_;
-  if (ctx.now_ < state.election_deadline_) return;
-  if (!IsVoter(CurrentMembership(state.log_), state.id_)) return;
+  if (ctx.now_ < state.election_deadline_ || !MayCampaign(state)) return;
   PreCampaign(ctx);
 }
 
--- /dev/null
+++ b/flamingohollow/testing/fake_disk.h
@@ -0,0 +1,70 @@
+// A disk in memory that forgets what was not synced, and fails on demand.
+
+#ifndef FLAMINGOHOLLOW_TESTING_FAKE_DISK_H_
+#define FLAMINGOHOLLOW_TESTING_FAKE_DISK_H_
+
+#include <boost/leaf/result.hpp>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "flamingohollow/disk.h"
+
+namespace flamingohollow::testing {
+
+// What stays when the process goes. One folder; paths are whole names.
+struct FakeFiles {
+  struct File {
+    std::string data_;
+    // data_ up to here survives a crash.
+    std::size_t synced_ = 0;
+  };
+  using Names = std::map<std::string, std::shared_ptr<File>>;
+
+  Names names_;
+  // names_ as of the last SyncFolder.
+  Names synced_names_;
+  bool locked_ = false;
+  // Operations until one fails; none fails while negative.
+  int fail_in_ = -1;
+  int fail_code_ = 0;
+  std::uint64_t syncs_ = 0;
+
+  // The machine stops. `random(n)` gives a number below n: how much of what
+  // was not synced stays all the same.
+  void Crash(const std::function<std::uint64_t(std::uint64_t)>& random);
+};
+
+class FakeDisk : public Disk {
+ public:
+  template <typename T>
+  using Result = boost::leaf::result<T>;
+
+  explicit FakeDisk(std::shared_ptr<FakeFiles> files);
+  ~FakeDisk() override;
+  Result<void> MakeFolder(const std::string& folder) override;
+  Result<void> Lock(const std::string& path) override;
+  Result<std::vector<std::string>> List(const std::string& folder) override;
+  Result<std::string> Read(const std::string& path) override;
+  Result<void> Append(const std::string& path, std::string_view bytes) override;
+  Result<void> Truncate(const std::string& path, std::uint64_t size) override;
+  Result<void> Sync(const std::string& path) override;
+  Result<void> SyncFolder(const std::string& folder) override;
+  Result<void> Rename(const std::string& from, const std::string& to) override;
+  Result<void> Remove(const std::string& path) override;
+
+ private:
+  // Counts down to the next failure.
+  Result<void> MayFail(const char* operation, const std::string& path);
+
+  std::shared_ptr<FakeFiles> files_;
+  bool holds_lock_ = false;
+};
+
+}  // namespace flamingohollow::testing
+
+#endif  // FLAMINGOHOLLOW_TESTING_FAKE_DISK_H_
--- /dev/null
+++ b/flamingohollow/testing/raft_test.cc
@@ -0,0 +1,251 @@
+// Single rules of the consensus step, each brought about on purpose.
+
+#include "flamingohollow/raft.h"
+
+#include <doctest/doctest.h>
+
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "flamingohollow/testing/raft_sim.h"
+
+namespace flamingohollow::testing {
+namespace {
+
+constexpr Duration kSecond = Duration(1000);
+
+SimOptions Founders(std::size_t founders) {
+  SimOptions options;
+  options.founders_ = founders;
+  return options;
+}
+
+Term HighestTerm(RaftSim* sim) {
+  Term highest;
+  for (const SimNode& node : sim->nodes()) {
+    highest = std::max(highest, node.state_.hard_.term_);
+  }
+  return highest;
+}
+
+void ProposeMany(RaftSim* sim, std::size_t leader, int count) {
+  for (int i = 0; i < count; ++i) {
+    REQUIRE(sim->Propose(leader));
+    sim->Run(Duration(20));
+  }
+}
+
+std::size_t Other(std::size_t leader) { return leader == 0 ? 1 : 0; }
+
+TEST_CASE("a voter that was cut off for long disturbs nobody") {
+  for (const bool one_way : {false, true}) {
+    CAPTURE(one_way);
+    RaftSim sim(Founders(3));
+    REQUIRE(sim.Form());
+    const std::size_t leader = *sim.Leader();
+    const std::size_t away = Other(leader);
+    const Term term = HighestTerm(&sim);
+    const Time until = sim.now() + kSecond * 20;
+    if (one_way) {
+      // It hears nobody, but all hear it.
+      for (std::size_t i = 0; i < 3; ++i) sim.Cut(i, away, until);
+    } else {
+      sim.CutOff(away, until);
+    }
+    for (int i = 0; i < 250; ++i) {
+      sim.Propose(leader);
+      sim.Run(Duration(100));
+      REQUIRE(sim.Leader() == leader);
+    }
+    CHECK(HighestTerm(&sim) == term);
+    // The last commit index goes out with the next heartbeat.
+    CHECK(sim.RunUntil(kSecond, [&] { return sim.Converged(); }));
+    CHECK(sim.violation() == "");
+  }
+}
+
+TEST_CASE("a leader without a majority stands down within a time-out") {
+  RaftSim sim(Founders(3));
+  REQUIRE(sim.Form());
+  const std::size_t leader = *sim.Leader();
+  sim.CutOff(leader, sim.now() + kSecond * 20);
+  sim.Run(Duration(700));
+  CHECK(sim.node(leader).state_.role_ != Role::kLeader);
+  CHECK_FALSE(HasQuorum(sim.node(leader).state_, sim.now()));
+  CHECK(sim.violation() == "");
+}
+
+TEST_CASE("a leader that wakes from a freeze serves nothing old") {
+  RaftSim sim(Founders(3));
+  REQUIRE(sim.Form());
+  const std::size_t leader = *sim.Leader();
+  sim.node(leader).frozen_until_ = sim.now() + kSecond * 20;
+  sim.Run(kSecond * 5);
+  const std::optional<std::size_t> next = sim.Leader();
+  REQUIRE(next.has_value());
+  REQUIRE(next != leader);
+  ProposeMany(&sim, *next, 3);
+  sim.node(leader).frozen_until_ = Time();
+  // Asked before it has heard anything.
+  sim.Read(leader);
+  CHECK_FALSE(sim.Propose(leader));
+  CHECK(sim.node(leader).state_.role_ != Role::kLeader);
+  sim.Run(kSecond * 3);
+  CHECK(sim.Leader() == next);
+  CHECK(sim.violation() == "");
+}
+
+TEST_CASE("time without a leader is bounded after a kill and a hand-over") {
+  for (std::uint64_t seed = 1; seed <= 50; ++seed) {
+    CAPTURE(seed);
+    SimOptions options = Founders(3);
+    options.seed_ = seed;
+    RaftSim sim(options);
+    REQUIRE(sim.Form());
+    sim.Run(kSecond);
+    std::size_t leader = *sim.Leader();
+    sim.Give(leader, TransferEvent{});
+    REQUIRE(sim.RunUntil(Duration(300), [&] {
+      return sim.Leader().has_value() && *sim.Leader() != leader;
+    }));
+    leader = *sim.Leader();
+    sim.Crash(leader);
+    CHECK(
+        sim.RunUntil(Duration(2000), [&] { return sim.Leader().has_value(); }));
+  }
+}
+
+TEST_CASE("a second loss right after a repair loses nothing") {
+  RaftSim sim(Founders(3));
+  REQUIRE(sim.Form());
+  const std::size_t leader = *sim.Leader();
+  const std::size_t first = Other(leader);
+  const std::size_t second = 3 - leader - first;
+  ProposeMany(&sim, leader, 40);
+  // Its last entries are held by the leader and `second` only.
+  sim.CutOff(first, sim.now() + Duration(200));
+  ProposeMany(&sim, leader, 5);
+  const std::size_t acknowledged = sim.acknowledged();
+  sim.Wipe(first);
+  sim.Start(first);
+  REQUIRE(sim.RunUntil(kSecond * 20, [&] { return sim.MayWipe(second); }));
+  // The repair counts as done in this very moment.
+  sim.Wipe(second);
+  sim.Crash(leader);
+  sim.Start(leader);
+  sim.Start(second);
+  REQUIRE(sim.RunUntil(kSecond * 20, [&] { return sim.Converged(); }));
+  const std::size_t now_leads = *sim.Leader();
+  CHECK(sim.node(now_leads).applied_.size() >= acknowledged);
+  CHECK(sim.violation() == "");
+}
+
+TEST_CASE("a voter moves to a new address and its old process stays harmless") {
+  RaftSim sim(Founders(3));
+  REQUIRE(sim.Form());
+  const std::size_t leader = *sim.Leader();
+  const std::size_t moved = Other(leader);
+  const NodeName name = sim.node(moved).name_;
+  const Term term = HighestTerm(&sim);
+  sim.Crash(moved);
+  const std::size_t fresh = sim.AddNode(name, "new-address");
+  sim.Give(leader, AddVoterEvent{{name, "new-address"}});
+  REQUIRE(sim.RunUntil(kSecond * 10, [&] {
+    const Membership& now = CurrentMembership(sim.node(leader).state_.log_);
+    return sim.Converged() && IsVoter(now, sim.node(fresh).state_.id_);
+  }));
+  sim.Start(moved);
+  sim.Run(kSecond * 10);
+  CHECK(sim.Leader() == leader);
+  CHECK(HighestTerm(&sim) == term);
+  CHECK(CurrentMembership(sim.node(leader).state_.log_).size() == 3);
+  CHECK(sim.violation() == "");
+}
+
+TEST_CASE("voters that pledged to one founding take no part in another") {
+  RaftSim sim(Founders(3));
+  std::vector<Founder> all;
+  for (const SimNode& node : sim.nodes()) {
+    all.push_back({node.name_, node.address_});
+  }
+  // Two operators with different lists at the same time.
+  sim.Give(0, InitEvent{{all[0], all[1]}});
+  sim.Give(2, InitEvent{{all[1], all[2]}});
+  sim.Run(kSecond * 10);
+  std::size_t leaders = 0;
+  for (const SimNode& node : sim.nodes()) {
+    if (node.state_.role_ == Role::kLeader) ++leaders;
+  }
+  CHECK(leaders <= 1);
+  // A blank voter alone never leads.
+  RaftSim blank(Founders(1));
+  blank.Run(kSecond * 10);
+  CHECK_FALSE(blank.Leader().has_value());
+}
+
+// The newest entry of its own term, or nothing: Raft's figure 8.
+TEST_CASE("a leader does not commit by counting older terms' entries") {
+  Membership members;
+  for (std::uint64_t id = 1; id <= 3; ++id) {
+    const std::string name = std::to_string(id);
+    members.push_back(
+        {.id_ = VoterId(id), .name_ = NodeName(name), .address_ = name});
+  }
+  LogEntry founding;
+  founding.index_ = LogIndex(1);
+  founding.term_ = Term(1);
+  founding.kind_ = EntryKind::kMembership;
+  founding.membership_ = members;
+  LogEntry old;
+  old.index_ = LogIndex(2);
+  old.term_ = Term(2);
+  HardState hard;
+  hard.term_ = Term(3);
+  Time now(1000);
+  RaftState state = MakeRaftState({}, GroupId(), members[0], 1, hard,
+                                  Snapshot(), {founding, old}, now);
+  now = now + kSecond * 2;
+  const auto receive = [&](MessageBody body, std::uint64_t from, Term term) {
+    Message message;
+    message.from_ = VoterId(from);
+    message.to_ = VoterId(1);
+    message.term_ = term;
+    message.body_ = std::move(body);
+    return Step(&state, message, now);
+  };
+  Step(&state, TickEvent{}, now);
+  receive(VoteReply{.pre_vote_ = true, .granted_ = true}, 2, Term(4));
+  receive(VoteReply{.granted_ = true}, 1, Term(4));
+  receive(VoteReply{.granted_ = true}, 2, Term(4));
+  REQUIRE(state.role_ == Role::kLeader);
+  AppendReply reply;
+  reply.accepted_ = true;
+  reply.sent_ = now;
+  reply.match_ = LogIndex(2);
+  receive(reply, 1, Term(4));
+  receive(reply, 2, Term(4));
+  CHECK(state.commit_ == LogIndex());
+  reply.match_ = LogIndex(3);
+  receive(reply, 1, Term(4));
+  receive(reply, 2, Term(4));
+  CHECK(state.commit_ == LogIndex(3));
+}
+
+TEST_CASE("proposals beyond the bound are refused, not queued") {
+  RaftSim sim(Founders(3));
+  REQUIRE(sim.Form());
+  const std::size_t leader = *sim.Leader();
+  RaftState& state = sim.node(leader).state_;
+  const std::string big(1024 * 1024, 'x');
+  int taken = 0;
+  while (taken < 100 &&
+         Step(&state, ProposeEvent{big}, sim.now()).proposed_.has_value()) {
+    ++taken;
+  }
+  CHECK(taken == 4);
+}
+
+}  // namespace
+}  // namespace flamingohollow::testing
