--- /dev/null
+++ b/flamingohollow/testing/storage_test.cc
@@ -0,0 +1,312 @@
+// Faults of the data folder: torn and damaged files, full and failing disks,
+// crashes between any two operations.
+
+#include "flamingohollow/storage.h"
+
+#include <doctest/doctest.h>
+
+#include <boost/leaf/handle_errors.hpp>
+#include <cerrno>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "flamingohollow/testing/fake_disk.h"
+
+namespace flamingohollow::testing {
+namespace {
+
+namespace leaf = boost::leaf;
+
+// One folder, opened and closed at will.
+class Folder {
+ public:
+  // "" when it opens, else the error.
+  std::string Open(const std::string& name = "control-0") {
+    storage_.reset();
+    StorageOptions options;
+    options.folder_ = "data";
+    options.name_ = NodeName(name);
+    options.fresh_id_ = VoterId(++last_id_);
+    options.segment_bytes_ = 400;
+    return Message([&]() -> leaf::result<void> {
+      BOOST_LEAF_ASSIGN(
+          storage_, Storage::Open(std::make_unique<FakeDisk>(files_), options));
+      return {};
+    });
+  }
+  std::string Write(StorageBatch batch) {
+    return Message([&]() -> leaf::result<void> {
+      BOOST_LEAF_CHECK(storage_->Write({std::move(batch)}));
+      return {};
+    });
+  }
+  std::string Append(std::uint64_t index, std::uint64_t term,
+                     const std::string& command = "x") {
+    StorageBatch batch;
+    batch.append_.push_back(Entry(index, term, command));
+    return Write(std::move(batch));
+  }
+  std::string Snapshot(std::uint64_t index, std::uint64_t term, bool reset) {
+    StorageBatch batch;
+    batch.snapshot_ = SaveSnapshot{
+        .snapshot_ = {.index_ = LogIndex(index),
+                      .term_ = Term(term),
+                      .membership_ = {},
+                      .data_ = std::make_shared<const std::string>("state")},
+        .reset_log_ = reset};
+    return Write(std::move(batch));
+  }
+  // The process ends; the machine goes on.
+  void Kill() { storage_.reset(); }
+  // The machine stops; what was not synced is gone.
+  void Crash() {
+    storage_.reset();
+    files_->Crash([](std::uint64_t) { return std::uint64_t{0}; });
+  }
+  std::vector<std::uint64_t> Indices() {
+    std::vector<std::uint64_t> indices;
+    for (const LogEntry& entry : storage_->stored().entries_) {
+      indices.push_back(entry.index_.value());
+    }
+    return indices;
+  }
+  StoredState& stored() { return storage_->stored(); }
+  FakeFiles& files() { return *files_; }
+  std::string& Bytes(const std::string& name) {
+    return files_->names_.at("data/" + name)->data_;
+  }
+  std::size_t CountOf(const std::string& prefix) const {
+    std::size_t count = 0;
+    for (const auto& [path, file] : files_->names_) {
+      if (path.starts_with("data/" + prefix)) ++count;
+    }
+    return count;
+  }
+
+ private:
+  static LogEntry Entry(std::uint64_t index, std::uint64_t term,
+                        const std::string& command) {
+    LogEntry entry;
+    entry.index_ = LogIndex(index);
+    entry.term_ = Term(term);
+    entry.command_ = command;
+    return entry;
+  }
+  template <typename Body>
+  static std::string Message(Body body) {
+    std::string message;
+    leaf::try_handle_all(
+        std::move(body),
+        [&](const StorageError& error) { message = error.message_; },
+        [&] { message = "unknown error"; });
+    return message;
+  }
+
+  std::shared_ptr<FakeFiles> files_ = std::make_shared<FakeFiles>();
+  std::unique_ptr<Storage> storage_;
+  std::uint64_t last_id_ = 0;
+};
+
+using Indices = std::vector<std::uint64_t>;
+const std::string kFirstSegment = "log-00000000000000000001";
+
+TEST_CASE("what was written is there after a crash, over many segments") {
+  Folder folder;
+  REQUIRE(folder.Open() == "");
+  StorageBatch batch;
+  batch.hard_state_ =
+      HardState{.term_ = Term(7), .vote_ = VoterId(3), .pledge_ = 9};
+  REQUIRE(folder.Write(batch) == "");
+  Indices all;
+  for (std::uint64_t index = 1; index <= 50; ++index) {
+    REQUIRE(folder.Append(index, 7) == "");
+    all.push_back(index);
+  }
+  CHECK(folder.CountOf("log-") > 3);
+  folder.Crash();
+  REQUIRE(folder.Open() == "");
+  CHECK(folder.Indices() == all);
+  CHECK(folder.stored().hard_ == *batch.hard_state_);
+  CHECK(folder.stored().id_ == VoterId(1));
+  // A later entry with a lower index ends the log there.
+  REQUIRE(folder.Append(10, 8) == "");
+  folder.Crash();
+  REQUIRE(folder.Open() == "");
+  CHECK(folder.Indices().size() == 10);
+  CHECK(folder.stored().entries_.back().term_ == Term(8));
+}
+
+TEST_CASE("a folder of another voter and a lost identity are refused") {
+  Folder folder;
+  REQUIRE(folder.Open() == "");
+  CHECK(folder.Open("control-1").find("belongs to control-0") !=
+        std::string::npos);
+  REQUIRE(folder.Open() == "");
+  CHECK(folder.Append(1, 1) == "");
+  folder.Kill();
+  folder.files().names_.erase("data/identity");
+  CHECK(folder.Open() == "data/identity is missing beside a log");
+}
+
+TEST_CASE("a torn tail is cut at every byte, and nothing synced goes") {
+  Folder original;
+  REQUIRE(original.Open() == "");
+  REQUIRE(original.Append(1, 1) == "");
+  const std::size_t synced = original.Bytes(kFirstSegment).size();
+  REQUIRE(original.Append(2, 1) == "");
+  const std::string whole = original.Bytes(kFirstSegment);
+  for (std::size_t size = synced; size < whole.size(); ++size) {
+    CAPTURE(size);
+    Folder folder;
+    REQUIRE(folder.Open() == "");
+    REQUIRE(folder.Append(1, 1) == "");
+    REQUIRE(folder.Append(2, 1) == "");
+    folder.Kill();
+    folder.Bytes(kFirstSegment).resize(size);
+    REQUIRE(folder.Open() == "");
+    REQUIRE(folder.Indices() == Indices{1});
+    REQUIRE(folder.Append(2, 2) == "");
+    folder.Crash();
+    REQUIRE(folder.Open() == "");
+    REQUIRE(folder.Indices() == Indices{1, 2});
+  }
+}
+
+TEST_CASE("damage before the last frame stops with file and offset") {
+  Folder original;
+  REQUIRE(original.Open() == "");
+  std::vector<std::size_t> starts;
+  for (std::uint64_t index = 1; index <= 3; ++index) {
+    starts.push_back(original.Bytes(kFirstSegment).size());
+    REQUIRE(original.Append(index, 1) == "");
+  }
+  original.Kill();
+  const std::string whole = original.Bytes(kFirstSegment);
+  for (std::size_t at = starts[0]; at < starts[2]; ++at) {
+    CAPTURE(at);
+    original.Bytes(kFirstSegment) = whole;
+    original.Bytes(kFirstSegment)[at] ^= 0x40;
+    const std::size_t frame = at < starts[1] ? starts[0] : starts[1];
+    REQUIRE(original.Open() == "data/" + kFirstSegment + " at offset " +
+                                   std::to_string(frame) + " is damaged");
+  }
+  // An older segment has no torn tail.
+  original.Bytes(kFirstSegment) = whole;
+  REQUIRE(original.Open() == "");
+  for (std::uint64_t index = 4; index <= 20; ++index) {
+    REQUIRE(original.Append(index, 1) == "");
+  }
+  original.Kill();
+  original.Bytes(kFirstSegment).pop_back();
+  CHECK(original.Open().find(kFirstSegment + " at offset") !=
+        std::string::npos);
+}
+
+TEST_CASE("an entry that only a killed process wrote counts once synced") {
+  Folder folder;
+  REQUIRE(folder.Open() == "");
+  REQUIRE(folder.Append(1, 1) == "");
+  // Written, then the sync fails.
+  folder.files().fail_in_ = 1;
+  folder.files().fail_code_ = EIO;
+  CHECK(folder.Append(2, 1) != "");
+  folder.Kill();
+  folder.files().fail_in_ = -1;
+  REQUIRE(folder.Open() == "");
+  CHECK(folder.Indices() == Indices{1, 2});
+  folder.Crash();
+  REQUIRE(folder.Open() == "");
+  CHECK(folder.Indices() == Indices{1, 2});
+}
+
+TEST_CASE("after a full or failing disk nothing is written any more") {
+  for (const int code : {ENOSPC, EIO}) {
+    for (int operation = 0; operation < 2; ++operation) {
+      CAPTURE(code);
+      CAPTURE(operation);
+      Folder folder;
+      REQUIRE(folder.Open() == "");
+      REQUIRE(folder.Append(1, 1) == "");
+      folder.files().fail_in_ = operation;
+      folder.files().fail_code_ = code;
+      CHECK(folder.Append(2, 1).find(kFirstSegment) != std::string::npos);
+      CHECK(folder.Append(2, 1) == "folder data failed before");
+      folder.Crash();
+      REQUIRE(folder.Open() == "");
+      CHECK(folder.Indices() == Indices{1});
+    }
+  }
+}
+
+TEST_CASE("a snapshot shortens or replaces the log and bounds the folder") {
+  Folder folder;
+  REQUIRE(folder.Open() == "");
+  for (std::uint64_t index = 1; index <= 200; ++index) {
+    REQUIRE(folder.Append(index, 1) == "");
+    if (index % 20 == 0) REQUIRE(folder.Snapshot(index - 5, 1, false) == "");
+    REQUIRE(folder.CountOf("log-") < 12);
+    REQUIRE(folder.CountOf("snapshot-") <= 1);
+  }
+  folder.Crash();
+  REQUIRE(folder.Open() == "");
+  CHECK(folder.stored().snapshot_.index_ == LogIndex(195));
+  CHECK(*folder.stored().snapshot_.data_ == "state");
+  CHECK(folder.Indices() == Indices{196, 197, 198, 199, 200});
+  REQUIRE(folder.Snapshot(500, 3, true) == "");
+  REQUIRE(folder.Append(501, 3) == "");
+  folder.Crash();
+  REQUIRE(folder.Open() == "");
+  CHECK(folder.Indices() == Indices{501});
+  folder.Kill();
+  folder.Bytes("snapshot-00000000000000000500").back() ^= 1;
+  CHECK(folder.Open() ==
+        "data/snapshot-00000000000000000500 is damaged at offset 0");
+}
+
+// Stops the machine after every single operation of a write.
+TEST_CASE("a crash at any operation of a snapshot keeps the old or the new") {
+  for (const bool reset : {false, true}) {
+    for (int operation = 0; operation < 12; ++operation) {
+      for (std::uint64_t kept : {0, 1}) {
+        CAPTURE(reset);
+        CAPTURE(operation);
+        CAPTURE(kept);
+        Folder folder;
+        REQUIRE(folder.Open() == "");
+        StorageBatch vote;
+        vote.hard_state_ = HardState{.term_ = Term(4), .vote_ = VoterId(2)};
+        REQUIRE(folder.Write(vote) == "");
+        for (std::uint64_t index = 1; index <= 8; ++index) {
+          REQUIRE(folder.Append(index, 1) == "");
+        }
+        REQUIRE(folder.Snapshot(3, 1, false) == "");
+        folder.files().fail_in_ = operation;
+        folder.files().fail_code_ = EIO;
+        const bool done =
+            folder.Snapshot(reset ? 20 : 6, reset ? 4 : 1, reset) == "";
+        folder.Kill();
+        // Names and bytes that were not synced may stay or go.
+        folder.files().Crash(
+            [kept](std::uint64_t below) { return kept == 0 ? 0 : below - 1; });
+        REQUIRE(folder.Open() == "");
+        CHECK(folder.stored().hard_.term_ == Term(4));
+        CHECK(folder.stored().hard_.vote_ == VoterId(2));
+        const LogIndex snapshot = folder.stored().snapshot_.index_;
+        if (done) CHECK(snapshot == LogIndex(reset ? 20 : 6));
+        const Indices indices = folder.Indices();
+        if (snapshot == LogIndex(20)) {
+          CHECK(indices.empty());
+        } else {
+          REQUIRE_FALSE(indices.empty());
+          CHECK(indices.front() == snapshot.value() + 1);
+          CHECK(indices.back() == 8);
+        }
+        CHECK(folder.Append(snapshot == LogIndex(20) ? 21 : 9, 4) == "");
+      }
+    }
+  }
+}
+
+}  // namespace
+}  // namespace flamingohollow::testing
