--- /dev/null
+++ b/flamingohollow/testing/raft_rules_test.cc
@@ -0,0 +1,264 @@
+// Rules of one voter, given message by message.
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <optional>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "flamingohollow/raft.h"
+
+namespace flamingohollow::testing {
+namespace {
+
+constexpr Term kTerm(3);
+
+// Voter 1 of three, with the founding membership and one entry in its log.
+class OneVoter {
+ public:
+  explicit OneVoter(bool blank = false) {
+    for (std::uint64_t id = 1; id <= 3; ++id) {
+      const std::string name = std::to_string(id);
+      members_.push_back(
+          {.id_ = VoterId(id), .name_ = NodeName(name), .address_ = name});
+    }
+    HardState hard;
+    if (!blank) {
+      hard.term_ = Term(2);
+      entries_ = {Entry(1, 1), Entry(2, 2)};
+      entries_[0].kind_ = EntryKind::kMembership;
+      entries_[0].membership_ = members_;
+    }
+    Start(hard);
+  }
+
+  void Start(HardState hard) {
+    state_ = MakeRaftState({}, GroupId(), members_[0], 1, hard, Snapshot(),
+                           entries_, now_);
+  }
+  static LogEntry Entry(std::uint64_t index, std::uint64_t term) {
+    LogEntry entry;
+    entry.index_ = LogIndex(index);
+    entry.term_ = Term(term);
+    return entry;
+  }
+  Actions Receive(MessageBody body, std::uint64_t from, Term term) {
+    Message message;
+    message.from_ = VoterId(from);
+    message.to_ = VoterId(1);
+    message.term_ = term;
+    message.body_ = std::move(body);
+    return Step(&state_, message, now_);
+  }
+  Actions Give(const RaftEvent& event) { return Step(&state_, event, now_); }
+  Actions Acknowledge(std::uint64_t from, std::uint64_t match, Time sent,
+                      std::uint64_t round = 0) {
+    AppendReply reply;
+    reply.accepted_ = true;
+    reply.match_ = LogIndex(match);
+    reply.sent_ = sent;
+    reply.round_ = round;
+    return Receive(reply, from, kTerm);
+  }
+  // Wins the election of kTerm; its opening entry has index 3.
+  void Lead() {
+    Wait(2000);
+    Give(TickEvent{});
+    Receive(VoteReply{.pre_vote_ = true, .granted_ = true}, 2, kTerm);
+    Receive(VoteReply{.pre_vote_ = false, .granted_ = true}, 1, kTerm);
+    Receive(VoteReply{.pre_vote_ = false, .granted_ = true}, 2, kTerm);
+    REQUIRE(state_.role_ == Role::kLeader);
+  }
+  void CommitOpening() {
+    Acknowledge(1, 3, now_);
+    Acknowledge(2, 3, now_);
+    REQUIRE(LeaderReady(state_));
+  }
+  void Wait(std::int64_t ms) { now_ = now_ + Duration(ms); }
+
+  Membership members_;
+  std::vector<LogEntry> entries_;
+  RaftState state_;
+  Time now_ = Time(1000);
+};
+
+bool Granted(const Actions& actions) {
+  for (const Message& message : actions.send_synced_) {
+    const auto* reply = std::get_if<VoteReply>(&message.body_);
+    if (reply != nullptr && reply->granted_) return true;
+  }
+  return false;
+}
+
+const VoteRequest kUpToDate{.pre_vote_ = false,
+                            .transfer_ = false,
+                            .last_index_ = LogIndex(2),
+                            .last_term_ = Term(2)};
+
+TEST_CASE("entries of older terms are not committed by counting") {
+  OneVoter voter;
+  voter.Lead();
+  voter.Acknowledge(1, 2, voter.now_);
+  voter.Acknowledge(2, 2, voter.now_);
+  CHECK(voter.state_.commit_ == LogIndex());
+  voter.Acknowledge(1, 3, voter.now_);
+  voter.Acknowledge(2, 3, voter.now_);
+  CHECK(voter.state_.commit_ == LogIndex(3));
+}
+
+TEST_CASE("a vote is written with its answer and survives a restart") {
+  OneVoter voter;
+  const Actions first = voter.Receive(kUpToDate, 2, kTerm);
+  CHECK(Granted(first));
+  REQUIRE(first.hard_state_.has_value());
+  voter.Start(*first.hard_state_);
+  CHECK_FALSE(Granted(voter.Receive(kUpToDate, 3, kTerm)));
+  CHECK(Granted(voter.Receive(kUpToDate, 2, kTerm)));
+}
+
+TEST_CASE("a vote goes to no shorter log, and a blank voter gives none") {
+  OneVoter voter;
+  VoteRequest shorter = kUpToDate;
+  shorter.last_index_ = LogIndex(1);
+  shorter.last_term_ = Term(1);
+  CHECK_FALSE(Granted(voter.Receive(shorter, 2, kTerm)));
+  OneVoter blank(true);
+  const Actions actions = blank.Receive(kUpToDate, 2, kTerm);
+  CHECK(actions.send_synced_.empty());
+  CHECK_FALSE(actions.hard_state_.has_value());
+  blank.Wait(10'000);
+  blank.Give(TickEvent{});
+  CHECK(blank.state_.role_ == Role::kFollower);
+}
+
+TEST_CASE("a message for another identity is answered with the own one") {
+  OneVoter blank(true);
+  Message message;
+  message.from_ = VoterId(2);
+  message.to_ = VoterId(99);
+  message.term_ = kTerm;
+  message.body_ = AppendRequest{};
+  const Actions actions = Step(&blank.state_, message, blank.now_);
+  REQUIRE(actions.send_.size() == 1);
+  CHECK(std::holds_alternative<ProbeReply>(actions.send_[0].body_));
+  CHECK(blank.state_.hard_.term_ == Term());
+  message.body_ = kUpToDate;
+  CHECK(Step(&blank.state_, message, blank.now_).send_synced_.empty());
+}
+
+TEST_CASE("a voter that hears its leader helps no other candidate") {
+  OneVoter voter;
+  voter.Receive(AppendRequest{}, 2, kTerm);
+  voter.Wait(500);
+  CHECK(voter.Receive(kUpToDate, 3, Term(9)).send_synced_.empty());
+  CHECK(voter.state_.hard_.term_ == kTerm);
+  VoteRequest handed_over = kUpToDate;
+  handed_over.transfer_ = true;
+  CHECK(Granted(voter.Receive(handed_over, 3, Term(4))));
+}
+
+TEST_CASE("leadership counts from when the leader asked, not was answered") {
+  OneVoter voter;
+  voter.Lead();
+  const Time asked = voter.now_;
+  voter.Wait(500);
+  // An answer that waited in a buffer.
+  voter.Acknowledge(2, 0, asked);
+  voter.Wait(200);
+  CHECK_FALSE(HasQuorum(voter.state_, voter.now_));
+  voter.Give(TickEvent{});
+  CHECK(voter.state_.role_ == Role::kFollower);
+}
+
+TEST_CASE("a read is confirmed by answers to messages sent after it") {
+  OneVoter voter;
+  voter.Lead();
+  voter.CommitOpening();
+  CHECK(voter.Give(ReadEvent{7}).reads_.empty());
+  const std::uint64_t round = voter.state_.read_round_;
+  CHECK(voter.Acknowledge(2, 3, voter.now_, round - 1).reads_.empty());
+  // One that comes meanwhile needs the next round.
+  CHECK(voter.Give(ReadEvent{8}).reads_.empty());
+  const Actions first = voter.Acknowledge(3, 0, voter.now_, round);
+  REQUIRE(first.reads_.size() == 1);
+  CHECK(first.reads_[0].id_ == 7);
+  const Actions second = voter.Acknowledge(3, 0, voter.now_, round + 1);
+  REQUIRE(second.reads_.size() == 1);
+  CHECK(second.reads_[0].ok_);
+}
+
+TEST_CASE("membership changes one at a time, after the leader's own entry") {
+  OneVoter voter;
+  voter.Lead();
+  voter.Acknowledge(3, 2, voter.now_);
+  const RemoveVoterEvent remove{NodeName("3")};
+  const Actions early = voter.Give(remove);
+  REQUIRE(early.operator_.has_value());
+  CHECK(early.operator_->reason_ == "another change is under way");
+  voter.CommitOpening();
+  CHECK_FALSE(voter.Give(remove).operator_.has_value());
+  CHECK(CurrentMembership(voter.state_.log_).size() == 2);
+  CHECK(voter.Give(RemoveVoterEvent{NodeName("2")}).operator_busy_);
+  voter.Acknowledge(1, 4, voter.now_);
+  const Actions done = voter.Acknowledge(2, 4, voter.now_);
+  REQUIRE(done.operator_.has_value());
+  CHECK(done.operator_->ok_);
+}
+
+TEST_CASE("a learner is promoted once all that is committed is synced there") {
+  OneVoter voter;
+  voter.Lead();
+  voter.CommitOpening();
+  voter.Give(AddVoterEvent{{NodeName("4"), "4"}});
+  ProbeReply reply;
+  reply.name_ = NodeName("4");
+  reply.address_ = "4";
+  reply.nonce_ = voter.state_.joining_->nonce_ + 1;
+  // An answer to an older probe may name an identity that is gone.
+  voter.Receive(reply, 9, Term());
+  CHECK(CurrentMembership(voter.state_.log_).size() == 3);
+  reply.nonce_ = voter.state_.joining_->nonce_;
+  voter.Receive(reply, 4, Term());
+  const auto learner = [&voter] {
+    const Member* member =
+        FindMember(CurrentMembership(voter.state_.log_), VoterId(4));
+    REQUIRE(member != nullptr);
+    return member->learner_;
+  };
+  voter.Acknowledge(1, 4, voter.now_);
+  voter.Acknowledge(2, 4, voter.now_);
+  REQUIRE(voter.state_.commit_ == LogIndex(4));
+  voter.Acknowledge(4, 3, voter.now_);
+  voter.Give(TickEvent{});
+  CHECK(learner());
+  voter.Acknowledge(4, 4, voter.now_);
+  CHECK_FALSE(learner());
+}
+
+TEST_CASE("a blank voter pledges to one founding, and takes only that") {
+  OneVoter blank(true);
+  const auto accepts = [&blank](bool take, const Membership& membership) {
+    const Actions actions = blank.Receive(
+        FoundRequest{.take_ = take, .membership_ = membership}, 2, Term());
+    for (const Message& message : actions.send_synced_) {
+      return std::get<FoundReply>(message.body_).accepted_;
+    }
+    return false;
+  };
+  Membership other = blank.members_;
+  other.pop_back();
+  CHECK_FALSE(accepts(true, other));
+  CHECK(accepts(false, blank.members_));
+  CHECK_FALSE(accepts(false, other));
+  CHECK_FALSE(accepts(true, other));
+  CHECK(IsBlank(blank.state_));
+  CHECK(accepts(true, blank.members_));
+  CHECK(accepts(true, blank.members_));
+  CHECK(LastIndex(blank.state_.log_) == LogIndex(1));
+}
+
+}  // namespace
+}  // namespace flamingohollow::testing
--- a/flamingohollow/testing/raft_test.cc
+++ b/flamingohollow/testing/raft_test.cc
@@ -185,54 +185,6 @@
   CHECK_FALSE(blank.Leader().has_value());
 }
 
-// The newest entry of its own term, or nothing: Raft's figure 8.
-TEST_CASE("a leader does not commit by counting older terms' entries") {
-  Membership members;
-  for (std::uint64_t id = 1; id <= 3; ++id) {
-    const std::string name = std::to_string(id);
-    members.push_back(
-        {.id_ = VoterId(id), .name_ = NodeName(name), .address_ = name});
-  }
-  LogEntry founding;
-  founding.index_ = LogIndex(1);
-  founding.term_ = Term(1);
-  founding.kind_ = EntryKind::kMembership;
-  founding.membership_ = members;
-  LogEntry old;
-  old.index_ = LogIndex(2);
-  old.term_ = Term(2);
-  HardState hard;
-  hard.term_ = Term(3);
-  Time now(1000);
-  RaftState state = MakeRaftState({}, GroupId(), members[0], 1, hard,
-                                  Snapshot(), {founding, old}, now);
-  now = now + kSecond * 2;
-  const auto receive = [&](MessageBody body, std::uint64_t from, Term term) {
-    Message message;
-    message.from_ = VoterId(from);
-    message.to_ = VoterId(1);
-    message.term_ = term;
-    message.body_ = std::move(body);
-    return Step(&state, message, now);
-  };
-  Step(&state, TickEvent{}, now);
-  receive(VoteReply{.pre_vote_ = true, .granted_ = true}, 2, Term(4));
-  receive(VoteReply{.granted_ = true}, 1, Term(4));
-  receive(VoteReply{.granted_ = true}, 2, Term(4));
-  REQUIRE(state.role_ == Role::kLeader);
-  AppendReply reply;
-  reply.accepted_ = true;
-  reply.sent_ = now;
-  reply.match_ = LogIndex(2);
-  receive(reply, 1, Term(4));
-  receive(reply, 2, Term(4));
-  CHECK(state.commit_ == LogIndex());
-  reply.match_ = LogIndex(3);
-  receive(reply, 1, Term(4));
-  receive(reply, 2, Term(4));
-  CHECK(state.commit_ == LogIndex(3));
-}
-
 TEST_CASE("proposals beyond the bound are refused, not queued") {
   RaftSim sim(Founders(3));
   REQUIRE(sim.Form());
