--- /dev/null
+++ b/flamingohollow/control_process.cc
@@ -0,0 +1,85 @@
+// Joins the control server and the replica on this machine's disk.
+
+#include "flamingohollow/control_process.h"
+
+#include <boost/leaf/error.hpp>
+#include <boost/leaf/handle_errors.hpp>
+#include <random>
+#include <string>
+#include <utility>
+
+#include "flamingohollow/rpc.h"
+#if __has_include("flamingohollow/replica_factory.h")
+#include "flamingohollow/replica_factory.h"
+#define FLAMINGOHOLLOW_HAS_REPLICA 1
+#endif
+
+namespace flamingohollow {
+namespace {
+
+// A message between voters that has not gone out by then is given up.
+constexpr Duration kPeerTimeout = Duration(1000);
+
+ControlOptions MakeControlOptions(const Settings& settings) {
+  ControlOptions options;
+  options.name_ = settings.name_;
+  options.group_ = settings.group_;
+  options.region_ = settings.region_;
+  options.failure_domain_ = settings.failure_domain_;
+  options.data_folder_ = settings.data_folder_;
+  options.listen_address_ = settings.listen_;
+  for (const VoterSettings& voter : settings.voters_) {
+    options.voters_.push_back(
+        {voter.name_, voter.address_, voter.failure_domain_});
+  }
+  return options;
+}
+
+#ifdef FLAMINGOHOLLOW_HAS_REPLICA
+ReplicaOptions MakeReplicaOptions(const ControlOptions& control) {
+  ReplicaOptions options;
+  options.group_ = control.group_;
+  options.name_ = control.name_;
+  options.address_ = control.listen_address_;
+  options.data_folder_ = control.data_folder_;
+  for (const ControlVoter& voter : control.voters_) {
+    options.founders_.push_back({voter.name_, voter.address_});
+  }
+  std::random_device device;
+  options.seed_ = (std::uint64_t{device()} << 32) | device();
+  return options;
+}
+
+boost::leaf::result<std::unique_ptr<Replica>> MakeDiskReplica(
+    const ControlOptions& options, ReplicaOwner& owner, RpcNode& rpc,
+    PostToControl post) {
+  PeerSender send = [&rpc](const std::string& address, std::string message) {
+    // The answer is empty; consensus messages answer each other.
+    rpc.Call(address, RpcKind::kPeer, std::move(message), kPeerTimeout,
+             [](bool, const std::string&) {});
+  };
+  return boost::leaf::try_handle_some(
+      [&] {
+        return MakeReplica(MakeReplicaOptions(options), &owner, std::move(send),
+                           std::move(post), MonotonicNow());
+      },
+      [](const ReplicaError& error)
+          -> boost::leaf::result<std::unique_ptr<Replica>> {
+        return boost::leaf::new_error(ControlError{error.message_});
+      });
+}
+#else
+boost::leaf::result<std::unique_ptr<Replica>> MakeDiskReplica(
+    const ControlOptions&, ReplicaOwner&, RpcNode&, const PostToControl&) {
+  return boost::leaf::new_error(ControlError{"built without a replica"});
+}
+#endif
+
+}  // namespace
+
+boost::leaf::result<std::unique_ptr<ControlServer>> MakeControl(
+    const Settings& settings) {
+  return ControlServer::Create(MakeControlOptions(settings), MakeDiskReplica);
+}
+
+}  // namespace flamingohollow
--- a/flamingohollow/entry.cc
+++ b/flamingohollow/entry.cc
@@ -214,7 +214,7 @@
   bool busy = true;
   while (busy && MonotonicNow() < deadline) {
     std::this_thread::sleep_for(kDrainPoll);
-    busy = server_->open_connections() > 0 || requests_ > 0 ||
+    busy = !server_->IsDrained() || requests_ > 0 ||
            core_.in_flight() > 0;
   }
   LogInfo("{} {}", settings_.name_.value(),
--- a/flamingohollow/http_server.cc
+++ b/flamingohollow/http_server.cc
@@ -312,11 +312,12 @@
   session->stream_.expires_after(Ms(server.options_.request_timeout_));
   auto [error, header_bytes] = co_await http::async_read_header(
       session->stream_, session->buffer_, parser, kUseTuple);
-  const std::uint64_t body_bytes =
-      parser.content_length().value_or(server.options_.max_body_bytes_);
   const bool has_body = !error && !parser.is_done();
-  const BodyReservation reservation(server.body_bytes_,
-                                    has_body ? body_bytes : 0,
+  const std::uint64_t body_bytes =
+      has_body
+          ? parser.content_length().value_or(server.options_.max_body_bytes_)
+          : 0;
+  const BodyReservation reservation(server.body_bytes_, body_bytes,
                                     server.options_.max_total_body_bytes_);
   if (!error && !reservation.held()) {
     ++server.refused_bodies_;
@@ -468,7 +469,9 @@
 
 std::uint16_t HttpServer::port() const { return state_->port_; }
 
-std::uint64_t HttpServer::open_connections() const { return state_->open_; }
+bool HttpServer::IsDrained() const {
+  return state_->listener_closed_ && state_->open_ == 0;
+}
 
 HttpServerCounts HttpServer::Counts() const {
   return {
--- a/flamingohollow/http_server.h
+++ b/flamingohollow/http_server.h
@@ -82,8 +82,8 @@
   // that it carries. Idle ones end after a last wait for a request that may
   // be under way. Thread-safe.
   void Drain(Duration grace);
-  // Connections that are still open.
-  std::uint64_t open_connections() const;
+  // After Drain: the listener is closed and so is every connection.
+  bool IsDrained() const;
 
  private:
   explicit HttpServer(std::shared_ptr<HttpServerState> state);
