--- a/flamingohollow/control_exchanges.cc
+++ b/flamingohollow/control_exchanges.cc
@@ -110,11 +110,13 @@
 bool EntryExchanges::IsDue(const Peer& peer, const LeaderView& view,
                            const Entries& entries, Time now) {
   const OpenExchange& open = *peer.open_;
+  if (now - open.received_ >= kMaxHold) return true;
+  // No lease can be granted yet; an answer without one is of little use.
+  if (!entries.confirmed_at_) return false;
   return !peer.known_ || !peer.commands_.empty() || !peer.news_.empty() ||
          !open.acknowledged_.empty() || open.wants_reports_ ||
          open.table_version_ < view.table_->version_ ||
-         open.exclusions_version_ != entries.exclusions_version_ ||
-         now - open.received_ >= kMaxHold;
+         open.exclusions_version_ != entries.exclusions_version_;
 }
 
 void EntryExchanges::Answer(const HolderId& id, Peer& peer,
