--- a/flamingohollow/testing/golden_test.py
+++ b/flamingohollow/testing/golden_test.py
@@ -33,6 +33,10 @@
                       r'"\1":N', text)
         text = re.sub(r'"worker":"worker-\d+"', '"worker":"worker-N"', text)
         text = re.sub(r"\bworker-\d+\b", "worker-N", text)
+        text = re.sub(r"\bcontrol-\d+\b", "control-N", text)
+        text = re.sub(r'"outcome":"(accepted|queued|preparing|starting)",'
+                      r'"reason":""', '"outcome":"NOT_STARTED","reason":""',
+                      text)
         text = re.sub(r'"retry_after_ms":[1-9]\d*', '"retry_after_ms":N', text)
         return text
 
