--- /dev/null
+++ b/flamingohollow/capacity.h
@@ -0,0 +1,75 @@
+// The capacity tree: region, failure domain, rack, worker.
+//
+// Workers are numbered in tree order, so that the workers of each node are one
+// contiguous range. A domain of an adjacency is a node of its level. Building
+// costs O(W log W) for W workers; each node's ancestors are at most three
+// steps away.
+
+#ifndef FLAMINGOHOLLOW_CAPACITY_H_
+#define FLAMINGOHOLLOW_CAPACITY_H_
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <vector>
+
+#include "flamingohollow/types.h"
+#include "util/strong.h"
+
+namespace flamingohollow {
+
+// A worker's number in tree order.
+using Leaf = Strong<struct LeafTag, std::uint32_t>;
+// A node of the tree.
+using NodeIndex = Strong<struct NodeIndexTag, std::uint32_t>;
+
+struct TreeNode {
+  // The level: a node of level kRack is a domain of that adjacency.
+  Adjacency level_ = Adjacency::kWorker;
+  // None for a region.
+  std::optional<NodeIndex> parent_;
+  // The workers below: [first_, end_).
+  std::uint32_t first_ = 0;
+  std::uint32_t end_ = 0;
+};
+
+inline constexpr std::size_t kLevels = 4;
+
+struct CapacityTree {
+  // Invariant: node i < leaf_count is the worker of leaf i.
+  std::vector<TreeNode> nodes_;
+  std::size_t leaf_count_ = 0;
+  // The nodes of each level, in tree order.
+  std::array<std::vector<NodeIndex>, kLevels> levels_;
+  std::map<WorkerId, Leaf> leaves_;
+};
+
+CapacityTree BuildTree(const std::map<WorkerId, WorkerPlace>& places);
+
+constexpr NodeIndex NodeOf(Leaf leaf) { return NodeIndex(leaf.value()); }
+constexpr std::size_t LevelIndex(Adjacency level) {
+  return static_cast<std::size_t>(level);
+}
+const TreeNode& GetNode(const CapacityTree& tree, NodeIndex node);
+// The node itself or its ancestor of `level`; `level` is not below the node's.
+NodeIndex AncestorAt(const CapacityTree& tree, NodeIndex node, Adjacency level);
+// True when `inner` is `outer` or below it.
+bool IsWithin(const CapacityTree& tree, NodeIndex inner, NodeIndex outer);
+constexpr Adjacency Narrower(Adjacency a, Adjacency b) { return a < b ? a : b; }
+
+// A quantity of the workers, summed at each node.
+using NodeSums = std::vector<std::int64_t>;
+// Adds to `node` and all its ancestors.
+void AddToPath(const CapacityTree& tree, NodeSums& sums, NodeIndex node,
+               std::int64_t delta);
+// The sums of `by_leaf`; O(nodes).
+NodeSums SumUp(const CapacityTree& tree,
+               const std::vector<std::int64_t>& by_leaf);
+// The smallest sum on the way from `node` up to the root.
+std::int64_t LeastOnPath(const CapacityTree& tree, const NodeSums& sums,
+                         NodeIndex node);
+
+}  // namespace flamingohollow
+
+#endif  // FLAMINGOHOLLOW_CAPACITY_H_
--- /dev/null
+++ b/flamingohollow/decide.cc
@@ -0,0 +1,334 @@
+// One step of decisions.
+//
+// 1. Quarantines that are over end; tree and witness come up to date.
+// 2. Planned gangs whose workers are clear start; those that lost a worker
+//    wait again.
+// 3. Jobs that can never run are refused, after the settling time.
+// 4. The groups of waiting jobs are tried in their order, first urgent ones,
+//    then on guaranteed cells, then as borrowers. A group that finds no place
+//    is left for the rest of the step: nothing is given back meanwhile, so
+//    trying again can't help.
+//
+// At most kMaxPlacements gangs are placed in one step; `more_` says that the
+// step ended early.
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+#include "flamingohollow/feasibility.h"
+#include "flamingohollow/guarantee.h"
+#include "flamingohollow/placement_state.h"
+#include "flamingohollow/reservation.h"
+
+namespace flamingohollow {
+namespace {
+
+constexpr std::size_t kMaxPlacements = 64;
+
+void EndOverQuarantines(PlacementState& state) {
+  for (const WorkerId& worker : EndQuarantines(state.quarantine_, state.now_)) {
+    const auto it = state.cluster_.workers_.find(worker);
+    if (it == state.cluster_.workers_.end()) continue;
+    it->second.quarantined_ = false;
+    TouchWorker(state, it->second);
+  }
+}
+
+void BackToQueue(PlacementState& state, JobId id) {
+  const PlacementJob job = state.gangs_.at(id).job_;
+  EraseGang(state, id);
+  AddJob(state.queue_, job);
+}
+
+// A plan holds only while its workers are the ones it was made for, and while
+// a gang that can't be taken back still has its cells: the table may have
+// changed.
+bool LostGround(const Gang& gang) {
+  if (!IsGuaranteed(gang) && !gang.job_.reclaimable_) return true;
+  for (std::size_t i = 0; i < gang.slices_.size(); ++i) {
+    const WorkerEntry& entry = *gang.entries_[i];
+    if (!TakesWork(entry)) return true;
+    if (entry.worker_.incarnation_ != gang.slices_[i].incarnation_) return true;
+  }
+  return false;
+}
+
+// All that is counted on its workers fits, so whoever had to leave has left.
+bool IsClear(const Gang& gang) {
+  return std::all_of(gang.entries_.begin(), gang.entries_.end(),
+                     [](const WorkerEntry* entry) {
+                       return entry->held_.accelerators_ <=
+                                  entry->worker_.accelerators_.value() &&
+                              entry->held_.slots_ <= entry->worker_.slots_;
+                     });
+}
+
+void EmitPlace(const Gang& gang, PlacementDecisions& decisions) {
+  decisions.place_.push_back({gang.job_.id_, gang.slices_, IsGuaranteed(gang)});
+}
+
+void DropLostPlans(PlacementState& state) {
+  const std::set<JobId> planned = state.planned_;
+  for (const JobId id : planned) {
+    if (LostGround(state.gangs_.at(id))) BackToQueue(state, id);
+  }
+}
+
+void StartClearPlans(PlacementState& state, PlacementDecisions& decisions) {
+  const std::set<JobId> planned = state.planned_;
+  for (const JobId id : planned) {
+    Gang& gang = state.gangs_.at(id);
+    if (!IsClear(gang)) continue;
+    gang.state_ = GangState::kRunning;
+    gang.started_at_ = state.now_;
+    state.planned_.erase(id);
+    EmitPlace(gang, decisions);
+  }
+}
+
+void RefuseNeverFits(PlacementState& state, PlacementDecisions& decisions) {
+  if (state.now_ - state.started_ < state.options_.settling_time_) return;
+  std::vector<std::pair<JobId, std::string>> refused;
+  for (const auto& [key, jobs] : state.queue_.groups_) {
+    const std::string reason = ReasonNeverFits(state.cluster_, state.table_,
+                                               FirstOf(state.queue_, key));
+    if (reason.empty()) continue;
+    for (const auto& [queued_at, id] : jobs) refused.emplace_back(id, reason);
+  }
+  for (auto& [id, reason] : refused) {
+    DropJob(state.queue_, id);
+    decisions.refuse_.push_back({id, std::move(reason)});
+  }
+}
+
+// Stops the victims for `job`; those that have not started just wait again.
+void ReclaimAll(PlacementState& state, const std::vector<Gang*>& victims,
+                JobId job, PlacementDecisions& decisions) {
+  for (Gang* victim : victims) {
+    const JobId id = victim->job_.id_;
+    if (victim->state_ == GangState::kPlanned) {
+      BackToQueue(state, id);
+      continue;
+    }
+    MarkReclaimed(state, *victim);
+    decisions.reclaim_.push_back({id, job});
+  }
+}
+
+// Puts the job on its takes, at once or when its workers are clear.
+void Commit(PlacementState& state, const PlacementJob& job,
+            const std::vector<LeafTake>& takes, std::vector<CellUse> uses,
+            PlacementDecisions& decisions) {
+  Gang gang;
+  gang.job_ = job;
+  gang.slices_ = SlicesOf(state.cluster_, takes);
+  gang.uses_ = std::move(uses);
+  gang.started_at_ = state.now_;
+  gang.state_ = GangState::kPlanned;
+  DropJob(state.queue_, job.id_);
+  DropStaleReservations(state);
+  if (gang.uses_.empty() && !job.urgent_) {
+    gang.filler_for_ = FilledReservation(state, takes);
+  }
+  Gang& added = AddGang(state, std::move(gang));
+  if (!IsClear(added)) return;
+  added.state_ = GangState::kRunning;
+  state.planned_.erase(job.id_);
+  EmitPlace(added, decisions);
+}
+
+bool PlaceGuaranteed(PlacementState& state, const PlacementJob& job,
+                     PlacementDecisions& decisions) {
+  std::optional<GuaranteedPlan> plan = PlanGuaranteed(state, job, state.now_);
+  if (!plan) return false;
+  ReclaimAll(state, plan->victims_, job.id_, decisions);
+  Commit(state, job, plan->takes_, std::move(plan->uses_), decisions);
+  state.witness_ = std::move(plan->witness_);
+  return true;
+}
+
+// A job without accelerators takes one slot, wherever most are free.
+bool PlaceSlotOnly(PlacementState& state, const PlacementJob& job,
+                   PlacementDecisions& decisions) {
+  const Cluster& cluster = state.cluster_;
+  std::optional<Leaf> best;
+  for (std::uint32_t i = 0; i < cluster.tree_.leaf_count_; ++i) {
+    const std::int64_t slots = cluster.free_slots_[i];
+    // The last slots stay for free accelerators.
+    if (slots <= cluster.free_[i]) continue;
+    if (!best || slots > cluster.free_slots_[best->value()]) best = Leaf(i);
+  }
+  if (!best) return false;
+  if (!job.reclaimable_) {
+    Witness trial = state.witness_;
+    trial.rooms_[best->value()].slots_ -= 1;
+    if (!Repair(cluster.tree_, trial)) return false;
+    state.witness_ = std::move(trial);
+  }
+  Commit(state, job, {{*best, 0}}, {}, decisions);
+  return true;
+}
+
+bool MayBorrow(const PlacementState& state, const PlacementJob& job) {
+  if (!job.reclaimable_) return false;
+  const auto row = state.table_.rows_.find(job.customer_);
+  if (row == state.table_.rows_.end()) return false;
+  const auto usage = state.usage_.find(job.customer_);
+  const std::int64_t borrowed =
+      usage == state.usage_.end() ? 0 : usage->second.borrowed_;
+  return borrowed + job.accelerators_.value() <= row->second.max_borrowed_;
+}
+
+// The cheapest reclaim over the domains of the job's adjacency.
+bool BorrowByReclaim(PlacementState& state, const PlacementJob& job,
+                     const Eligibility& eligibility,
+                     const std::vector<NodeIndex>& domains,
+                     PlacementDecisions& decisions) {
+  const std::int64_t wanted = job.accelerators_.value();
+  std::optional<ReclaimPlan> best;
+  for (const NodeIndex node : domains) {
+    if (state.cluster_.reachable_[node.value()] < wanted) continue;
+    std::optional<ReclaimPlan> plan =
+        PlanReclaim(state.cluster_, node, wanted, eligibility,
+                    state.options_.policy_, state.now_);
+    if (!plan || (best && best->cost_ <= plan->cost_)) continue;
+    best = std::move(plan);
+  }
+  if (!best) return false;
+  ReclaimAll(state, best->victims_, job.id_, decisions);
+  Commit(state, job, best->takes_, {}, decisions);
+  return true;
+}
+
+bool PlaceBorrower(PlacementState& state, const PlacementJob& job,
+                   PlacementDecisions& decisions) {
+  if (job.accelerators_.value() == 0) {
+    return PlaceSlotOnly(state, job, decisions);
+  }
+  if (!MayBorrow(state, job)) return false;
+  FitRequest request;
+  request.accelerators_ = job.accelerators_.value();
+  request.adjacency_ = job.adjacency_;
+  const NodeSums room =
+      job.urgent_ ? state.cluster_.free_ : RoomFor(state, job, state.now_);
+  const std::vector<Fit> fits =
+      FindFits(state.cluster_.tree_, room, state.shapes_,
+               state.options_.policy_, request);
+  if (!fits.empty()) {
+    Commit(state, job, fits.front().takes_, {}, decisions);
+    return true;
+  }
+  if (job.urgent_) {
+    return BorrowByReclaim(
+        state, job, NotUrgent(),
+        state.cluster_.tree_.levels_[LevelIndex(job.adjacency_)], decisions);
+  }
+  if (const Reservation* own = ReservationOf(state, job.id_)) {
+    return BorrowByReclaim(state, job, FillersOf(job.id_), {own->node_},
+                           decisions);
+  }
+  Reserve(state, job, state.now_);
+  return false;
+}
+
+// The customer's dominant share of what it borrows, over its weight.
+double WeightedShare(const PlacementState& state, const CustomerId& customer,
+                     const Usage& totals) {
+  const auto usage = state.usage_.find(customer);
+  const auto row = state.table_.rows_.find(customer);
+  if (usage == state.usage_.end() || row == state.table_.rows_.end()) return 0;
+  const auto share = [](std::int64_t part, std::int64_t whole) {
+    return whole == 0 ? 0
+                      : static_cast<double>(part) / static_cast<double>(whole);
+  };
+  const double dominant =
+      std::max(share(usage->second.borrowed_, totals.borrowed_),
+               share(usage->second.borrowed_slots_, totals.borrowed_slots_));
+  return dominant / row->second.weight_;
+}
+
+// All accelerators and slots that take work.
+Usage TotalsOf(const Cluster& cluster) {
+  Usage totals;
+  for (const WorkerEntry* entry : cluster.by_leaf_) {
+    if (!TakesWork(*entry)) continue;
+    totals.borrowed_ += entry->worker_.accelerators_.value();
+    totals.borrowed_slots_ += entry->worker_.slots_;
+  }
+  return totals;
+}
+
+using PlaceOne = bool (*)(PlacementState&, const PlacementJob&,
+                          PlacementDecisions&);
+
+// Tries the groups in their order with one kind of placement.
+class Phase {
+ public:
+  Phase(PlacementState& state, const Usage& totals, PlaceOne place,
+        PlacementDecisions& decisions)
+      : state_(state), totals_(totals), place_(place), decisions_(decisions) {}
+
+  void Run(bool urgent_only) {
+    for (const auto& [key, jobs] : state_.queue_.groups_) {
+      if (key.urgent_ || !urgent_only) order_.emplace(Rank(key), key);
+    }
+    while (!order_.empty()) {
+      if (decisions_.place_.size() >= kMaxPlacements) {
+        decisions_.more_ = true;
+        return;
+      }
+      const auto next = order_.extract(order_.begin());
+      TryGroup(next.value().first, next.value().second);
+    }
+  }
+
+ private:
+  GroupRank Rank(const GroupKey& key) const {
+    return RankOf(FirstOf(state_.queue_, key),
+                  WeightedShare(state_, key.customer_, totals_), state_.now_);
+  }
+
+  void TryGroup(const GroupRank& rank, const GroupKey& key) {
+    // A placement of the same customer may have changed its share.
+    const GroupRank present = Rank(key);
+    if (present != rank) {
+      order_.emplace(present, key);
+      return;
+    }
+    const PlacementJob job = FirstOf(state_.queue_, key);
+    if (!place_(state_, job, decisions_)) return;
+    if (state_.queue_.groups_.contains(key)) order_.emplace(Rank(key), key);
+  }
+
+  PlacementState& state_;
+  const Usage& totals_;
+  PlaceOne place_;
+  PlacementDecisions& decisions_;
+  std::set<std::pair<GroupRank, GroupKey>> order_;
+};
+
+}  // namespace
+
+PlacementDecisions Decide(PlacementState& state, Time now) {
+  state.now_ = std::max(state.now_, now);
+  PlacementDecisions decisions;
+  EndOverQuarantines(state);
+  RefreshWitness(state);
+  DropLostPlans(state);
+  // A dropped plan has given its cells back.
+  RefreshWitness(state);
+  StartClearPlans(state, decisions);
+  RefuseNeverFits(state, decisions);
+  DropStaleReservations(state);
+  const Usage totals = TotalsOf(state.cluster_);
+  Phase(state, totals, PlaceGuaranteed, decisions).Run(true);
+  Phase(state, totals, PlaceBorrower, decisions).Run(true);
+  Phase(state, totals, PlaceGuaranteed, decisions).Run(false);
+  Phase(state, totals, PlaceBorrower, decisions).Run(false);
+  return decisions;
+}
+
+}  // namespace flamingohollow
--- /dev/null
+++ b/flamingohollow/fit.cc
@@ -0,0 +1,250 @@
+// The four policies over one tree of room.
+
+#include "flamingohollow/fit.h"
+
+#include <algorithm>
+#include <array>
+#include <tuple>
+
+namespace flamingohollow {
+namespace {
+
+// Room of the node and its ancestors: tight places compare first.
+using PathRoom = std::array<std::int64_t, kLevels>;
+
+PathRoom RoomOnPath(const CapacityTree& tree, const NodeSums& room,
+                    NodeIndex node) {
+  PathRoom path{};
+  std::size_t depth = 0;
+  for (std::optional<NodeIndex> at = node; at;
+       at = GetNode(tree, *at).parent_) {
+    path[depth++] = room[at->value()];
+  }
+  return path;
+}
+
+bool IsAllowed(const CapacityTree& tree, const FitRequest& request,
+               NodeIndex node) {
+  return !request.within_ || IsWithin(tree, node, *request.within_);
+}
+
+std::vector<NodeIndex> FirstDomains(const CapacityTree& tree,
+                                    const NodeSums& room,
+                                    const FitRequest& request,
+                                    Adjacency level) {
+  std::vector<NodeIndex> domains;
+  for (const NodeIndex node : tree.levels_[LevelIndex(level)]) {
+    if (room[node.value()] < request.accelerators_) continue;
+    if (!IsAllowed(tree, request, node)) continue;
+    domains.push_back(node);
+    if (domains.size() == kMaxFits) break;
+  }
+  return domains;
+}
+
+std::vector<NodeIndex> TightestDomains(const CapacityTree& tree,
+                                       const NodeSums& room,
+                                       const FitRequest& request,
+                                       Adjacency level) {
+  std::vector<std::pair<PathRoom, NodeIndex>> found;
+  for (const NodeIndex node : tree.levels_[LevelIndex(level)]) {
+    if (room[node.value()] < request.accelerators_) continue;
+    if (!IsAllowed(tree, request, node)) continue;
+    found.emplace_back(RoomOnPath(tree, room, node), node);
+  }
+  const std::size_t kept = std::min(found.size(), kMaxFits);
+  std::partial_sort(found.begin(),
+                    found.begin() + static_cast<std::ptrdiff_t>(kept),
+                    found.end());
+  std::vector<NodeIndex> domains;
+  for (std::size_t i = 0; i < kept; ++i) domains.push_back(found[i].second);
+  return domains;
+}
+
+// The levels from a worker up to the request's adjacency.
+std::vector<Adjacency> LevelsUpTo(Adjacency adjacency) {
+  std::vector<Adjacency> levels;
+  for (const Adjacency level :
+       {Adjacency::kWorker, Adjacency::kRack, Adjacency::kFailureDomain,
+        Adjacency::kRegion}) {
+    if (level <= adjacency) levels.push_back(level);
+  }
+  return levels;
+}
+
+std::vector<LeafTake> TakeInOrder(const CapacityTree& tree,
+                                  const NodeSums& room, NodeIndex node,
+                                  std::int64_t wanted) {
+  std::vector<LeafTake> takes;
+  const TreeNode& domain = GetNode(tree, node);
+  for (std::uint32_t i = domain.first_; i < domain.end_ && wanted > 0; ++i) {
+    const std::int64_t take = std::min(wanted, room[i]);
+    if (take <= 0) continue;
+    takes.push_back({Leaf(i), take});
+    wanted -= take;
+  }
+  return takes;
+}
+
+// The tightest worker that holds `wanted`, or else the roomiest one.
+std::size_t PickLeaf(const std::vector<LeafTake>& leaves, std::int64_t wanted) {
+  std::size_t best = 0;
+  for (std::size_t i = 1; i < leaves.size(); ++i) {
+    const std::int64_t room = leaves[i].accelerators_;
+    const std::int64_t best_room = leaves[best].accelerators_;
+    const bool holds = room >= wanted;
+    const bool best_holds = best_room >= wanted;
+    if (holds != best_holds) {
+      if (holds) best = i;
+    } else if (holds ? room < best_room : room > best_room) {
+      best = i;
+    }
+  }
+  return best;
+}
+
+// The fewest workers, then the tightest last one.
+std::vector<LeafTake> TakeWholeWorkers(const CapacityTree& tree,
+                                       const NodeSums& room, NodeIndex node,
+                                       std::int64_t wanted) {
+  std::vector<LeafTake> leaves;
+  const TreeNode& domain = GetNode(tree, node);
+  for (std::uint32_t i = domain.first_; i < domain.end_; ++i) {
+    if (room[i] > 0) leaves.push_back({Leaf(i), room[i]});
+  }
+  std::vector<LeafTake> takes;
+  while (wanted > 0 && !leaves.empty()) {
+    const std::size_t at = PickLeaf(leaves, wanted);
+    const std::int64_t take = std::min(wanted, leaves[at].accelerators_);
+    takes.push_back({leaves[at].leaf_, take});
+    wanted -= take;
+    leaves.erase(leaves.begin() + static_cast<std::ptrdiff_t>(at));
+  }
+  return takes;
+}
+
+std::vector<NodeIndex> ChildrenOf(const CapacityTree& tree, NodeIndex node) {
+  const TreeNode& parent = GetNode(tree, node);
+  const auto below =
+      static_cast<Adjacency>(static_cast<int>(parent.level_) - 1);
+  std::vector<NodeIndex> children;
+  for (std::uint32_t i = parent.first_; i < parent.end_;) {
+    const NodeIndex child = AncestorAt(tree, NodeIndex(i), below);
+    children.push_back(child);
+    i = GetNode(tree, child).end_;
+  }
+  return children;
+}
+
+// Descends into the tightest child that holds the rest; while none does, takes
+// the roomiest child whole.
+void TakeByDescent(const CapacityTree& tree, const NodeSums& room,
+                   NodeIndex node, std::int64_t wanted,
+                   std::vector<LeafTake>& takes) {
+  if (wanted <= 0) return;
+  if (GetNode(tree, node).level_ == Adjacency::kWorker) {
+    takes.push_back({Leaf(node.value()), wanted});
+    return;
+  }
+  std::vector<LeafTake> children;
+  for (const NodeIndex child : ChildrenOf(tree, node)) {
+    const std::int64_t child_room = room[child.value()];
+    if (child_room > 0) children.push_back({Leaf(child.value()), child_room});
+  }
+  while (wanted > 0 && !children.empty()) {
+    const std::size_t at = PickLeaf(children, wanted);
+    const NodeIndex child(children[at].leaf_.value());
+    const std::int64_t take = std::min(wanted, children[at].accelerators_);
+    TakeByDescent(tree, room, child, take, takes);
+    wanted -= take;
+    children.erase(children.begin() + static_cast<std::ptrdiff_t>(at));
+  }
+}
+
+std::vector<Fit> FitsIn(const CapacityTree& tree, const NodeSums& room,
+                        const std::vector<NodeIndex>& domains,
+                        std::int64_t wanted, PlacementPolicy policy) {
+  std::vector<Fit> fits;
+  fits.reserve(domains.size());
+  for (const NodeIndex node : domains) {
+    fits.push_back({node, TakeFrom(tree, room, node, wanted, policy)});
+  }
+  return fits;
+}
+
+// The smallest domains that hold the gang.
+std::vector<Fit> BuddyFits(const CapacityTree& tree, const NodeSums& room,
+                           const FitRequest& request) {
+  for (const Adjacency level : LevelsUpTo(request.adjacency_)) {
+    std::vector<Fit> fits =
+        FitsIn(tree, room, TightestDomains(tree, room, request, level),
+               request.accelerators_, PlacementPolicy::kBuddyCells);
+    if (!fits.empty()) return fits;
+  }
+  return {};
+}
+
+std::vector<Fit> GradientFits(const CapacityTree& tree, const NodeSums& room,
+                              const ShapeWeights& shapes,
+                              const FitRequest& request) {
+  std::vector<std::pair<double, Fit>> weighed;
+  for (const Adjacency level : LevelsUpTo(request.adjacency_)) {
+    for (Fit& fit : FitsIn(
+             tree, room, TightestDomains(tree, room, request, level),
+             request.accelerators_, PlacementPolicy::kFragmentationGradient)) {
+      const double change = UnusableGradient(tree, room, shapes, fit.takes_);
+      weighed.emplace_back(change, std::move(fit));
+    }
+  }
+  std::stable_sort(
+      weighed.begin(), weighed.end(),
+      [](const auto& a, const auto& b) { return a.first < b.first; });
+  std::vector<Fit> fits;
+  for (auto& [change, fit] : weighed) {
+    if (fits.size() == kMaxFits) break;
+    fits.push_back(std::move(fit));
+  }
+  return fits;
+}
+
+}  // namespace
+
+std::vector<LeafTake> TakeFrom(const CapacityTree& tree, const NodeSums& room,
+                               NodeIndex node, std::int64_t wanted,
+                               PlacementPolicy policy) {
+  switch (policy) {
+    case PlacementPolicy::kFirstFit:
+      return TakeInOrder(tree, room, node, wanted);
+    case PlacementPolicy::kBuddyCells: {
+      std::vector<LeafTake> takes;
+      TakeByDescent(tree, room, node, wanted, takes);
+      return takes;
+    }
+    case PlacementPolicy::kBestFit:
+    case PlacementPolicy::kFragmentationGradient:
+      return TakeWholeWorkers(tree, room, node, wanted);
+  }
+  return {};
+}
+
+std::vector<Fit> FindFits(const CapacityTree& tree, const NodeSums& room,
+                          const ShapeWeights& shapes, PlacementPolicy policy,
+                          const FitRequest& request) {
+  switch (policy) {
+    case PlacementPolicy::kFirstFit:
+      return FitsIn(tree, room,
+                    FirstDomains(tree, room, request, request.adjacency_),
+                    request.accelerators_, policy);
+    case PlacementPolicy::kBestFit:
+      return FitsIn(tree, room,
+                    TightestDomains(tree, room, request, request.adjacency_),
+                    request.accelerators_, policy);
+    case PlacementPolicy::kBuddyCells:
+      return BuddyFits(tree, room, request);
+    case PlacementPolicy::kFragmentationGradient:
+      return GradientFits(tree, room, shapes, request);
+  }
+  return {};
+}
+
+}  // namespace flamingohollow
--- a/flamingohollow/placement.cc
+++ b/flamingohollow/placement.cc
@@ -1,76 +1,69 @@
-// The placement state and its decisions.
-//
-// A first version: gangs are placed in order of urgency and arrival on the
-// domain with the least room that holds them; nothing is reclaimed yet.
-// One decision costs one pass over the workers for each waiting gang.
+// The events and the views of placement.h; decide.cc has the decisions.
 
 #include "flamingohollow/placement.h"
 
 #include <fmt/format.h>
 
 #include <algorithm>
-#include <set>
-#include <tuple>
+#include <optional>
 #include <utility>
 
+#include "flamingohollow/feasibility.h"
+#include "flamingohollow/guarantee.h"
+#include "flamingohollow/placement_state.h"
+#include "flamingohollow/reservation.h"
+
 namespace flamingohollow {
 namespace {
 
-struct WorkerEntry {
-  PlacementWorker worker_;
-  // False while only restored gangs speak of it.
-  bool known_ = false;
-  std::uint32_t held_ = 0;
-  std::uint32_t held_slots_ = 0;
-};
-
-struct RunningGang {
-  PlacementJob job_;
-  std::vector<Slice> slices_;
-  bool guaranteed_ = false;
-};
-
-using Domain = std::tuple<std::string, std::string, std::string, std::string>;
+// Moves cell numbers from the old table's to the new one's. Gangs of customers
+// whose shape changed lose their cells and are fitted anew by the next refresh.
+void RenumberUses(PlacementState& state, const Table& old_table,
+                  const Table& new_table) {
+  const std::map<CustomerId, CellRange> old_ranges = RangesOf(old_table);
+  const std::map<CustomerId, CellRange> new_ranges = RangesOf(new_table);
+  for (auto& [id, gang] : state.gangs_) {
+    if (!IsGuaranteed(gang)) continue;
+    const CustomerId& customer = gang.job_.customer_;
+    std::vector<CellUse> uses;
+    const auto old_row = old_table.rows_.find(customer);
+    const auto new_row = new_table.rows_.find(customer);
+    if (old_row != old_table.rows_.end() && new_row != new_table.rows_.end() &&
+        old_row->second.guaranteed_ == new_row->second.guaranteed_ &&
+        old_ranges.at(customer).count_ == new_ranges.at(customer).count_) {
+      uses = gang.uses_;
+      for (CellUse& use : uses) {
+        use.cell_ =
+            CellIndex(use.cell_.value() - old_ranges.at(customer).first_ +
+                      new_ranges.at(customer).first_);
+      }
+    }
+    SetUses(state, gang, std::move(uses));
+  }
+}
 
-Domain DomainOf(const PlacementWorker& worker, Adjacency adjacency) {
-  Domain domain;
-  std::get<0>(domain) = worker.place_.region_.value();
-  if (adjacency == Adjacency::kRegion) return domain;
-  std::get<1>(domain) = worker.place_.failure_domain_.value();
-  if (adjacency == Adjacency::kFailureDomain) return domain;
-  std::get<2>(domain) = worker.place_.rack_.value();
-  if (adjacency == Adjacency::kRack) return domain;
-  std::get<3>(domain) = worker.id_.value();
-  return domain;
+// Everything of a worker that shapes the tree.
+bool SameInTree(const WorkerEntry& entry, const PlacementWorker& worker) {
+  return entry.known_ && entry.worker_.place_ == worker.place_;
 }
 
-std::uint32_t FreeOn(const WorkerEntry& entry) {
-  const std::uint32_t total = entry.worker_.accelerators_.value();
-  if (!entry.known_ || !entry.worker_.available_) return 0;
-  if (entry.held_ >= total) return 0;
-  if (entry.held_slots_ >= entry.worker_.slots_) return 0;
-  return total - entry.held_;
+std::size_t KnownWorkers(const PlacementState& state) {
+  return static_cast<std::size_t>(std::count_if(
+      state.cluster_.workers_.begin(), state.cluster_.workers_.end(),
+      [](const auto& entry) { return entry.second.known_; }));
 }
 
-std::uint32_t GuaranteedTotal(const Row& row) {
-  std::uint32_t total = 0;
-  for (const Cell& cell : row.guaranteed_) {
-    total += cell.count_ * cell.accelerators_.value();
-  }
-  return total;
+// The state's cluster if its tree is up to date, or else a copy that is.
+const Cluster& FreshCluster(const PlacementState& state,
+                            std::optional<Cluster>& copy) {
+  if (!state.cluster_.tree_changed_) return state.cluster_;
+  copy = state.cluster_;
+  RebuildTree(*copy);
+  return *copy;
 }
 
 }  // namespace
 
-struct PlacementState {
-  PlacementOptions options_;
-  Time started_;
-  Table table_;
-  std::map<WorkerId, WorkerEntry> workers_;
-  std::map<JobId, PlacementJob> waiting_;
-  std::map<JobId, RunningGang> running_;
-};
-
 void PlacementStateDeleter::operator()(PlacementState* state) const {
   delete state;
 }
@@ -79,233 +72,159 @@
   PlacementPtr state(new PlacementState);
   state->options_ = options;
   state->started_ = now;
+  state->now_ = now;
+  state->quarantine_.max_share_ = options.max_quarantined_share_;
   return state;
 }
 
-namespace {
-
-void Hold(PlacementState& state, const std::vector<Slice>& slices) {
-  for (const Slice& slice : slices) {
-    WorkerEntry& entry = state.workers_[slice.worker_];
-    entry.held_ += slice.accelerators_.value();
-    entry.held_slots_ += 1;
-  }
-}
-
-void Release(PlacementState& state, const std::vector<Slice>& slices) {
-  for (const Slice& slice : slices) {
-    WorkerEntry& entry = state.workers_[slice.worker_];
-    entry.held_ -= slice.accelerators_.value();
-    entry.held_slots_ -= 1;
-  }
-}
-
-// Accelerators that the customer holds inside or beyond its guarantee.
-std::uint32_t HeldBy(const PlacementState& state, const CustomerId& customer,
-                     bool guaranteed) {
-  std::uint32_t held = 0;
-  for (const auto& [id, gang] : state.running_) {
-    if (gang.job_.customer_ != customer) continue;
-    if (gang.guaranteed_ != guaranteed) continue;
-    held += gang.job_.accelerators_.value();
-  }
-  return held;
-}
-
-// The largest total of one domain of this kind, over all known workers.
-std::uint32_t LargestDomain(const PlacementState& state, Adjacency adjacency) {
-  std::map<Domain, std::uint32_t> totals;
-  std::uint32_t largest = 0;
-  for (const auto& [id, entry] : state.workers_) {
-    if (!entry.known_) continue;
-    std::uint32_t& total = totals[DomainOf(entry.worker_, adjacency)];
-    total += entry.worker_.accelerators_.value();
-    largest = std::max(largest, total);
-  }
-  return largest;
-}
-
-// Slices in the domain with the least room that still holds the gang.
-std::vector<Slice> FindSlices(const PlacementState& state,
-                              const PlacementJob& job) {
-  std::map<Domain, std::uint32_t> rooms;
-  for (const auto& [id, entry] : state.workers_) {
-    const std::uint32_t free = FreeOn(entry);
-    if (free > 0) rooms[DomainOf(entry.worker_, job.adjacency_)] += free;
-  }
-  const std::uint32_t wanted = job.accelerators_.value();
-  const Domain* best = nullptr;
-  for (const auto& [domain, room] : rooms) {
-    if (room < wanted) continue;
-    if (best == nullptr || room < rooms.at(*best)) best = &domain;
-  }
-  std::vector<Slice> slices;
-  if (best == nullptr) return slices;
-  std::uint32_t left = wanted;
-  for (const auto& [id, entry] : state.workers_) {
-    const std::uint32_t take = std::min(left, FreeOn(entry));
-    if (take == 0 || DomainOf(entry.worker_, job.adjacency_) != *best) continue;
-    slices.push_back({id, entry.worker_.incarnation_, Accelerators(take)});
-    left -= take;
-    if (left == 0) break;
-  }
-  return slices;
-}
-
-struct OwnLimits {
-  bool fits_guarantee_ = false;
-  bool fits_borrowing_ = false;
-};
-
-OwnLimits CheckLimits(const PlacementState& state, const PlacementJob& job) {
-  OwnLimits limits;
-  const auto row = state.table_.rows_.find(job.customer_);
-  if (row == state.table_.rows_.end()) return limits;
-  const std::uint32_t wanted = job.accelerators_.value();
-  limits.fits_guarantee_ = HeldBy(state, job.customer_, true) + wanted <=
-                           GuaranteedTotal(row->second);
-  limits.fits_borrowing_ =
-      job.reclaimable_ &&
-      HeldBy(state, job.customer_, false) + wanted <= row->second.max_borrowed_;
-  return limits;
-}
-
-std::string ReasonNeverFits(const PlacementState& state,
-                            const PlacementJob& job) {
-  const std::uint32_t largest = LargestDomain(state, job.adjacency_);
-  if (largest == 0 || job.accelerators_.value() <= largest) return "";
-  return fmt::format("{} accelerators do not fit in one {}: the largest has {}",
-                     job.accelerators_.value(), AdjacencyName(job.adjacency_),
-                     largest);
-}
-
-}  // namespace
-
 void SetTable(PlacementState& state, const Table& table) {
-  state.table_ = table;
+  if (table.version_ == state.table_.version_ &&
+      table.rows_ == state.table_.rows_) {
+    return;
+  }
+  state.witness_stale_ = true;
+  RenumberUses(state, state.table_, table);
+  state.table_.version_ = table.version_;
+  state.table_.rows_ = table.rows_;
 }
 
-void SetWorker(PlacementState& state, const PlacementWorker& worker,
-               Time /*now*/) {
-  WorkerEntry& entry = state.workers_[worker.id_];
+void SetWorker(PlacementState& state, const PlacementWorker& worker, Time now) {
+  state.now_ = std::max(state.now_, now);
+  WorkerEntry& entry = state.cluster_.workers_[worker.id_];
+  if (!SameInTree(entry, worker)) state.cluster_.tree_changed_ = true;
   entry.worker_ = worker;
   entry.known_ = true;
+  entry.quarantined_ = IsWorkerQuarantined(state.quarantine_, worker.id_);
+  TouchWorker(state, entry);
 }
 
-void RemoveWorker(PlacementState& state, const WorkerId& worker, Time /*now*/) {
-  const auto it = state.workers_.find(worker);
-  if (it != state.workers_.end()) it->second.known_ = false;
+void RemoveWorker(PlacementState& state, const WorkerId& worker, Time now) {
+  state.now_ = std::max(state.now_, now);
+  const auto it = state.cluster_.workers_.find(worker);
+  if (it == state.cluster_.workers_.end()) return;
+  ForgetWorker(state.quarantine_, worker);
+  state.cluster_.tree_changed_ = true;
+  it->second.known_ = false;
+  it->second.quarantined_ = false;
+  it->second.leaf_.reset();
+  if (it->second.held_.slots_ == 0) state.cluster_.workers_.erase(it);
 }
 
 void EnqueueJob(PlacementState& state, const PlacementJob& job) {
-  RemoveJob(state, job.id_);
-  state.waiting_[job.id_] = job;
+  EraseGang(state, job.id_);
+  if (!state.queue_.jobs_.contains(job.id_)) {
+    RecordShape(state.shapes_, {job.accelerators_.value(), job.adjacency_});
+  }
+  AddJob(state.queue_, job);
 }
 
 void RestoreRunningJob(PlacementState& state, const PlacementJob& job,
                        const std::vector<Slice>& slices) {
   RemoveJob(state, job.id_);
-  Hold(state, slices);
-  const bool guaranteed = CheckLimits(state, job).fits_guarantee_;
-  state.running_[job.id_] = {job, slices, guaranteed};
+  Gang gang;
+  gang.job_ = job;
+  gang.slices_ = slices;
+  gang.started_at_ = state.now_;
+  AddGang(state, std::move(gang));
+  // It may run on its customer's cells: the next refresh looks.
+  state.witness_stale_ = true;
 }
 
 void RemoveJob(PlacementState& state, JobId job) {
-  state.waiting_.erase(job);
-  const auto it = state.running_.find(job);
-  if (it == state.running_.end()) return;
-  Release(state, it->second.slices_);
-  state.running_.erase(it);
+  if (DropJob(state.queue_, job)) return;
+  EraseGang(state, job);
 }
 
-void RecordTaskResult(PlacementState& /*state*/, JobId /*job*/,
-                      const WorkerId& /*worker*/, bool /*succeeded*/,
-                      Time /*now*/) {}
-
-PlacementDecisions Decide(PlacementState& state, Time now) {
-  PlacementDecisions decisions;
-  const bool settled = now - state.started_ >= state.options_.settling_time_;
-  std::vector<const PlacementJob*> order;
-  for (const auto& [id, job] : state.waiting_) order.push_back(&job);
-  std::stable_sort(order.begin(), order.end(),
-                   [](const PlacementJob* a, const PlacementJob* b) {
-                     return std::tuple(!a->urgent_, a->queued_at_, a->id_) <
-                            std::tuple(!b->urgent_, b->queued_at_, b->id_);
-                   });
-  for (const PlacementJob* waiting : order) {
-    const PlacementJob job = *waiting;
-    if (settled) {
-      const std::string reason = ReasonNeverFits(state, job);
-      if (!reason.empty()) {
-        decisions.refuse_.push_back({job.id_, reason});
-        state.waiting_.erase(job.id_);
-        continue;
-      }
-    }
-    const OwnLimits limits = CheckLimits(state, job);
-    if (!limits.fits_guarantee_ && !limits.fits_borrowing_) continue;
-    std::vector<Slice> slices = FindSlices(state, job);
-    if (slices.empty()) continue;
-    Hold(state, slices);
-    state.waiting_.erase(job.id_);
-    state.running_[job.id_] = {job, slices, limits.fits_guarantee_};
-    decisions.place_.push_back(
-        {job.id_, std::move(slices), limits.fits_guarantee_});
+void RecordTaskResult(PlacementState& state, JobId job, const WorkerId& worker,
+                      bool succeeded, Time now) {
+  state.now_ = std::max(state.now_, now);
+  const auto gang = state.gangs_.find(job);
+  if (succeeded && gang != state.gangs_.end()) {
+    LearnRunTime(state, gang->second, now);
   }
-  return decisions;
+  const bool changed = RecordEvidence(state.quarantine_, job, worker, succeeded,
+                                      KnownWorkers(state), now);
+  const auto it = state.cluster_.workers_.find(worker);
+  if (!changed || it == state.cluster_.workers_.end()) return;
+  it->second.quarantined_ = IsWorkerQuarantined(state.quarantine_, worker);
+  TouchWorker(state, it->second);
 }
 
 std::string CheckGuarantees(const PlacementState& state, const Table& table) {
-  std::uint32_t total = 0;
-  for (const auto& [id, entry] : state.workers_) {
-    if (entry.known_) total += entry.worker_.accelerators_.value();
+  std::uint64_t cells = 0;
+  for (const auto& [customer, row] : table.rows_) {
+    for (const Cell& cell : row.guaranteed_) cells += cell.count_;
   }
-  if (total == 0) return "";
-  std::uint32_t wanted = 0;
+  if (cells > kMaxGuaranteedCells) {
+    return fmt::format("{} cells are guaranteed; the limit is {}", cells,
+                       kMaxGuaranteedCells);
+  }
+  if (!AsksForMore(state.table_, table)) return "";
+  std::optional<Cluster> copy;
+  const Cluster& cluster = FreshCluster(state, copy);
+  if (cluster.tree_.leaf_count_ == 0) return "";
+  Witness witness;
+  for (const WorkerEntry* entry : cluster.by_leaf_) {
+    const PlacementWorker& worker = entry->worker_;
+    const std::int64_t slots = worker.slots_;
+    witness.rooms_.push_back(worker.available_
+                                 ? LeafRoom{worker.accelerators_.value(), slots}
+                                 : LeafRoom{});
+  }
+  witness.cells_ = CellsOf(table);
+  if (Solve(cluster.tree_, witness)) return "";
+  std::uint32_t index = 0;
   for (const auto& [customer, row] : table.rows_) {
-    wanted += GuaranteedTotal(row);
-    for (const Cell& cell : row.guaranteed_) {
-      const std::uint32_t largest = LargestDomain(state, cell.adjacency_);
-      if (cell.accelerators_.value() <= largest) continue;
-      return fmt::format(
-          "customer \"{}\": {} accelerators do not fit in one {}: the largest "
-          "has {}",
-          customer.value(), cell.accelerators_.value(),
-          AdjacencyName(cell.adjacency_), largest);
-    }
+    const std::string reason =
+        ReasonUnbacked(cluster.tree_, witness, CustomerIndex(index++));
+    if (reason.empty()) continue;
+    return fmt::format("customer \"{}\": {}", customer.value(), reason);
   }
-  if (wanted <= total) return "";
-  return fmt::format("{} accelerators are guaranteed and {} are there", wanted,
-                     total);
+  return "";
 }
 
 std::vector<GuaranteeStatus> GuaranteeStatuses(const PlacementState& state) {
-  const std::string reason = CheckGuarantees(state, state.table_);
-  const bool known =
-      std::any_of(state.workers_.begin(), state.workers_.end(),
-                  [](const auto& entry) { return entry.second.known_; });
+  std::optional<Cluster> copy;
+  const Cluster& cluster = FreshCluster(state, copy);
+  std::optional<Witness> fresh;
+  if (state.cluster_.tree_changed_ || state.witness_stale_) {
+    fresh = MakeWitness(state, cluster);
+  } else if (state.witness_shifted_) {
+    fresh = state.witness_;
+    Repair(cluster.tree_, *fresh);
+  }
+  const Witness& witness = fresh ? *fresh : state.witness_;
   std::vector<GuaranteeStatus> statuses;
+  std::uint32_t index = 0;
   for (const auto& [customer, row] : state.table_.rows_) {
-    const bool none = row.guaranteed_.empty();
-    const bool backed = none || (known && reason.empty());
-    const std::string why = known ? reason : "no worker is known yet";
-    statuses.push_back({customer, backed, backed ? "" : why});
+    GuaranteeStatus status;
+    status.customer_ = customer;
+    status.reason_ =
+        ReasonUnbacked(cluster.tree_, witness, CustomerIndex(index++));
+    status.backed_ = status.reason_.empty();
+    if (!status.backed_ && cluster.tree_.leaf_count_ == 0) {
+      status.reason_ = "no worker is known yet";
+    }
+    statuses.push_back(std::move(status));
   }
   return statuses;
 }
 
-double Fragmentation(const PlacementState& /*state*/) { return 0; }
+double Fragmentation(const PlacementState& state) {
+  std::optional<Cluster> copy;
+  const Cluster& cluster = FreshCluster(state, copy);
+  return FragmentationOf(cluster.tree_, cluster.free_, state.shapes_);
+}
 
-bool IsQuarantined(const PlacementState& /*state*/,
-                   const WorkerId& /*worker*/) {
-  return false;
+bool IsQuarantined(const PlacementState& state, const WorkerId& worker) {
+  return IsWorkerQuarantined(state.quarantine_, worker);
 }
 
 Accelerators FreeAccelerators(const PlacementState& state,
                               const WorkerId& worker) {
-  const auto it = state.workers_.find(worker);
-  if (it == state.workers_.end()) return Accelerators(0);
-  return Accelerators(FreeOn(it->second));
+  const auto it = state.cluster_.workers_.find(worker);
+  if (it == state.cluster_.workers_.end()) return Accelerators(0);
+  return Accelerators(static_cast<std::uint32_t>(FreeOn(it->second)));
 }
 
 }  // namespace flamingohollow
--- a/flamingohollow/placement.h
+++ b/flamingohollow/placement.h
@@ -91,6 +91,8 @@
   std::vector<PlaceDecision> place_;
   std::vector<ReclaimDecision> reclaim_;
   std::vector<RefuseDecision> refuse_;
+  // The step's limit was reached: call Decide again soon.
+  bool more_ = false;
 };
 
 struct GuaranteeStatus {
--- /dev/null
+++ b/flamingohollow/reclaim.cc
@@ -0,0 +1,237 @@
+// Choosing victims in a domain, and letting off those not needed.
+
+#include "flamingohollow/reclaim.h"
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <tuple>
+#include <utility>
+
+namespace flamingohollow {
+namespace {
+
+using LeafHoldings = std::map<Leaf, Holding>;
+
+bool IsEligible(const Gang& gang, const Eligibility& eligibility) {
+  if (!IsBorrower(gang) || gang.state_ == GangState::kReclaimed) return false;
+  if (eligibility.only_fillers_of_) {
+    return gang.filler_for_ == eligibility.only_fillers_of_;
+  }
+  return eligibility.urgent_too_ || !gang.job_.urgent_;
+}
+
+struct Victim {
+  Gang* gang_ = nullptr;
+  std::int64_t gain_ = 0;
+  std::int64_t work_lost_ = 0;
+};
+
+auto VictimKey(const Victim& victim) {
+  return std::tuple(-victim.gain_, victim.work_lost_, victim.gang_->job_.id_);
+}
+
+// The room of the slice's worker, if that is among `free`.
+template <typename Holdings>
+auto RoomOfSlice(const Gang& gang, std::size_t slice, Holdings& free) {
+  const std::optional<Leaf>& leaf = gang.entries_[slice]->leaf_;
+  return leaf ? free.find(*leaf) : free.end();
+}
+
+// What the gang's end would make usable in `free`, the room of some leaves.
+std::int64_t GainOf(const Gang& gang, const LeafHoldings& free) {
+  std::int64_t gain = 0;
+  for (std::size_t i = 0; i < gang.slices_.size(); ++i) {
+    const auto at = RoomOfSlice(gang, i, free);
+    if (at == free.end()) continue;
+    Holding after = at->second;
+    after.accelerators_ += gang.slices_[i].accelerators_.value();
+    after.slots_ += 1;
+    gain += Usable(after) - Usable(at->second);
+  }
+  return gain;
+}
+
+// Adds (sign 1) or takes away (sign -1) the gang's slices on those leaves.
+void ShiftGang(const Gang& gang, int sign, LeafHoldings& free) {
+  for (std::size_t i = 0; i < gang.slices_.size(); ++i) {
+    const auto at = RoomOfSlice(gang, i, free);
+    if (at == free.end()) continue;
+    const std::int64_t size = gang.slices_[i].accelerators_.value();
+    at->second.accelerators_ += sign * size;
+    at->second.slots_ += sign;
+  }
+}
+
+LeafHoldings FreeIn(const Cluster& cluster, NodeIndex node) {
+  LeafHoldings free;
+  const TreeNode& domain = GetNode(cluster.tree_, node);
+  for (std::uint32_t i = domain.first_; i < domain.end_; ++i) {
+    const WorkerEntry& entry = *cluster.by_leaf_[i];
+    if (TakesWork(entry)) free[Leaf(i)] = FreeAfterLeaving(entry);
+  }
+  return free;
+}
+
+// A gang without accelerators gives only its slot, which helps only where
+// slots have run out.
+bool CanGain(const Gang& gang, const Holding& here) {
+  return gang.job_.accelerators_.value() > 0 || here.slots_ < 1;
+}
+
+std::vector<Victim> EligibleOn(const Cluster& cluster, const LeafHoldings& free,
+                               const Eligibility& eligibility, Time now,
+                               const std::vector<Gang*>& chosen) {
+  std::set<std::pair<JobId, Gang*>> gangs;
+  for (const auto& [leaf, holding] : free) {
+    for (Gang* gang : cluster.by_leaf_[leaf.value()]->gangs_) {
+      if (!CanGain(*gang, holding)) continue;
+      if (IsEligible(*gang, eligibility)) gangs.emplace(gang->job_.id_, gang);
+    }
+  }
+  for (Gang* gang : chosen) gangs.erase({gang->job_.id_, gang});
+  std::vector<Victim> victims;
+  for (const auto& [id, gang] : gangs) {
+    const std::int64_t gain = GainOf(*gang, free);
+    if (gain > 0) victims.push_back({gang, gain, WorkLost(*gang, now)});
+  }
+  return victims;
+}
+
+std::int64_t UsableSum(const LeafHoldings& free) {
+  std::int64_t sum = 0;
+  for (const auto& [leaf, holding] : free) sum += Usable(holding);
+  return sum;
+}
+
+// The last victim: the least work lost among those that suffice alone.
+std::optional<std::size_t> CheapestThatSuffices(
+    const std::vector<Victim>& victims, std::size_t from,
+    std::int64_t missing) {
+  std::optional<std::size_t> best;
+  for (std::size_t i = from; i < victims.size(); ++i) {
+    if (victims[i].gain_ < missing) break;
+    if (!best || victims[i].work_lost_ < victims[*best].work_lost_) best = i;
+  }
+  return best;
+}
+
+// Adds victims until `wanted` is usable in `free`, which already counts the
+// room of those chosen before.
+void ChooseVictims(const Cluster& cluster, std::int64_t wanted,
+                   const Eligibility& eligibility, Time now, LeafHoldings& free,
+                   std::vector<Gang*>& chosen) {
+  std::int64_t usable = UsableSum(free);
+  if (usable >= wanted) return;
+  std::vector<Victim> victims =
+      EligibleOn(cluster, free, eligibility, now, chosen);
+  std::sort(victims.begin(), victims.end(),
+            [](const Victim& a, const Victim& b) {
+              return VictimKey(a) < VictimKey(b);
+            });
+  for (std::size_t next = 0; next < victims.size() && usable < wanted;) {
+    const std::optional<std::size_t> last =
+        CheapestThatSuffices(victims, next, wanted - usable);
+    Gang* gang = victims[last.value_or(next)].gang_;
+    if (last) {
+      victims.erase(victims.begin() + static_cast<std::ptrdiff_t>(*last));
+    } else {
+      ++next;
+    }
+    // The gain is recounted: another victim may have freed the slot.
+    usable += GainOf(*gang, free);
+    ShiftGang(*gang, 1, free);
+    chosen.push_back(gang);
+  }
+}
+
+bool Holds(const LeafHoldings& free, const std::vector<LeafTake>& takes) {
+  return std::all_of(takes.begin(), takes.end(), [&](const LeafTake& take) {
+    const auto at = free.find(take.leaf_);
+    return at != free.end() && at->second.slots_ >= 1 &&
+           at->second.accelerators_ >= take.accelerators_;
+  });
+}
+
+// Drops each victim, dearest first, that the takes do not need.
+void LetOff(const std::vector<LeafTake>& takes, Time now, LeafHoldings& free,
+            std::vector<Gang*>& victims) {
+  std::stable_sort(victims.begin(), victims.end(), [&](Gang* a, Gang* b) {
+    return std::tuple(-WorkLost(*a, now), a->job_.id_) <
+           std::tuple(-WorkLost(*b, now), b->job_.id_);
+  });
+  std::vector<Gang*> needed;
+  for (Gang* victim : victims) {
+    ShiftGang(*victim, -1, free);
+    if (Holds(free, takes)) continue;
+    ShiftGang(*victim, 1, free);
+    needed.push_back(victim);
+  }
+  victims = std::move(needed);
+}
+
+ReclaimPlan FinishPlan(std::vector<LeafTake> takes, std::vector<Gang*> victims,
+                       Time now, LeafHoldings& free) {
+  LetOff(takes, now, free, victims);
+  ReclaimPlan plan;
+  plan.takes_ = std::move(takes);
+  plan.cost_.gangs_ = victims.size();
+  for (const Gang* gang : victims) {
+    plan.cost_.work_lost_ += WorkLost(*gang, now);
+  }
+  plan.victims_ = std::move(victims);
+  return plan;
+}
+
+// The sums of `free` below and at `node`.
+NodeSums RoomOf(const CapacityTree& tree, const LeafHoldings& free) {
+  std::vector<std::int64_t> by_leaf(tree.leaf_count_, 0);
+  for (const auto& [leaf, holding] : free) {
+    by_leaf[leaf.value()] = Usable(holding);
+  }
+  return SumUp(tree, by_leaf);
+}
+
+}  // namespace
+
+std::optional<ReclaimPlan> PlanReclaim(const Cluster& cluster, NodeIndex node,
+                                       std::int64_t wanted,
+                                       const Eligibility& eligibility,
+                                       PlacementPolicy policy, Time now) {
+  LeafHoldings free = FreeIn(cluster, node);
+  std::vector<Gang*> victims;
+  ChooseVictims(cluster, wanted, eligibility, now, free, victims);
+  if (UsableSum(free) < wanted) return std::nullopt;
+  std::vector<LeafTake> takes;
+  if (GetNode(cluster.tree_, node).level_ == Adjacency::kWorker) {
+    takes.push_back({Leaf(node.value()), wanted});
+  } else {
+    takes = TakeFrom(cluster.tree_, RoomOf(cluster.tree_, free), node, wanted,
+                     policy);
+  }
+  return FinishPlan(std::move(takes), std::move(victims), now, free);
+}
+
+std::optional<ReclaimPlan> PlanReclaimFor(const Cluster& cluster,
+                                          std::vector<LeafTake> takes,
+                                          const Eligibility& eligibility,
+                                          Time now) {
+  std::vector<Gang*> victims;
+  LeafHoldings free;
+  for (const LeafTake& take : takes) {
+    const WorkerEntry& entry = *cluster.by_leaf_[take.leaf_.value()];
+    if (!TakesWork(entry)) return std::nullopt;
+    // Worker by worker; a gang chosen for one counts on the others too.
+    LeafHoldings here{{take.leaf_, FreeAfterLeaving(entry)}};
+    for (const Gang* gang : victims) ShiftGang(*gang, 1, here);
+    ChooseVictims(cluster, take.accelerators_, eligibility, now, here, victims);
+  }
+  for (const LeafTake& take : takes) {
+    free[take.leaf_] = FreeAfterLeaving(*cluster.by_leaf_[take.leaf_.value()]);
+  }
+  for (Gang* gang : victims) ShiftGang(*gang, 1, free);
+  if (!Holds(free, takes)) return std::nullopt;
+  return FinishPlan(std::move(takes), std::move(victims), now, free);
+}
+
+}  // namespace flamingohollow
--- a/flamingohollow/testing/placement_test.cc
+++ b/flamingohollow/testing/placement_test.cc
@@ -1,48 +1,36 @@
-// Tests of the placement decisions through their public functions.
+// The rules of placement, one by one, through the public functions.
 
 #include "flamingohollow/placement.h"
 
 #include <doctest/doctest.h>
 #include <fmt/format.h>
 
+#include "flamingohollow/testing/placement_fixture.h"
+
 namespace flamingohollow {
 namespace {
 
-PlacementWorker MakeWorker(int index, int rack) {
-  PlacementWorker worker;
-  worker.id_ = WorkerId(fmt::format("w{}", index));
-  worker.place_ = {Region("r"), FailureDomain("a"),
-                   Rack(fmt::format("k{}", rack))};
-  worker.accelerators_ = Accelerators(8);
-  worker.slots_ = 8;
-  worker.available_ = true;
-  return worker;
-}
+constexpr Duration kSettling = Duration(3000);
+constexpr Time kSettled = Time(3000);
 
-PlacementJob MakeJob(std::uint64_t id, std::uint32_t accelerators,
-                     Adjacency adjacency) {
-  PlacementJob job;
-  job.id_ = JobId(id);
-  job.customer_ = CustomerId("acme");
-  job.accelerators_ = Accelerators(accelerators);
-  job.adjacency_ = adjacency;
-  return job;
-}
+const GuaranteedShape kOneWorker = {{1, Accelerators(8), Adjacency::kWorker}};
+const GuaranteedShape kTwoWorkers = {{2, Accelerators(8), Adjacency::kWorker}};
 
-Table MakeTable(GuaranteedShape shape) {
-  Table table;
-  Row row;
-  row.customer_ = CustomerId("acme");
-  row.guaranteed_ = std::move(shape);
-  table.rows_[row.customer_] = row;
-  return table;
+PlacementPtr MakeCluster(int workers) {
+  PlacementOptions options;
+  options.settling_time_ = kSettling;
+  PlacementPtr state = MakePlacement(options, Time(0));
+  for (int i = 0; i < workers; ++i) {
+    SetWorker(*state, MakeWorker(i, i / 2), Time(0));
+  }
+  return state;
 }
 
 TEST_CASE("a gang stays within its adjacency") {
-  PlacementPtr state = MakePlacement({}, Time(0));
-  for (int i = 0; i < 4; ++i) SetWorker(*state, MakeWorker(i, i / 2), Time(0));
-  SetTable(*state, MakeTable({{2, Accelerators(16), Adjacency::kRack}}));
-  EnqueueJob(*state, MakeJob(1, 16, Adjacency::kRack));
+  PlacementPtr state = MakeCluster(4);
+  SetTable(*state,
+           MakeTable({{"a", {{2, Accelerators(16), Adjacency::kRack}}}}));
+  EnqueueJob(*state, MakeJob(1, "a", 16, Adjacency::kRack));
   const PlacementDecisions decisions = Decide(*state, Time(0));
   REQUIRE(decisions.place_.size() == 1);
   REQUIRE(decisions.place_[0].slices_.size() == 2);
@@ -52,12 +40,216 @@
 }
 
 TEST_CASE("a job that never fits is refused after settling, not before") {
+  PlacementPtr state = MakeCluster(2);
+  SetTable(*state, MakeTable({{"a", kTwoWorkers}}));
+  EnqueueJob(*state, MakeJob(1, "a", 9, Adjacency::kWorker));
+  CHECK(Decide(*state, kSettled - Duration(1)).refuse_.empty());
+  const PlacementDecisions decisions = Decide(*state, kSettled);
+  REQUIRE(decisions.refuse_.size() == 1);
+  CHECK(decisions.refuse_[0].reason_ ==
+        "9 accelerators within one worker fit nowhere: 8 within one worker, or "
+        "9 within one rack would fit");
+}
+
+TEST_CASE("work that can't be taken back stays inside its own guarantee") {
+  PlacementPtr state = MakeCluster(2);
+  SetTable(*state, MakeTable({{"a", kOneWorker}}, 8));
+  EnqueueJob(*state, MakeJob(1, "a", 8, Adjacency::kWorker));
+  EnqueueJob(*state, MakeJob(2, "a", 8, Adjacency::kWorker));
+  CHECK(Decide(*state, kSettled).place_.size() == 1);
+  EnqueueJob(*state, MakeJob(3, "a", 8, Adjacency::kWorker, true));
+  const PlacementDecisions decisions = Decide(*state, kSettled);
+  REQUIRE(decisions.place_.size() == 1);
+  CHECK(decisions.place_[0].job_ == JobId(3));
+  CHECK_FALSE(decisions.place_[0].guaranteed_);
+}
+
+TEST_CASE("borrowing ends at max_borrowed") {
+  PlacementPtr state = MakeCluster(2);
+  SetTable(*state, MakeTable({{"a", {}}}, 8));
+  for (std::uint64_t id = 1; id <= 3; ++id) {
+    EnqueueJob(*state, MakeJob(id, "a", 4, Adjacency::kWorker, true));
+  }
+  CHECK(Decide(*state, kSettled).place_.size() == 2);
+}
+
+TEST_CASE("a guarantee takes the cheapest borrower back, and waits for it") {
+  PlacementPtr state = MakeCluster(2);
+  SetTable(*state, MakeTable({{"a", kOneWorker}, {"b", {}}}, 16));
+  EnqueueJob(*state, MakeJob(1, "b", 8, Adjacency::kWorker, true));
+  REQUIRE(Decide(*state, Time(1000)).place_.size() == 1);
+  EnqueueJob(*state, MakeJob(2, "b", 8, Adjacency::kWorker, true));
+  REQUIRE(Decide(*state, Time(2000)).place_.size() == 1);
+  EnqueueJob(*state, MakeJob(3, "a", 8, Adjacency::kWorker));
+  const PlacementDecisions decisions = Decide(*state, kSettled);
+  REQUIRE(decisions.reclaim_.size() == 1);
+  // The one that has run for the shorter time.
+  CHECK(decisions.reclaim_[0].job_ == JobId(2));
+  CHECK(decisions.reclaim_[0].for_job_ == JobId(3));
+  CHECK(decisions.place_.empty());
+  CHECK(Decide(*state, kSettled).reclaim_.empty());
+  RemoveJob(*state, JobId(2));
+  REQUIRE(Decide(*state, kSettled).place_.size() == 1);
+}
+
+TEST_CASE("a borrower moves into its guarantee when that is free") {
+  PlacementPtr state = MakeCluster(2);
+  SetTable(*state, MakeTable({{"a", kOneWorker}, {"b", kOneWorker}}, 8));
+  EnqueueJob(*state, MakeJob(1, "a", 8, Adjacency::kWorker));
+  EnqueueJob(*state, MakeJob(2, "a", 8, Adjacency::kWorker, true));
+  REQUIRE(Decide(*state, kSettled).place_.size() == 2);
+  RemoveJob(*state, JobId(1));
+  // The guarantee of "a" is in use again, so its next job has to wait.
+  EnqueueJob(*state, MakeJob(3, "a", 8, Adjacency::kWorker));
+  CHECK(Decide(*state, kSettled).place_.empty());
+  EnqueueJob(*state, MakeJob(4, "b", 8, Adjacency::kWorker));
+  const PlacementDecisions decisions = Decide(*state, kSettled);
+  CHECK(decisions.reclaim_.empty());
+  CHECK(decisions.place_.size() == 1);
+}
+
+TEST_CASE("a leaving worker gets nothing, and its loss is told truthfully") {
+  PlacementPtr state = MakeCluster(2);
+  SetTable(*state, MakeTable({{"a", kTwoWorkers}}));
+  REQUIRE(Decide(*state, kSettled).place_.empty());
+  CHECK(GuaranteeStatuses(*state)[0].backed_);
+  PlacementWorker leaving = MakeWorker(0, 0);
+  leaving.available_ = false;
+  SetWorker(*state, leaving, kSettled);
+  EnqueueJob(*state, MakeJob(1, "a", 8, Adjacency::kWorker));
+  EnqueueJob(*state, MakeJob(2, "a", 8, Adjacency::kWorker));
+  const PlacementDecisions decisions = Decide(*state, kSettled);
+  REQUIRE(decisions.place_.size() == 1);
+  CHECK(decisions.place_[0].slices_[0].worker_ == WorkerId("w1"));
+  const GuaranteeStatus status = GuaranteeStatuses(*state)[0];
+  CHECK_FALSE(status.backed_);
+  CHECK(status.reason_.find("1 of 2 guaranteed cells") == 0);
+}
+
+TEST_CASE("a restored gang holds its accelerators before its worker is known") {
+  PlacementPtr state = MakeCluster(1);
+  SetTable(*state, MakeTable({{"a", kTwoWorkers}}));
+  const PlacementWorker later = MakeWorker(1, 0);
+  RestoreRunningJob(*state, MakeJob(1, "a", 8, Adjacency::kWorker),
+                    {{later.id_, later.incarnation_, Accelerators(8)}});
+  EnqueueJob(*state, MakeJob(2, "a", 8, Adjacency::kWorker));
+  EnqueueJob(*state, MakeJob(3, "a", 8, Adjacency::kWorker));
+  REQUIRE(Decide(*state, kSettled).place_.size() == 1);
+  SetWorker(*state, later, kSettled);
+  CHECK(FreeAccelerators(*state, later.id_) == Accelerators(0));
+  CHECK(Decide(*state, kSettled).place_.empty());
+  RemoveJob(*state, JobId(1));
+  CHECK(Decide(*state, kSettled).place_.size() == 1);
+}
+
+TEST_CASE("slots are a hard limit") {
+  PlacementPtr state = MakePlacement({}, Time(0));
+  PlacementWorker worker = MakeWorker(0, 0);
+  worker.slots_ = 2;
+  SetWorker(*state, worker, Time(0));
+  SetTable(*state, MakeTable({{"a", {}}}, 8));
+  for (std::uint64_t id = 1; id <= 3; ++id) {
+    EnqueueJob(*state, MakeJob(id, "a", 1, Adjacency::kWorker, true));
+  }
+  CHECK(Decide(*state, kSettled).place_.size() == 2);
+  CHECK(FreeAccelerators(*state, worker.id_) == Accelerators(0));
+}
+
+TEST_CASE("jobs without accelerators leave slots for the accelerators") {
+  PlacementPtr state = MakePlacement({}, Time(0));
+  PlacementWorker worker = MakeWorker(0, 0, 2);
+  worker.slots_ = 5;
+  SetWorker(*state, worker, Time(0));
+  SetTable(*state,
+           MakeTable({{"a", {{2, Accelerators(1), Adjacency::kWorker}}}}));
+  for (std::uint64_t id = 1; id <= 5; ++id) {
+    EnqueueJob(*state, MakeJob(id, "a", 0, Adjacency::kRegion, true));
+  }
+  CHECK(Decide(*state, kSettled).place_.size() == 3);
+  EnqueueJob(*state, MakeJob(6, "a", 1, Adjacency::kWorker));
+  EnqueueJob(*state, MakeJob(7, "a", 1, Adjacency::kWorker));
+  CHECK(Decide(*state, kSettled).place_.size() == 2);
+}
+
+TEST_CASE("urgent work goes first and takes back what is not urgent") {
+  PlacementPtr state = MakeCluster(1);
+  SetTable(*state, MakeTable({{"a", {}}, {"b", {}}}, 8));
+  EnqueueJob(*state, MakeJob(1, "a", 8, Adjacency::kWorker, true));
+  REQUIRE(Decide(*state, kSettled).place_.size() == 1);
+  PlacementJob urgent = MakeJob(2, "b", 8, Adjacency::kWorker, true);
+  urgent.urgent_ = true;
+  EnqueueJob(*state, urgent);
+  REQUIRE(Decide(*state, kSettled).reclaim_.size() == 1);
+  EnqueueJob(*state, MakeJob(1, "a", 8, Adjacency::kWorker, true));
+  const PlacementDecisions decisions = Decide(*state, kSettled);
+  REQUIRE(decisions.place_.size() == 1);
+  CHECK(decisions.place_[0].job_ == JobId(2));
+}
+
+TEST_CASE("customers share what is spare by their weights") {
+  PlacementPtr state = MakeCluster(2);
+  Table table = MakeTable({{"a", {}}, {"b", {}}}, 16);
+  table.rows_[CustomerId("b")].weight_ = 3;
+  SetTable(*state, table);
+  // The burst of "a" came first.
+  for (std::uint64_t id = 1; id <= 32; ++id) {
+    EnqueueJob(*state,
+               MakeJob(id, id <= 16 ? "a" : "b", 1, Adjacency::kWorker, true));
+  }
+  int for_b = 0;
+  for (const PlaceDecision& place : Decide(*state, kSettled).place_) {
+    for_b += place.job_.value() > 16 ? 1 : 0;
+  }
+  CHECK(for_b == 12);
+}
+
+TEST_CASE("a stream of small jobs does not keep a large gang waiting") {
+  for (const bool reservations : {true, false}) {
+    PlacementOptions options;
+    options.reservations_ = reservations;
+    PlacementPtr state = MakePlacement(options, Time(0));
+    SetWorker(*state, MakeWorker(0, 0), Time(0));
+    SetTable(*state, MakeTable({{"a", {}}, {"b", {}}}, 8));
+    std::uint64_t next = 2;
+    std::vector<JobId> running;
+    bool placed = false;
+    for (int round = 0; round < 100 && !placed; ++round) {
+      const Time now = kSettled + Duration(1000) * round;
+      if (round == 10) {
+        EnqueueJob(*state, MakeJob(1, "a", 8, Adjacency::kWorker, true));
+      }
+      // One small job comes and one ends each second; each says that it runs
+      // for a minute.
+      PlacementJob small = MakeJob(next++, "b", 1, Adjacency::kWorker, true);
+      small.run_time_ = Duration(60 * 1000);
+      small.queued_at_ = now;
+      EnqueueJob(*state, small);
+      if (round >= 8 && !running.empty()) {
+        RemoveJob(*state, running.front());
+        running.erase(running.begin());
+      }
+      const PlacementDecisions decisions = Decide(*state, now);
+      for (const PlaceDecision& place : decisions.place_) {
+        placed = placed || place.job_ == JobId(1);
+        running.push_back(place.job_);
+      }
+    }
+    CHECK(placed == reservations);
+  }
+}
+
+TEST_CASE("a table that the workers can't keep is named with its reason") {
   PlacementPtr state = MakePlacement({}, Time(0));
+  const Table table = MakeTable({{"a", kTwoWorkers}});
+  CHECK(CheckGuarantees(*state, table).empty());
   SetWorker(*state, MakeWorker(0, 0), Time(0));
-  SetTable(*state, MakeTable({{1, Accelerators(8), Adjacency::kWorker}}));
-  EnqueueJob(*state, MakeJob(1, 9, Adjacency::kWorker));
-  CHECK(Decide(*state, Time(0)).refuse_.empty());
-  CHECK(Decide(*state, Time(3000)).refuse_.size() == 1);
+  CHECK(CheckGuarantees(*state, table) ==
+        "customer \"a\": 1 of 2 guaranteed cells have no place, such as 8 "
+        "accelerators within one worker: beside the other guarantees at most "
+        "0 are left in one");
+  // What is guaranteed already does not stand in the way of other changes.
+  SetTable(*state, table);
+  CHECK(CheckGuarantees(*state, table).empty());
 }
 
 }  // namespace
