Jobs: a new leader refuses no job as too large before it can know

A job that ran does fit; and jobs of an earlier leader are refused only after a lease's time in office. Deadlines count over leader changes: the controller is told the wall time when it takes office, and stamps its records.

--- a/flamingohollow/control_core.cc
+++ b/flamingohollow/control_core.cc
@@ -174,8 +174,10 @@
   leadership_ = std::make_unique<Leadership>();
   Leadership& lead = *leadership_;
   lead.term_ = term;
+  JobControllerOptions options = options_;
+  options.wall_at_start_ = clocks_.wall_();
   lead.controller_ =
-      MakeJobController(options_, &state_.jobs_, state_.table_, term, now);
+      MakeJobController(options, &state_.jobs_, state_.table_, term, now);
   EntriesOptions entries;
   entries.table_lease_ = options_.entry_authority_;
   lead.entries_ = MakeEntries(entries, term, now);
--- a/flamingohollow/job.cc
+++ b/flamingohollow/job.cc
@@ -134,7 +134,7 @@
   if (std::holds_alternative<JobAccepted>(command)) {
     const auto record = step.controller_.records_->jobs_.find(result.job_);
     if (record == step.controller_.records_->jobs_.end()) return;
-    AddJob(step, record->second, step.now_);
+    AddJob(step, record->second, step.now_, false);
     step.actions_.emplace_back(std::in_place_type<NotifyAction>,
                                NotifyAction{result.job_});
     return;
@@ -159,6 +159,7 @@
   controller->options_ = options;
   controller->records_ = records;
   controller->term_ = term;
+  controller->took_office_at_ = now;
   controller->placement_ = MakePlacement(options.placement_, now);
   controller->decided_at_ = now;
   SetTable(*controller->placement_, table);
@@ -167,7 +168,7 @@
   Step step{*controller, now, {}, 0};
   for (const auto& [id, record] : records->jobs_) {
     if (record.end_) continue;
-    AddJob(step, record, now - AgeOf(record, options.wall_at_start_));
+    AddJob(step, record, now - AgeOf(record, options.wall_at_start_), true);
   }
   return controller;
 }
--- a/flamingohollow/job.h
+++ b/flamingohollow/job.h
@@ -93,14 +93,14 @@
   Duration entry_authority_ = Duration(3000);
   Duration clock_margin_ = Duration(2000);
   std::uint32_t max_attempts_ = 5;
-  // Wall time when the controller is made, for the deadlines of jobs that an
-  // earlier leader accepted; 0 starts them anew.
+  // Wall time when the controller is made: for the times in its records, and
+  // for the deadlines of jobs that an earlier leader accepted. At 0 these start
+  // anew.
   Time wall_at_start_;
   PlacementOptions placement_;
 };
 
-// What the controller wants done. Whoever carries it out sets the command's
-// `at_` to the wall time. A proposal that is lost is made again.
+// What the controller wants done. A proposal that is lost is made again.
 struct ProposeAction {
   Command command_;
 };
--- a/flamingohollow/job_phases.cc
+++ b/flamingohollow/job_phases.cc
@@ -31,6 +31,9 @@
 }
 
 void Propose(Step& step, LiveJob& job, Command command) {
+  const Time wall_now = OptionsOf(step).wall_at_start_ +
+                        (step.now_ - step.controller_.took_office_at_);
+  std::visit([wall_now](auto& record) { record.at_ = wall_now; }, command);
   job.proposed_ = command;
   job.proposed_at_ = step.now_;
   step.actions_.push_back(ProposeAction{std::move(command)});
@@ -53,14 +56,16 @@
   Propose(step, job, std::move(ended));
 }
 
+bool RanBefore(const Step& step, const LiveJob& job) {
+  const JobRecord& record = step.controller_.records_->jobs_.at(job.id_);
+  return record.may_run_attempt_ != AttemptId(0);
+}
+
 // Ends a job of which no attempt runs. "Not run" is true only if no earlier
 // attempt ran either.
 void ProposeNotRun(Step& step, LiveJob& job, const std::string& reason,
                    Duration retry_after) {
-  const auto record = step.controller_.records_->jobs_.find(job.id_);
-  const bool ran_before = record == step.controller_.records_->jobs_.end() ||
-                          record->second.may_run_attempt_ != AttemptId(0);
-  if (ran_before) {
+  if (RanBefore(step, job)) {
     ProposeEnd(step, job, Outcome::kFailed,
                reason + "; an earlier attempt may have run in part",
                retry_after);
@@ -512,8 +517,10 @@
 
 }  // namespace
 
-void AddJob(Step& step, const JobRecord& record, Time queued_at) {
+void AddJob(Step& step, const JobRecord& record, Time queued_at,
+            bool inherited) {
   LiveJob& job = step.controller_.jobs_[record.id_];
+  job.inherited_ = inherited;
   job.id_ = record.id_;
   job.spec_ = record.spec_;
   job.last_attempt_ = record.may_run_attempt_;
@@ -538,6 +545,14 @@
 
 void RefuseJob(Step& step, LiveJob& job, const std::string& reason) {
   RemoveJob(*step.controller_.placement_, job.id_);
+  const bool may_know_few =
+      job.inherited_ &&
+      step.now_ - step.controller_.took_office_at_ < OptionsOf(step).lease_;
+  if (may_know_few || RanBefore(step, job)) {
+    step.controller_.back_offs_.emplace(step.now_ + kRefusedAgainAfter,
+                                        job.id_);
+    return;
+  }
   ProposeNotRun(step, job, reason, Duration(0));
   Advance(step, job.id_);
 }
--- a/flamingohollow/job_phases.h
+++ b/flamingohollow/job_phases.h
@@ -27,11 +27,14 @@
 
 // Takes up an accepted job: queues it, or goes on with the attempt that its
 // record says may run.
-void AddJob(Step& step, const JobRecord& record, Time queued_at);
+void AddJob(Step& step, const JobRecord& record, Time queued_at,
+            bool inherited);
 
 // Begins an attempt on the slices that placement chose.
 void BeginAttempt(Step& step, LiveJob& job, const std::vector<Slice>& slices);
-// The job can never run here.
+// Placement says that the job can never run here. That is only as true as the
+// workers are known: a job that ran before does fit, and a new leader must give
+// the workers of its predecessor's jobs a lease's time to be heard of.
 void RefuseJob(Step& step, LiveJob& job, const std::string& reason);
 
 // A refused job has waited long enough: back to placement.
--- a/flamingohollow/job_state.h
+++ b/flamingohollow/job_state.h
@@ -37,6 +37,9 @@
 // the first time, then this long, doubled each time up to the most.
 inline constexpr Duration kFirstBackOff = Duration(100);
 inline constexpr Duration kMaxBackOff = Duration(2000);
+// A job that placement refuses before enough is known is placed again after
+// this long.
+inline constexpr Duration kRefusedAgainAfter = Duration(1000);
 // A silent worker without tasks is forgotten after this long.
 inline constexpr Duration kForgetWorker = Duration(600'000);
 
@@ -71,6 +74,8 @@
   Time proposed_at_;
 
   Time queued_at_;
+  // Accepted before this leader took office.
+  bool inherited_ = false;
   // Refusals in a row.
   std::uint32_t refusals_ = 0;
   // Asked for from outside; acted on as soon as the phase allows it.
@@ -112,6 +117,7 @@
   JobControllerOptions options_;
   const JobRecords* records_ = nullptr;
   Term term_;
+  Time took_office_at_;
   PlacementPtr placement_;
   std::map<JobId, LiveJob> jobs_;
   std::map<WorkerId, WorkerInfo> workers_;
--- a/flamingohollow/testing/job_world.cc
+++ b/flamingohollow/testing/job_world.cc
@@ -462,12 +462,16 @@
 // --- callers
 
 std::optional<JobView> TakeSubmit(World& world, int control,
-                                  const JobSpec& spec) {
+                                  const JobSpec& spec, bool cancel) {
   WorldLeader* leader = LeaderAt(world, control);
   if (leader == nullptr) return std::nullopt;
   const auto found =
       leader->records_.by_request_.find({spec.customer_, spec.request_id_});
   if (found != leader->records_.by_request_.end()) {
+    if (cancel) {
+      CarryOut(world, *leader,
+               OnCancel(*leader->controller_, found->second, world.now_));
+    }
     return ViewJob(*leader->controller_, found->second);
   }
   Propose(world, *leader, JobAccepted{spec, Time()});
@@ -491,6 +495,7 @@
   request.entry_ = (request.entry_ + 1) % kEntries;
   const int entry = request.entry_;
   const JobSpec spec = request.spec_;
+  const bool cancel = request.cancel_;
   const Node caller{Role::kCaller, 0};
   const auto hop = [index](Hop wanted) {
     return index == 0 ? wanted : Hop::kNone;
@@ -501,7 +506,8 @@
     const int control = world.entries_[entry].control_;
     const Node to = ControlNode(control);
     Send(world, hop(Hop::kHandOver), EntryNode(entry), to, [=, &world] {
-      const std::optional<JobView> view = TakeSubmit(world, control, spec);
+      const std::optional<JobView> view =
+          TakeSubmit(world, control, spec, cancel);
       if (!view) return;
       Send(world, Hop::kNone, to, EntryNode(entry), [=, &world] {
         const bool ended = IsTerminal(view->outcome_);
@@ -562,7 +568,7 @@
   table_.version_ = TableVersion(1);
   Row row;
   row.customer_ = CustomerId("c");
-  row.guaranteed_ = {{1, Accelerators(8), Adjacency::kRegion}};
+  row.guaranteed_ = {{1, Accelerators(16), Adjacency::kRegion}};
   row.max_borrowed_ = 8;
   row.max_queued_ = 100;
   table_.rows_[row.customer_] = row;
--- a/flamingohollow/testing/job_world.h
+++ b/flamingohollow/testing/job_world.h
@@ -118,6 +118,8 @@
   JobSpec spec_;
   int entry_ = 0;
   Time asked_at_;
+  // From here on each resend asks to cancel.
+  bool cancel_ = false;
   std::optional<JobView> last_;
 };
 
--- a/flamingohollow/testing/job_world_check.cc
+++ b/flamingohollow/testing/job_world_check.cc
@@ -137,6 +137,17 @@
         record.end_->outcome_ == Outcome::kUnknown) {
       found.push_back("an idempotent job ended unknown");
     }
+    const Outcome outcome = record.end_->outcome_;
+    if (outcome == Outcome::kCancelled && !request.cancel_) {
+      found.push_back("a job was cancelled unasked");
+    }
+    const bool may_fail =
+        record.spec_.deadline_ > Duration(0) ||
+        std::any_of(world.workers_.begin(), world.workers_.end(),
+                    [](const WorldWorker& worker) { return worker.fails_; });
+    if (outcome == Outcome::kFailed && !may_fail) {
+      found.push_back("a job failed without cause: " + record.end_->reason_);
+    }
     CheckParts(record, found);
   }
 }
