--- /dev/null
+++ b/flamingohollow/testing/control_entries_test.cc
@@ -0,0 +1,278 @@
+// Random schedules for the entries' leases and the in-force rule.
+//
+// The world has leaders, of which all but the newest are deposed and don't
+// know it, and entries, of which old incarnations live on. Syncs, answers and
+// proofs of leadership are late, lost, repeated and out of order; clocks of
+// entries run slow within the margin. Whatever happens: while a leader claims
+// that its version is in force everywhere, no entry may enforce an older one.
+//
+// FLAMINGOHOLLOW_SCHEDULES asks for more schedules than the default.
+
+#include "flamingohollow/control_entries.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <cstdint>
+#include <cstdlib>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace flamingohollow {
+namespace {
+
+constexpr std::uint64_t kDefaultSchedules = 3000;
+constexpr int kSteps = 300;
+constexpr std::size_t kEntryNames = 3;
+
+std::uint64_t Schedules() {
+  const char* asked = std::getenv("FLAMINGOHOLLOW_SCHEDULES");
+  return asked == nullptr ? kDefaultSchedules
+                          : std::strtoull(asked, nullptr, 10);
+}
+
+struct Leader {
+  Term term_;
+  TableVersion version_;
+  Entries entries_;
+  // When it was deposed; it doesn't know.
+  std::optional<Time> deposed_;
+};
+
+// An entry's process.
+struct Process {
+  HolderId id_;
+  TableVersion version_;
+  Time lease_until_;
+};
+
+struct SyncMessage {
+  std::size_t process_ = 0;
+  Time sent_;
+  TableVersion version_;
+};
+
+struct AnswerMessage {
+  std::size_t process_ = 0;
+  Time sync_sent_;
+  TableVersion version_;
+  Duration lease_;
+};
+
+struct Proof {
+  std::size_t leader_ = 0;
+  Time asked_;
+};
+
+class World {
+ public:
+  explicit World(std::uint64_t seed) : random_(seed) {
+    Elect();
+    for (std::size_t i = 0; i < kEntryNames; ++i) StartProcess(i);
+  }
+
+  void Step() {
+    switch (Below(12)) {
+      case 0:
+        now_ = now_ + Duration(Below(100));
+        break;
+      case 1:
+        if (Below(4) == 0) now_ = now_ + Duration(Below(4000));
+        break;
+      case 2:
+        if (Below(4) == 0) Elect();
+        break;
+      case 3:
+        Change();
+        break;
+      case 4:
+        if (Below(4) == 0) StartProcess(Below(kEntryNames));
+        break;
+      case 5:
+        proofs_.push_back({leaders_.size() - 1, now_});
+        proofs_.push_back({Below(leaders_.size()), now_});
+        break;
+      case 6:
+        DeliverProof();
+        break;
+      case 7:
+      case 8:
+        SendSync();
+        break;
+      case 9:
+      case 10:
+        DeliverSync();
+        break;
+      default:
+        DeliverAnswer();
+        break;
+    }
+  }
+
+  // What a leader claims that is not so; empty when all is well.
+  std::string FalseClaim() {
+    for (const Leader& leader : leaders_) {
+      if (!InForce(leader.entries_, leader.version_, now_)) continue;
+      ++claims_;
+      for (const Process& process : processes_) {
+        if (process.lease_until_ > now_ && process.version_ < leader.version_) {
+          return "term " + std::to_string(leader.term_.value()) +
+                 " claims version " + std::to_string(leader.version_.value()) +
+                 ", but " + process.id_.entry_.value() + " enforces " +
+                 std::to_string(process.version_.value());
+        }
+      }
+    }
+    return "";
+  }
+
+  std::uint64_t claims() const { return claims_; }
+  std::uint64_t grants() const { return grants_; }
+
+ private:
+  std::uint64_t Below(std::uint64_t limit) { return random_() % limit; }
+
+  void Elect() {
+    if (!leaders_.empty()) leaders_.back().deposed_ = now_;
+    Leader leader;
+    leader.term_ = Term(leaders_.size() + 1);
+    leader.version_ = committed_;
+    leader.entries_ = MakeEntries(EntriesOptions{}, leader.term_, now_);
+    leaders_.push_back(leader);
+  }
+
+  void Change() {
+    committed_ = Next(committed_);
+    leaders_.back().version_ = committed_;
+  }
+
+  void StartProcess(std::size_t name) {
+    Process process;
+    process.id_.entry_ = NodeName("entry-" + std::to_string(name));
+    process.id_.incarnation_ = Incarnation(processes_.size());
+    processes_.push_back(process);
+  }
+
+  // A proof comes out well only if the node still led when it was asked for.
+  void DeliverProof() {
+    if (proofs_.empty()) return;
+    const Proof proof = Take(proofs_);
+    Leader& leader = leaders_[proof.leader_];
+    if (leader.deposed_ && *leader.deposed_ < proof.asked_) return;
+    ConfirmLeading(leader.entries_, proof.asked_);
+  }
+
+  void SendSync() {
+    // Mostly one of the newest processes.
+    const std::size_t process =
+        Below(4) == 0 ? Below(processes_.size())
+                      : processes_.size() - 1 - Below(kEntryNames);
+    syncs_.push_back({process, now_, processes_[process].version_});
+  }
+
+  void DeliverSync() {
+    if (syncs_.empty()) return;
+    const SyncMessage sync = Take(syncs_);
+    Leader& leader =
+        leaders_[Below(3) == 0 ? Below(leaders_.size()) : leaders_.size() - 1];
+    const HolderId& id = processes_[sync.process_].id_;
+    ConfirmVersion(leader.entries_, id, sync.version_);
+    if (sync.version_ > leader.version_) return;
+    const Duration lease =
+        GrantLease(leader.entries_, id, leader.version_, now_, now_);
+    if (lease == Duration(0)) return;
+    ++grants_;
+    answers_.push_back({sync.process_, sync.sent_, leader.version_, lease});
+  }
+
+  void DeliverAnswer() {
+    if (answers_.empty()) return;
+    const AnswerMessage answer = Take(answers_);
+    Process& process = processes_[answer.process_];
+    if (answer.version_ < process.version_) return;
+    // The entry looks at the time before it takes the answer.
+    const Duration slow(Below(EntriesOptions{}.clock_margin_.ms()));
+    const Time until = answer.sync_sent_ + answer.lease_ + slow;
+    if (until <= now_) return;
+    process.version_ = answer.version_;
+    process.lease_until_ = std::max(process.lease_until_, until);
+  }
+
+  // One of the messages in flight, at random; at times it stays for another
+  // delivery, at times it is never taken.
+  template <typename Message>
+  Message Take(std::vector<Message>& messages) {
+    // Mostly among the newest.
+    const std::size_t index =
+        messages.size() - 1 -
+        Below(Below(2) == 0 ? messages.size()
+                            : std::min<std::size_t>(messages.size(), 3));
+    const Message message = messages[index];
+    if (Below(4) != 0) messages.erase(messages.begin() + index);
+    return message;
+  }
+
+  std::mt19937_64 random_;
+  Time now_ = Time(1000000);
+  TableVersion committed_ = TableVersion(1);
+  std::vector<Leader> leaders_;
+  std::vector<Process> processes_;
+  std::vector<SyncMessage> syncs_;
+  std::vector<AnswerMessage> answers_;
+  std::vector<Proof> proofs_;
+  std::uint64_t claims_ = 0;
+  std::uint64_t grants_ = 0;
+};
+
+TEST_CASE("random: in force is never claimed while an older version may be") {
+  std::uint64_t claims = 0;
+  std::uint64_t grants = 0;
+  for (std::uint64_t seed = 1; seed <= Schedules(); ++seed) {
+    World world(seed);
+    for (int step = 0; step < kSteps; ++step) {
+      world.Step();
+      const std::string claim = world.FalseClaim();
+      INFO("seed " << seed << ", step " << step);
+      REQUIRE(claim == "");
+    }
+    claims += world.claims();
+    grants += world.grants();
+  }
+  // The schedules are worth something only if both are common.
+  CHECK(claims > Schedules() * 20);
+  CHECK(grants > Schedules() * 10);
+}
+
+TEST_CASE("holders beyond the limit get no lease") {
+  EntriesOptions options;
+  options.max_holders_ = 1;
+  Entries entries = MakeEntries(options, Term(1), Time(0));
+  ConfirmLeading(entries, Time(0));
+  const HolderId first{NodeName("entry-0"), Incarnation(1)};
+  const HolderId second{NodeName("entry-1"), Incarnation(1)};
+  const auto grant = [&](const HolderId& id, Time now) {
+    return GrantLease(entries, id, TableVersion(1), now, now);
+  };
+  CHECK(grant(first, Time(0)) > Duration(0));
+  CHECK(grant(second, Time(0)) == Duration(0));
+  DropLapsed(entries, Time(3500));
+  ConfirmLeading(entries, Time(3500));
+  CHECK(grant(second, Time(3500)) > Duration(0));
+}
+
+TEST_CASE("exclusion versions grow with each change and each leader") {
+  Entries first = MakeEntries(EntriesOptions{}, Term(1), Time(0));
+  const auto start = first.exclusions_version_;
+  SetExcluded(first, JobId(1), true);
+  SetExcluded(first, JobId(1), true);
+  CHECK(first.exclusions_version_ == start + 1);
+  SetExcluded(first, JobId(1), false);
+  CHECK(first.exclusions_version_ == start + 2);
+  CHECK(MakeEntries(EntriesOptions{}, Term(2), Time(0)).exclusions_version_ >
+        first.exclusions_version_);
+}
+
+}  // namespace
+}  // namespace flamingohollow
