--- a/flamingohollow/testing/control_entries_test.cc
+++ b/flamingohollow/testing/control_entries_test.cc
@@ -76,10 +76,10 @@
   void Step() {
     switch (Below(12)) {
       case 0:
-        now_ = now_ + Duration(Below(100));
+        now_ = now_ + RandomTime(100);
         break;
       case 1:
-        if (Below(4) == 0) now_ = now_ + Duration(Below(4000));
+        if (Below(4) == 0) now_ = now_ + RandomTime(4000);
         break;
       case 2:
         if (Below(4) == 0) Elect();
@@ -134,6 +134,11 @@
  private:
   std::uint64_t Below(std::uint64_t limit) { return random_() % limit; }
 
+  Duration RandomTime(std::int64_t limit_ms) {
+    return Duration(
+        std::uniform_int_distribution<std::int64_t>(0, limit_ms - 1)(random_));
+  }
+
   void Elect() {
     if (!leaders_.empty()) leaders_.back().deposed_ = now_;
     Leader leader;
@@ -193,7 +198,7 @@
     Process& process = processes_[answer.process_];
     if (answer.version_ < process.version_) return;
     // The entry looks at the time before it takes the answer.
-    const Duration slow(Below(EntriesOptions{}.clock_margin_.ms()));
+    const Duration slow = RandomTime(EntriesOptions{}.clock_margin_.ms());
     const Time until = answer.sync_sent_ + answer.lease_ + slow;
     if (until <= now_) return;
     process.version_ = answer.version_;
