--- a/flamingohollow/control_process.cc
+++ b/flamingohollow/control_process.cc
@@ -8,11 +8,8 @@
 #include <string>
 #include <utility>
 
-#include "flamingohollow/rpc.h"
-#if __has_include("flamingohollow/replica_factory.h")
 #include "flamingohollow/replica_factory.h"
-#define FLAMINGOHOLLOW_HAS_REPLICA 1
-#endif
+#include "flamingohollow/rpc.h"
 
 namespace flamingohollow {
 namespace {
@@ -35,7 +32,6 @@
   return options;
 }
 
-#ifdef FLAMINGOHOLLOW_HAS_REPLICA
 ReplicaOptions MakeReplicaOptions(const ControlOptions& control) {
   ReplicaOptions options;
   options.group_ = control.group_;
@@ -68,12 +64,6 @@
         return boost::leaf::new_error(ControlError{error.message_});
       });
 }
-#else
-boost::leaf::result<std::unique_ptr<Replica>> MakeDiskReplica(
-    const ControlOptions&, ReplicaOwner&, RpcNode&, const PostToControl&) {
-  return boost::leaf::new_error(ControlError{"built without a replica"});
-}
-#endif
 
 }  // namespace
 
--- a/flamingohollow/settings.cc
+++ b/flamingohollow/settings.cc
@@ -85,6 +85,7 @@
                      [&name](const KeyRule& r) { return r.name_ == name; });
     if (rule == rules.end()) {
       std::vector<std::string> names;
+      names.reserve(rules.size());
       for (const KeyRule& known : rules) names.push_back(known.name_);
       AddMistake(check, entry.first, path,
                  "unknown key; allowed: " + Join(names));
@@ -123,7 +124,7 @@
 std::string TakeName(Check& check, const YAML::Node& node,
                      const std::string& key) {
   const std::string allowed = "1 to 64 letters, digits, \"-\", \"_\" or \".\"";
-  const std::string text = TakeScalar(check, node, key, allowed);
+  std::string text = TakeScalar(check, node, key, allowed);
   if (!text.empty() && !IsName(text)) {
     AddMistake(check, node, key, "\"" + text + "\"; allowed: " + allowed);
   }
@@ -133,7 +134,7 @@
 std::string TakeAddress(Check& check, const YAML::Node& node,
                         const std::string& key) {
   const std::string allowed = "IP:PORT, such as 127.0.0.1:7000";
-  const std::string text = TakeScalar(check, node, key, allowed);
+  std::string text = TakeScalar(check, node, key, allowed);
   if (!text.empty() && !ParseTcpAddress(text).has_value()) {
     AddMistake(check, node, key, "\"" + text + "\"; allowed: " + allowed);
   }
@@ -171,7 +172,7 @@
 }
 
 KeyRule NameRule(const std::string& name,
-                 std::function<void(std::string)> set) {
+                 std::function<void(const std::string&)> set) {
   return {name, true,
           [set = std::move(set)](Check& check, const YAML::Node& node,
                                  const std::string& key) {
@@ -204,9 +205,9 @@
         TakeSection(
             check, item, path,
             {NameRule("name",
-                      [&](std::string v) { voter.name_ = NodeName(v); }),
+                      [&](const std::string& v) { voter.name_ = NodeName(v); }),
              AddressRule("address", &voter.address_),
-             NameRule("failure_domain", [&](std::string v) {
+             NameRule("failure_domain", [&](const std::string& v) {
                voter.failure_domain_ = FailureDomain(v);
              })});
         const bool repeated =
@@ -251,21 +252,21 @@
 
 void TakeTokens(Check& check, const YAML::Node& node, const std::string& key,
                 std::vector<TokenSettings>* tokens) {
-  TakeList(check, node, key,
-           [&](const YAML::Node& item, const std::string& path) {
-             TokenSettings token;
-             token.line_ = LineOf(item.Mark());
-             const KeyRule role = {
-                 "role", true,
-                 [&token](Check& c, const YAML::Node& n, const std::string& k) {
-                   TakeTokenRole(c, n, k, &token.role_);
-                 }};
-             TakeSection(
-                 check, item, path,
-                 {PathRule("token_file", true, &token.token_file_), role,
-                  NameRule("name", [&](std::string v) { token.name_ = v; })});
-             tokens->push_back(token);
-           });
+  TakeList(
+      check, node, key, [&](const YAML::Node& item, const std::string& path) {
+        TokenSettings token;
+        token.line_ = LineOf(item.Mark());
+        const KeyRule role = {
+            "role", true,
+            [&token](Check& c, const YAML::Node& n, const std::string& k) {
+              TakeTokenRole(c, n, k, &token.role_);
+            }};
+        TakeSection(
+            check, item, path,
+            {PathRule("token_file", true, &token.token_file_), role,
+             NameRule("name", [&](const std::string& v) { token.name_ = v; })});
+        tokens->push_back(token);
+      });
 }
 
 void TakeLimits(Check& check, const YAML::Node& node, const std::string& key,
@@ -299,12 +300,13 @@
 std::vector<KeyRule> CommonRules(Settings* s) {
   return {
       {"role", true, [](Check&, const YAML::Node&, const std::string&) {}},
-      NameRule("name", [s](std::string v) { s->name_ = NodeName(v); }),
+      NameRule("name", [s](const std::string& v) { s->name_ = NodeName(v); }),
       NumberRule("group", 1, 1,
                  [s](std::uint32_t v) { s->group_ = GroupId(v); }),
-      NameRule("region", [s](std::string v) { s->region_ = Region(v); }),
-      NameRule("failure_domain",
-               [s](std::string v) { s->failure_domain_ = FailureDomain(v); }),
+      NameRule("region", [s](const std::string& v) { s->region_ = Region(v); }),
+      NameRule(
+          "failure_domain",
+          [s](const std::string& v) { s->failure_domain_ = FailureDomain(v); }),
       PathRule("data_folder", true, &s->data_folder_),
       {"trace_file", false,
        [s](Check& check, const YAML::Node& node, const std::string& key) {
