--- a/flamingohollow/raft_membership.cc
+++ b/flamingohollow/raft_membership.cc
@@ -14,6 +14,9 @@
 // Requests of a founding or a joining are sent again after this long.
 constexpr Duration kContactResend(200);
 
+// A learner is promoted only if it answered within this.
+constexpr Duration kPromotionAge(250);
+
 // The founding membership is the first entry of every founder's log; being
 // equal everywhere, it needs no leader to be safe.
 constexpr LogIndex kFoundingIndex(1);
@@ -164,10 +167,8 @@
   return index;
 }
 
-// Whether enough voters of `membership` answer to commit under it. A change
-// that can't be committed would also block the next one.
-bool CanCommitUnder(const RaftState& state, const Membership& membership,
-                    Time now) {
+std::size_t CountAnswering(const RaftState& state, const Membership& membership,
+                           Time now) {
   std::size_t answering = 0;
   for (const Member& member : membership) {
     if (member.learner_) continue;
@@ -178,7 +179,25 @@
          now - progress->second.answered_ <= state.config_.election_min_);
     if (answers) ++answering;
   }
-  return CountVoters(membership) > 0 && answering >= QuorumSize(membership);
+  return answering;
+}
+
+// Whether enough voters of `membership` answer to commit under it. A change
+// that can't be committed would also block the next one.
+bool CanCommitUnder(const RaftState& state, const Membership& membership,
+                    Time now) {
+  return CountVoters(membership) > 0 &&
+         CountAnswering(state, membership, now) >= QuorumSize(membership);
+}
+
+// Whether the group can do without the learner at once after its promotion:
+// a larger quorum while another voter is gone would make the loss of either
+// one fatal. A single voter has no choice.
+bool CanAffordPromotion(const RaftState& state, const Membership& promoted,
+                        Time now) {
+  const Membership& current = CurrentMembership(state.log_);
+  return CountAnswering(state, current, now) >=
+         std::min(QuorumSize(promoted), CountVoters(current));
 }
 
 Membership WithoutName(const Membership& membership, const NodeName& name) {
@@ -317,11 +336,12 @@
     // it held is held by a majority of the others.
     const Progress& progress = state.progress_.at(member.id_);
     if (progress.match_ < state.commit_) continue;
-    if (ctx.now_ - progress.answered_ > state.config_.election_min_) continue;
+    if (ctx.now_ - progress.answered_ > kPromotionAge) continue;
     Membership changed = CurrentMembership(state.log_);
     for (Member& other : changed) {
       if (other.id_ == member.id_) other.learner_ = false;
     }
+    if (!CanAffordPromotion(state, changed, ctx.now_)) continue;
     AppendMembership(ctx, std::move(changed));
     return;
   }
--- a/flamingohollow/testing/raft_test.cc
+++ b/flamingohollow/testing/raft_test.cc
@@ -164,6 +164,27 @@
   CHECK(sim.violation() == "");
 }
 
+TEST_CASE("the quorum does not grow while a voter is gone") {
+  RaftSim sim(Founders(3));
+  REQUIRE(sim.Form());
+  const std::size_t leader = *sim.Leader();
+  const std::size_t gone = Other(leader);
+  sim.Crash(gone);
+  sim.Run(kSecond);
+  const std::size_t added = sim.AddNode(NodeName("control-3"), "control-3");
+  sim.Give(leader, AddVoterEvent{{NodeName("control-3"), "control-3"}});
+  sim.Run(kSecond * 5);
+  const auto voters = [&] {
+    return CountVoters(CurrentMembership(sim.node(leader).state_.log_));
+  };
+  CHECK(sim.node(added).state_.commit_ > LogIndex());
+  CHECK(voters() == 3);
+  sim.Start(gone);
+  sim.Run(kSecond * 2);
+  CHECK(voters() == 4);
+  CHECK(sim.violation() == "");
+}
+
 TEST_CASE("voters that pledged to one founding take no part in another") {
   RaftSim sim(Founders(3));
   std::vector<Founder> all;
