Idempotent work that failed is tried on other workers before it is blamed

Cause: one failed task ended an idempotent job, though a worker that fails everything is only known after three jobs; faults_test BadWorkers failed first with "worker-0 fails every task". Ruled out: blaming the worker after one failure, which would let a bad job send good workers away. Conclusion: such a job is requeued until it is blamed itself (three workers) or its attempts are used up, and placement prefers workers it hasn't failed on. BadWorkers passes: 8 of 8 jobs complete beside one worker that fails all, one late, one that repeats itself and one that refuses.

--- a/flamingohollow/decide.cc
+++ b/flamingohollow/decide.cc
@@ -20,6 +20,7 @@
 
 #include "flamingohollow/feasibility.h"
 #include "flamingohollow/guarantee.h"
+#include "flamingohollow/job_fits.h"
 #include "flamingohollow/placement_state.h"
 #include "flamingohollow/reservation.h"
 
@@ -214,9 +215,7 @@
   request.adjacency_ = job.adjacency_;
   const NodeSums room =
       job.urgent_ ? state.cluster_.free_ : RoomFor(state, job, state.now_);
-  const std::vector<Fit> fits =
-      FindFits(state.cluster_.tree_, room, state.shapes_,
-               state.options_.policy_, request);
+  const std::vector<Fit> fits = FindJobFits(state, job.id_, room, request);
   if (!fits.empty()) {
     Commit(state, job, fits.front().takes_, {}, decisions);
     return true;
--- a/flamingohollow/guarantee.cc
+++ b/flamingohollow/guarantee.cc
@@ -6,6 +6,8 @@
 #include <tuple>
 #include <utility>
 
+#include "flamingohollow/job_fits.h"
+
 namespace flamingohollow {
 namespace {
 
@@ -316,9 +318,8 @@
       const std::vector<CellIndex>& choices) const {
     std::size_t trials = 0;
     for (const CellIndex cell : choices) {
-      for (const Fit& fit :
-           FindFits(tree(), state_.cluster_.free_, state_.shapes_,
-                    state_.options_.policy_, RequestFor(CellAt(cell)))) {
+      for (const Fit& fit : FindJobFits(state_, job_.id_, state_.cluster_.free_,
+                                        RequestFor(CellAt(cell)))) {
         if (++trials > kMaxTrials) return std::nullopt;
         ReclaimPlan reclaim;
         reclaim.takes_ = fit.takes_;
--- a/flamingohollow/job_outcome.cc
+++ b/flamingohollow/job_outcome.cc
@@ -66,11 +66,13 @@
   // wanted.
   if (facts.all_finished_) return End(Outcome::kCompleted, "");
   if (facts.cause_ == StopCause::kCancelled) return JudgeCancelled(facts);
-  const bool blames_job =
-      facts.cause_ == StopCause::kTaskFailed && !facts.blames_worker_;
-  if (blames_job) return JudgeFailed(facts);
+  // Until the job is blamed, its failure may be the worker's: work that may
+  // run again is tried elsewhere.
+  const bool failed = facts.cause_ == StopCause::kTaskFailed;
+  if (failed && (facts.blames_job_ || !facts.idempotent_)) {
+    return JudgeFailed(facts);
+  }
   if (facts.idempotent_) return JudgeIdempotent(facts);
-  if (facts.cause_ == StopCause::kTaskFailed) return JudgeFailed(facts);
   return JudgeNonIdempotent(facts);
 }
 
--- a/flamingohollow/job_outcome.h
+++ b/flamingohollow/job_outcome.h
@@ -26,8 +26,8 @@
   StopCause cause_ = StopCause::kLost;
   std::string reason_;
   bool idempotent_ = false;
-  // The failed task's worker is to blame, not the job.
-  bool blames_worker_ = false;
+  // It failed on several good workers: another try would fail too.
+  bool blames_job_ = false;
   bool all_finished_ = false;
   // Every worker confirmed that its task never started and never will.
   bool all_never_ran_ = false;
--- a/flamingohollow/job_phases.cc
+++ b/flamingohollow/job_phases.cc
@@ -198,12 +198,7 @@
   facts.cause_ = *attempt.stop_cause_;
   facts.reason_ = attempt.stop_reason_;
   facts.idempotent_ = job.spec_.idempotent_;
-  facts.blames_worker_ = std::any_of(
-      attempt.tasks_.begin(), attempt.tasks_.end(),
-      [&step](const AttemptTask& task) {
-        return task.state_ == TaskState::kFailed &&
-               IsQuarantined(*step.controller_.placement_, task.slice_.worker_);
-      });
+  facts.blames_job_ = IsBlamed(*step.controller_.placement_, job.id_);
   facts.all_finished_ = AllFinished(attempt);
   facts.all_never_ran_ = AllNeverRan(attempt);
   facts.any_started_ = AnyStarted(attempt);
--- a/flamingohollow/placement.cc
+++ b/flamingohollow/placement.cc
@@ -220,6 +220,10 @@
   return IsWorkerQuarantined(state.quarantine_, worker);
 }
 
+bool IsBlamed(const PlacementState& state, JobId job) {
+  return IsJobBlamed(state.quarantine_, job);
+}
+
 Accelerators FreeAccelerators(const PlacementState& state,
                               const WorkerId& worker) {
   const auto it = state.cluster_.workers_.find(worker);
--- a/flamingohollow/placement.h
+++ b/flamingohollow/placement.h
@@ -138,6 +138,8 @@
 // 0 to 1.
 double Fragmentation(const PlacementState& state);
 bool IsQuarantined(const PlacementState& state, const WorkerId& worker);
+// The job failed on several workers that others do well on.
+bool IsBlamed(const PlacementState& state, JobId job);
 Accelerators FreeAccelerators(const PlacementState& state,
                               const WorkerId& worker);
 
