A guarantee that lost workers still serves what fits into its rest

Cause: a gang could only use a cell that could be backed as a whole, so a customer with 12 of its 16 accelerators left got none of them for work that can't be taken back. Found by the fault matrix with the real placement: after "worker gone for good" five requests never ended. Ruled out: running such work as a borrower, which could be taken back. Conclusion: a cell that is not backed is tried with its used part only; backed cells keep their places.

--- a/flamingohollow/guarantee.cc
+++ b/flamingohollow/guarantee.cc
@@ -45,11 +45,14 @@
   }
 }
 
+// Whether a cell must be backed as a whole once a gang uses a part of it.
+enum class CellUpkeep { kWhole, kUsedPartOnly };
+
 // Puts the takes of one gang, and its uses, into a trial. False when the
 // workers have no firm room or another cell would lose its place.
 bool TryHold(const CapacityTree& tree, Witness& trial,
              const std::vector<LeafTake>& takes,
-             const std::vector<CellUse>& uses) {
+             const std::vector<CellUse>& uses, CellUpkeep upkeep) {
   for (const LeafTake& take : takes) {
     LeafRoom& room = trial.rooms_[take.leaf_.value()];
     room.accelerators_ -= take.accelerators_;
@@ -62,7 +65,7 @@
     const Leaf leaf = takes[use.slice_].leaf_;
     cell.node_ = AncestorAt(tree, NodeOf(leaf), cell.level_);
     // From here on it must be backed: the whole cell returns there.
-    cell.backed_ = true;
+    if (upkeep == CellUpkeep::kWhole) cell.backed_ = true;
   }
   return Repair(tree, trial);
 }
@@ -189,7 +192,8 @@
       trial.rooms_[take.leaf_.value()].slots_ += 1;
     }
   }
-  if (!TryHold(state.cluster_.tree_, trial, takes, *uses)) return;
+  if (!TryHold(state.cluster_.tree_, trial, takes, *uses, CellUpkeep::kWhole))
+    return;
   SetUses(state, gang, *std::move(uses));
   state.witness_ = std::move(trial);
 }
@@ -301,12 +305,22 @@
     return request;
   }
 
+  // A cell that can't be backed as a whole, since workers were lost, still
+  // serves the gangs that fit into what is left of it.
   std::optional<GuaranteedPlan> TrySingle(CellIndex cell,
                                           const ReclaimPlan& reclaim) const {
+    if (auto plan = TrySingle(cell, reclaim, CellUpkeep::kWhole)) return plan;
+    if (CellAt(cell).backed_) return std::nullopt;
+    return TrySingle(cell, reclaim, CellUpkeep::kUsedPartOnly);
+  }
+
+  std::optional<GuaranteedPlan> TrySingle(CellIndex cell,
+                                          const ReclaimPlan& reclaim,
+                                          CellUpkeep upkeep) const {
     GuaranteedPlan plan;
     plan.witness_ = state_.witness_;
     plan.uses_ = {{cell, wanted_, 0}};
-    if (!TryHold(tree(), plan.witness_, reclaim.takes_, plan.uses_)) {
+    if (!TryHold(tree(), plan.witness_, reclaim.takes_, plan.uses_, upkeep)) {
       return std::nullopt;
     }
     plan.takes_ = reclaim.takes_;
@@ -461,7 +475,8 @@
     std::optional<ReclaimPlan> reclaim =
         PlanReclaimFor(state_.cluster_, takes, AnyBorrower(), now_);
     if (!reclaim) return std::nullopt;
-    if (!TryHold(tree(), plan.witness_, takes, plan.uses_)) {
+    if (!TryHold(tree(), plan.witness_, takes, plan.uses_,
+                 CellUpkeep::kWhole)) {
       return std::nullopt;
     }
     plan.takes_ = std::move(takes);
--- a/flamingohollow/testing/placement_test.cc
+++ b/flamingohollow/testing/placement_test.cc
@@ -64,6 +64,36 @@
   CHECK_FALSE(decisions.place_[0].guaranteed_);
 }
 
+TEST_CASE("a cell that lost a worker still serves what fits into its rest") {
+  PlacementPtr state = MakeCluster(2);
+  SetTable(*state,
+           MakeTable({{"a", {{1, Accelerators(16), Adjacency::kRegion}}}}));
+  RemoveWorker(*state, WorkerId("w1"), kSettled);
+  CHECK_FALSE(GuaranteeStatuses(*state)[0].backed_);
+  EnqueueJob(*state, MakeJob(1, "a", 8, Adjacency::kRegion));
+  CHECK(Decide(*state, kSettled).place_.size() == 1);
+  SetWorker(*state, MakeWorker(1, 0), kSettled);
+  CHECK(GuaranteeStatuses(*state)[0].backed_);
+  EnqueueJob(*state, MakeJob(2, "a", 8, Adjacency::kRegion));
+  CHECK(Decide(*state, kSettled).place_.size() == 1);
+}
+
+TEST_CASE("a job that failed on a worker is tried on another first") {
+  PlacementPtr state = MakeCluster(2);
+  SetTable(*state, MakeTable({{"a", kTwoWorkers}}));
+  const PlacementJob job = MakeJob(1, "a", 8, Adjacency::kWorker, true);
+  EnqueueJob(*state, job);
+  const PlacementDecisions first = Decide(*state, kSettled);
+  REQUIRE(first.place_.size() == 1);
+  const WorkerId failed = first.place_[0].slices_[0].worker_;
+  RecordTaskResult(*state, job.id_, failed, false, kSettled);
+  RemoveJob(*state, job.id_);
+  EnqueueJob(*state, job);
+  const PlacementDecisions second = Decide(*state, kSettled);
+  REQUIRE(second.place_.size() == 1);
+  CHECK(second.place_[0].slices_[0].worker_ != failed);
+}
+
 TEST_CASE("borrowing ends at max_borrowed") {
   PlacementPtr state = MakeCluster(2);
   SetTable(*state, MakeTable({{"a", {}}}, 8));
