--- a/flamingohollow/control_calls.cc
+++ b/flamingohollow/control_calls.cc
@@ -139,19 +139,22 @@
 
 // The answer to a change that is not to be proposed.
 std::optional<CallReply> ControlCore::RefuseChange(const CallRequest& request) {
-  Table trial = state_.table_;
-  const TableResult result = ApplyTableChange(trial, request.change_);
-  const bool fresh = trial.version_ != state_.table_.version_;
-  if (!fresh) return TableResultReply(result);
+  const Table& table = state_.table_;
+  if (const auto refusal = RefuseTableChange(table, request.change_)) {
+    return TableResultReply(*refusal);
+  }
+  const Table preview = PreviewTableChange(table, request.change_);
   const std::string reason =
-      CheckGuarantees(Placement(*leadership_->controller_), trial);
+      CheckGuarantees(Placement(*leadership_->controller_), preview);
   if (!reason.empty()) {
     return TableResultReply({.outcome_ = TableOutcome::kInvalid,
-                             .version_ = state_.table_.version_,
+                             .version_ = table.version_,
                              .reason_ = reason});
   }
-  if (request.dry_run_) return TableResultReply(result);
-  return std::nullopt;
+  if (!request.dry_run_) return std::nullopt;
+  return TableResultReply({.outcome_ = TableOutcome::kAccepted,
+                           .version_ = preview.version_,
+                           .reason_ = ""});
 }
 
 void ControlCore::HandleTableApply(CallRequest request, CallResponder respond) {
--- a/flamingohollow/control_exchanges.cc
+++ b/flamingohollow/control_exchanges.cc
@@ -5,18 +5,6 @@
 #include <utility>
 
 namespace flamingohollow {
-namespace {
-
-// The table without its history, which entries have no use for.
-Table RowsOnly(const Table& table) {
-  Table copy;
-  copy.version_ = table.version_;
-  copy.rows_ = table.rows_;
-  return copy;
-}
-
-}  // namespace
-
 void EntryExchanges::Open(const EntrySync& sync, SyncResponder respond,
                           const LeaderView& view, Entries& entries, Time now) {
   const HolderId id{sync.entry_, sync.incarnation_};
--- a/flamingohollow/table.cc
+++ b/flamingohollow/table.cc
@@ -204,6 +204,14 @@
   table.rows_[row.customer_] = std::move(row);
 }
 
+void ChangeRows(Table& table, const TableChange& change) {
+  table.version_ = Next(table.version_);
+  for (const CustomerId& customer : change.removals_) {
+    table.rows_.erase(customer);
+  }
+  for (const Row& row : change.upserts_) UpsertRow(table, row);
+}
+
 void Remember(Table& table, ChangeRecord record) {
   table.history_.push_back(std::move(record));
   while (table.history_.size() > kRememberedChanges) {
@@ -220,16 +228,16 @@
 
 }  // namespace
 
+std::optional<TableResult> RefuseTableChange(const Table& table,
+                                             const TableChange& change) {
+  return Refuse(table, change, HashBody(change));
+}
+
 TableResult ApplyTableChange(Table& table, const TableChange& change) {
   const std::uint64_t body_hash = HashBody(change);
   if (auto refusal = Refuse(table, change, body_hash)) return *refusal;
 
-  table.version_ = Next(table.version_);
-  for (const CustomerId& customer : change.removals_) {
-    table.rows_.erase(customer);
-  }
-  for (const Row& row : change.upserts_) UpsertRow(table, row);
-
+  ChangeRows(table, change);
   TableResult result{.outcome_ = TableOutcome::kAccepted,
                      .version_ = table.version_,
                      .reason_ = ""};
@@ -242,4 +250,17 @@
   return result;
 }
 
+Table RowsOnly(const Table& table) {
+  Table copy;
+  copy.version_ = table.version_;
+  copy.rows_ = table.rows_;
+  return copy;
+}
+
+Table PreviewTableChange(const Table& table, const TableChange& change) {
+  Table preview = RowsOnly(table);
+  ChangeRows(preview, change);
+  return preview;
+}
+
 }  // namespace flamingohollow
--- a/flamingohollow/table.h
+++ b/flamingohollow/table.h
@@ -13,6 +13,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -93,6 +94,18 @@
 // Applies `change` to `table`: deterministic, as every voter applies it.
 TableResult ApplyTableChange(Table& table, const TableChange& change);
 
+// What ApplyTableChange would answer without changing the table; nothing when
+// it would accept the change anew.
+std::optional<TableResult> RefuseTableChange(const Table& table,
+                                             const TableChange& change);
+
+// The table without its history.
+Table RowsOnly(const Table& table);
+
+// The table as ApplyTableChange would leave it, without its history, for a
+// change that would be accepted anew.
+Table PreviewTableChange(const Table& table, const TableChange& change);
+
 }  // namespace flamingohollow
 
 #endif  // FLAMINGOHOLLOW_TABLE_H_
