--- a/flamingohollow/control_process.cc
+++ b/flamingohollow/control_process.cc
@@ -9,6 +9,7 @@
 #include <utility>
 
 #include "flamingohollow/replica_factory.h"
+#include "flamingohollow/rpc.h"
 
 namespace flamingohollow {
 namespace {
