--- /dev/null
+++ b/flamingohollow/testing/entry_workers_test.cc
@@ -0,0 +1,169 @@
+// Tests of announcements: what is forwarded, and what is renewed.
+
+#include "flamingohollow/entry_workers.h"
+
+#include <doctest/doctest.h>
+
+#include <string>
+
+namespace flamingohollow {
+namespace {
+
+constexpr Time kNow = Time(100000);
+
+Announcement Whole(const std::string& worker, std::uint64_t incarnation,
+                   std::uint64_t sequence) {
+  Announcement announcement;
+  announcement.whole_ = true;
+  announcement.report_.worker_ = WorkerId(worker);
+  announcement.report_.incarnation_ = Incarnation(incarnation);
+  announcement.report_.sequence_ = sequence;
+  return announcement;
+}
+
+Announcement Short(const std::string& worker, std::uint64_t incarnation,
+                   std::uint64_t sequence) {
+  Announcement announcement = Whole(worker, incarnation, sequence);
+  announcement.whole_ = false;
+  return announcement;
+}
+
+Announcement WithLease(Announcement announcement, std::uint64_t job) {
+  LeaseReport lease;
+  lease.job_ = JobId(job);
+  announcement.report_.leases_.push_back(lease);
+  return announcement;
+}
+
+// Under a lease at kNow, with these jobs excluded.
+EntryTable Leased(std::set<JobId> exclusions) {
+  EntryTable table;
+  table.confirmed_ = true;
+  table.lease_until_ = kNow + Duration(1000);
+  table.renew_until_ = kNow + Duration(1000);
+  table.worker_lease_ = Duration(10000);
+  table.exclusions_ = std::move(exclusions);
+  return table;
+}
+
+AnnounceReply Announce(EntryWorkers& workers, const EntryTable& table,
+                       const Announcement& announcement, Time now = kNow) {
+  const AnnounceOutcome outcome = TakeAnnouncement(workers, announcement, now);
+  return MakeAnnounceReply(workers, table, announcement, outcome, now);
+}
+
+TEST_CASE("a short announcement is known only with the very same report") {
+  EntryWorkers workers;
+  CHECK(TakeAnnouncement(workers, Short("w", 1, 1), kNow) ==
+        AnnounceOutcome::kUnknown);
+  CHECK(TakeAnnouncement(workers, Whole("w", 1, 1), kNow) ==
+        AnnounceOutcome::kChanged);
+  CHECK(TakeAnnouncement(workers, Short("w", 1, 1), kNow) ==
+        AnnounceOutcome::kUnchanged);
+  CHECK(TakeAnnouncement(workers, Short("w", 1, 2), kNow) ==
+        AnnounceOutcome::kUnknown);
+  CHECK(TakeAnnouncement(workers, Short("w", 2, 1), kNow) ==
+        AnnounceOutcome::kUnknown);
+}
+
+TEST_CASE("a late announcement changes nothing and renews nothing") {
+  EntryWorkers workers;
+  TakeAnnouncement(workers, WithLease(Whole("w", 2, 5), 17), kNow);
+  CHECK(TakeAnnouncement(workers, Whole("w", 2, 4), kNow) ==
+        AnnounceOutcome::kOld);
+  CHECK(TakeAnnouncement(workers, Whole("w", 1, 9), kNow) ==
+        AnnounceOutcome::kOld);
+  const auto& held = workers.workers_.at(WorkerId("w")).report_;
+  CHECK(held.sequence_ == 5);
+  CHECK(held.leases_.size() == 1);
+  const AnnounceReply reply = Announce(workers, Leased({}), Whole("w", 1, 9));
+  CHECK(reply.known_);
+  CHECK(reply.renew_ == Duration(0));
+}
+
+TEST_CASE("renewals need authority and leave excluded jobs out") {
+  EntryWorkers workers;
+  const Announcement announcement =
+      WithLease(WithLease(Whole("w", 1, 1), 17), 18);
+  const EntryTable table = Leased({JobId(17), JobId(99)});
+  const AnnounceReply reply = Announce(workers, table, announcement);
+  CHECK(reply.renew_ == Duration(10000));
+  CHECK(reply.excluded_ == std::vector<JobId>{JobId(17)});
+  // The same for a short announcement of that report.
+  CHECK(Announce(workers, table, Short("w", 1, 1)).excluded_ ==
+        std::vector<JobId>{JobId(17)});
+  // Without authority nothing is renewed.
+  const Time after = kNow + Duration(1000);
+  CHECK(Announce(workers, table, announcement, after).renew_ == Duration(0));
+  CHECK(Announce(workers, EntryTable(), announcement).renew_ == Duration(0));
+}
+
+TEST_CASE("a report is sent until that very report is acknowledged") {
+  EntryWorkers workers;
+  TakeAnnouncement(workers, Whole("w", 1, 1), kNow);
+  CHECK(HasReportsToSend(workers, kNow));
+  const WorkerNews first = TakeNews(workers, kNow);
+  REQUIRE(first.reports_.size() == 1);
+  // Under way: not sent twice.
+  CHECK_FALSE(HasReportsToSend(workers, kNow));
+  // Lost: sent again.
+  OnNewsLost(workers, first);
+  const WorkerNews second = TakeNews(workers, kNow);
+  REQUIRE(second.reports_.size() == 1);
+  // Changed while under way: the acknowledgement is for the older one.
+  TakeAnnouncement(workers, Whole("w", 1, 2), kNow);
+  OnNewsAnswered(workers, second, {WorkerId("w")});
+  const WorkerNews third = TakeNews(workers, kNow);
+  REQUIRE(third.reports_.size() == 1);
+  CHECK(third.reports_[0].sequence_ == 2);
+  OnNewsAnswered(workers, third, {WorkerId("w")});
+  CHECK_FALSE(HasReportsToSend(workers, kNow));
+  // A new leader asks for everything.
+  SendAllAgain(workers);
+  CHECK(TakeNews(workers, kNow).reports_.size() == 1);
+}
+
+TEST_CASE("unchanged workers are named once an interval, silent ones never") {
+  EntryWorkers workers;
+  TakeAnnouncement(workers, Whole("w", 1, 1), kNow);
+  const WorkerNews news = TakeNews(workers, kNow);
+  OnNewsAnswered(workers, news, {WorkerId("w")});
+
+  Time now = kNow + Duration(500);
+  TakeAnnouncement(workers, Short("w", 1, 1), now);
+  CHECK(TakeNews(workers, now).alive_.empty());
+  now = kNow + Duration(1000);
+  TakeAnnouncement(workers, Short("w", 1, 1), now);
+  const WorkerNews alive = TakeNews(workers, now);
+  CHECK(alive.alive_ == std::vector<WorkerId>{WorkerId("w")});
+  CHECK(alive.reports_.empty());
+  // Lost: named again.
+  OnNewsLost(workers, alive);
+  CHECK(TakeNews(workers, now).alive_.size() == 1);
+
+  // Silent for long: not spoken of, though a new leader wants all.
+  now = now + workers.options_.fresh_;
+  SendAllAgain(workers);
+  CHECK_FALSE(HasReportsToSend(workers, now));
+  const WorkerNews none = TakeNews(workers, now + Duration(1000));
+  CHECK(none.alive_.empty());
+  CHECK(none.reports_.empty());
+  ForgetSilent(workers, now + workers.options_.forget_after_);
+  CHECK(workers.workers_.empty());
+}
+
+TEST_CASE("workers and reports in one exchange are bounded") {
+  EntryWorkers workers;
+  workers.options_.max_workers_ = 3;
+  workers.options_.max_reports_ = 2;
+  for (const char* name : {"a", "b", "c"}) {
+    TakeAnnouncement(workers, Whole(name, 1, 1), kNow);
+  }
+  CHECK(TakeAnnouncement(workers, Whole("d", 1, 1), kNow) ==
+        AnnounceOutcome::kFull);
+  CHECK(TakeNews(workers, kNow).reports_.size() == 2);
+  CHECK(TakeNews(workers, kNow).reports_.size() == 1);
+}
+
+}  // namespace
+}  // namespace flamingohollow
