--- a/flamingohollow/control_process.cc
+++ b/flamingohollow/control_process.cc
@@ -14,9 +14,6 @@
 namespace flamingohollow {
 namespace {
 
-// A message between voters that has not gone out by then is given up.
-constexpr Duration kPeerTimeout = Duration(1000);
-
 ControlOptions MakeControlOptions(const Settings& settings) {
   ControlOptions options;
   options.name_ = settings.name_;
@@ -47,13 +44,8 @@
 }
 
 boost::leaf::result<std::unique_ptr<Replica>> MakeDiskReplica(
-    const ControlOptions& options, ReplicaOwner& owner, RpcNode& rpc,
+    const ControlOptions& options, ReplicaOwner& owner, SendToPeer send,
     PostToControl post) {
-  PeerSender send = [&rpc](const std::string& address, std::string message) {
-    // The answer is empty; consensus messages answer each other.
-    rpc.Call(address, RpcKind::kPeer, std::move(message), kPeerTimeout,
-             [](bool, const std::string&) {});
-  };
   return boost::leaf::try_handle_some(
       [&] {
         return MakeReplica(MakeReplicaOptions(options), &owner, std::move(send),
