Exchanges: commands that wait too long are dropped

A worker remembers ended attempts for ten minutes; a command held for an entry that is cut off must not outlive that. Shown failing first with a hundredfold lifetime.

--- a/flamingohollow/control_core.cc
+++ b/flamingohollow/control_core.cc
@@ -227,7 +227,7 @@
   if (const auto* propose = std::get_if<ProposeAction>(&action)) {
     ProposeForController(propose->command_);
   } else if (const auto* send = std::get_if<SendAction>(&action)) {
-    lead.exchanges_.QueueCommand(send->command_);
+    lead.exchanges_.QueueCommand(send->command_, Now());
   } else if (const auto* notify = std::get_if<NotifyAction>(&action)) {
     lead.exchanges_.JobChanged(notify->job_);
     AnswerWaiters(notify->job_);
--- a/flamingohollow/control_exchanges.cc
+++ b/flamingohollow/control_exchanges.cc
@@ -57,7 +57,7 @@
   peer.changed_ = watched;
 }
 
-void EntryExchanges::QueueCommand(const WorkerCommand& command) {
+void EntryExchanges::QueueCommand(const WorkerCommand& command, Time now) {
   const auto route = routes_.find(command.worker_);
   const auto peer = route == routes_.end() ? peers_.end()
                                            : peers_.find(route->second.holder_);
@@ -73,7 +73,13 @@
     ++counters_.commands_dropped_;
     return;
   }
-  commands[key] = command;
+  commands[key] = {command, now};
+}
+
+void EntryExchanges::DropOldCommands(Peer& peer, Time now) {
+  std::erase_if(peer.commands_, [&](const auto& queued) {
+    return now - queued.second.queued_at_ > kCommandLifetime;
+  });
 }
 
 void EntryExchanges::JobChanged(JobId job) {
@@ -133,8 +139,9 @@
   sync.worker_lease_ = view.worker_lease_;
   sync.acknowledged_ = std::move(open.acknowledged_);
   sync.send_all_reports_ = !peer.known_ || open.wants_reports_;
-  for (auto& [key, command] : std::exchange(peer.commands_, {})) {
-    sync.commands_.push_back(std::move(command));
+  DropOldCommands(peer, now);
+  for (auto& [key, queued] : std::exchange(peer.commands_, {})) {
+    sync.commands_.push_back(std::move(queued.command_));
   }
   for (auto& [job, news] : std::exchange(peer.news_, {})) {
     sync.jobs_.push_back(std::move(news));
@@ -169,6 +176,7 @@
   std::erase_if(routes_, [&](const auto& route) {
     return now - route.second.heard_ > kRouteLifetime;
   });
+  for (auto& [id, peer] : peers_) DropOldCommands(peer, now);
   std::erase_if(peers_, [&](const auto& peer) {
     return !peer.second.open_ && !entries.holders_.contains(peer.first);
   });
--- a/flamingohollow/control_exchanges.h
+++ b/flamingohollow/control_exchanges.h
@@ -40,6 +40,10 @@
 // Commands that wait for one entry; later ones are dropped until the
 // controller sends them again.
 inline constexpr std::size_t kMaxCommands = 10000;
+// A command that no exchange has taken by then is dropped: the controller has
+// sent it again, or something newer. A worker remembers ended attempts for far
+// longer (kFenceMemory), so no command comes after they are forgotten.
+inline constexpr Duration kCommandLifetime = Duration(5000);
 // A worker that no entry has mentioned for this long has no route.
 inline constexpr Duration kRouteLifetime = Duration(60000);
 
@@ -67,14 +71,15 @@
   void Open(const EntrySync& sync, SyncResponder respond,
             const LeaderView& view, Entries& entries, Time now);
   // For the entry that last carried the worker's report.
-  void QueueCommand(const WorkerCommand& command);
+  void QueueCommand(const WorkerCommand& command, Time now);
   // Tells the entries that watch the job.
   void JobChanged(JobId job);
   // Answers every exchange that has news or has been held for kMaxHold.
   void AnswerDue(const LeaderView& view, Entries& entries, Time now);
   // Answers every exchange with `sync`, for when this node no longer leads.
   void AnswerAll(const ControlSync& sync);
-  // Forgets routes that are no longer used, and holders without a lease.
+  // Forgets routes that are no longer used, holders without a lease and old
+  // commands.
   void Prune(const Entries& entries, Time now);
 
   const ExchangeCounters& counters() const { return counters_; }
@@ -101,11 +106,16 @@
     friend bool operator==(const Told&, const Told&) = default;
   };
 
+  struct QueuedCommand {
+    WorkerCommand command_;
+    Time queued_at_;
+  };
+
   struct Peer {
     std::optional<OpenExchange> open_;
     // False until this leader has answered it once.
     bool known_ = false;
-    std::map<CommandKey, WorkerCommand> commands_;
+    std::map<CommandKey, QueuedCommand> commands_;
     std::map<JobId, std::optional<Told>> watched_;
     // Watched jobs that may have news.
     std::vector<JobId> changed_;
@@ -123,6 +133,7 @@
   // True when all workers that the sync names have reported themselves.
   bool SetRoutes(const EntrySync& sync, const HolderId& id, Time now);
   static void SetWatched(Peer& peer, const std::vector<JobId>& watched);
+  static void DropOldCommands(Peer& peer, Time now);
   static void GatherNews(Peer& peer, const LeaderView& view);
   static bool IsDue(const Peer& peer, const LeaderView& view,
                     const Entries& entries, Time now);
--- a/flamingohollow/testing/control_test.cc
+++ b/flamingohollow/testing/control_test.cc
@@ -403,6 +403,38 @@
   CHECK((*held)->commands_[0].kind_ == WorkerCommandKind::kPrepare);
 }
 
+TEST_CASE("commands that no exchange took in time are dropped") {
+  EntryExchanges exchanges;
+  Entries entries = MakeEntries(EntriesOptions{}, Term(1), Time(0));
+  ConfirmLeading(entries, Time(0));
+  const Table table;
+  LeaderView view;
+  view.term_ = Term(1);
+  view.table_ = &table;
+  auto sync = Fixture::EntryAt(0);
+  sync.alive_ = {WorkerId("worker-0")};
+  sync.exclusions_version_ = entries.exclusions_version_;
+  std::optional<ControlSync> answer;
+  const auto exchange = [&](Time now) {
+    exchanges.Open(
+        sync, [&](const ControlSync& given) { answer = given; }, view, entries,
+        now);
+    exchanges.AnswerDue(view, entries, now);
+    return answer->commands_.size();
+  };
+  CHECK(exchange(Time(0)) == 0);
+  WorkerCommand command;
+  command.worker_ = WorkerId("worker-0");
+  command.job_ = JobId(1);
+  exchanges.QueueCommand(command, Time(0));
+  command.job_ = JobId(2);
+  exchanges.QueueCommand(command, Time(1));
+  // Sent again: one copy.
+  exchanges.QueueCommand(command, Time(2));
+  CHECK(exchange(Time(0) + kCommandLifetime + Duration(1)) == 1);
+  CHECK(answer->commands_[0].job_ == JobId(2));
+}
+
 TEST_CASE("a new leader asks for whole reports") {
   Fixture f;
   f.Lead();
