Tests of the HTTP server, client and a whole entry on loopback

The entry's exchanges are now paced by a credit that the timer refills, so a leader that answers every exchange at once can't make the two spin.

--- a/flamingohollow/entry_core.cc
+++ b/flamingohollow/entry_core.cc
@@ -2,6 +2,7 @@
 
 #include "flamingohollow/entry_core.h"
 
+#include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/leaf/handle_errors.hpp>
@@ -20,6 +21,9 @@
 // Changes are gathered for this long before they are sent.
 constexpr Duration kGather = Duration(5);
 constexpr Duration kTickInterval = Duration(10);
+// Exchanges that a tick allows, and how many may be saved up.
+constexpr std::uint32_t kSyncsPerTick = 4;
+constexpr std::uint32_t kMaxSyncCredit = 64;
 constexpr Duration kSyncRetryPause = Duration(50);
 constexpr Duration kCommandTimeout = Duration(1500);
 constexpr unsigned kOk = 200;
@@ -94,6 +98,7 @@
   ForgetSilent(workers_, now);
   NoteLease();
   SendCommands();
+  sync_credit_ = std::min(sync_credit_ + kSyncsPerTick, kMaxSyncCredit);
   MaybeSync();
 }
 
@@ -122,7 +127,7 @@
 
 void EntryCore::MaybeSync() {
   const Time now = MonotonicNow();
-  if (now < next_sync_at_) return;
+  if (now < next_sync_at_ || sync_credit_ == 0) return;
   if (open_syncs_ == 0) {
     SendSync();
     return;
@@ -148,6 +153,7 @@
   watch_changed_ = false;
   last_sync_at_ = now;
   ++open_syncs_;
+  --sync_credit_;
   link_.Sync(sync, [this, news = std::move(news),
                     now](std::optional<ControlSync> answer) {
     OnSync(news, now, std::move(answer));
--- a/flamingohollow/entry_core.h
+++ b/flamingohollow/entry_core.h
@@ -116,6 +116,9 @@
   Time last_sync_at_;
   // No exchange before this, after one that failed.
   Time next_sync_at_;
+  // Exchanges that may be sent at once; refilled by the timer, so that a
+  // leader that never holds one does not make the two spin.
+  std::uint32_t sync_credit_ = 0;
   // The waiting callers changed since the last exchange was sent.
   bool watch_changed_ = false;
   std::atomic<std::uint64_t> in_flight_{0};
--- /dev/null
+++ b/flamingohollow/testing/http_server_test.cc
@@ -0,0 +1,249 @@
+// Tests of the HTTP server and client over loopback.
+
+#include "flamingohollow/http_server.h"
+
+#include <doctest/doctest.h>
+
+#include <atomic>
+#include <chrono>
+#include <future>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <utility>
+#include <vector>
+
+#include "flamingohollow/http_client.h"
+#include "flamingohollow/testing/raw_client.h"
+
+namespace flamingohollow {
+namespace {
+
+constexpr auto kPatience = std::chrono::seconds(20);
+
+// A server whose handler answers with the body, or holds the answer when the
+// target is "/held" until Release.
+struct Fixture {
+  explicit Fixture(HttpServerOptions options = {}) {
+    options.address_ = "127.0.0.1:0";
+    auto created = HttpServer::Create(
+        options, threads_,
+        [this](const HttpRequest& request, const HttpResponder& respond) {
+          Handle(request, respond);
+        });
+    REQUIRE(created);
+    server_ = std::move(*created);
+  }
+
+  void Handle(const HttpRequest& request, const HttpResponder& respond) {
+    if (request.target_ != "/held") {
+      respond({200, "text/plain", request.body_, Duration(0)});
+      return;
+    }
+    const std::lock_guard lock(mutex_);
+    held_.push_back(respond);
+    ++held_count_;
+  }
+
+  void Release() {
+    const std::lock_guard lock(mutex_);
+    for (const auto& respond : std::exchange(held_, {})) {
+      respond({200, "text/plain", "late", Duration(0)});
+    }
+  }
+
+  // Waits until `count` requests are held.
+  void AwaitHeld(int count) {
+    const auto end = std::chrono::steady_clock::now() + kPatience;
+    while (held_count_ < count && std::chrono::steady_clock::now() < end) {
+      std::this_thread::yield();
+    }
+    REQUIRE(held_count_ == count);
+  }
+
+  std::mutex mutex_;
+  std::vector<HttpResponder> held_;
+  std::atomic<int> held_count_{0};
+  std::unique_ptr<HttpServer> server_;
+  // Stops before what its handlers use is gone.
+  IoThreads threads_{2};
+};
+
+std::string Post(const std::string& target, const std::string& body) {
+  return RawRequest("POST", target, "", body);
+}
+
+TEST_CASE("requests on one connection are answered in order") {
+  Fixture fixture;
+  RawClient client(fixture.server_->port());
+  // Two at once, as a pipelining client sends them.
+  client.Send(Post("/a", "first") + Post("/b", "second"));
+  REQUIRE(client.ReadUntil("second"));
+  client.Send(Post("/c", "third"));
+  REQUIRE(client.ReadUntil("third"));
+  const HttpServerCounts counts = fixture.server_->Counts();
+  CHECK(counts.requests_ == 3);
+  CHECK(counts.open_connections_ == 1);
+}
+
+TEST_CASE("a body over the limit is answered with 413, also when sent whole") {
+  HttpServerOptions options;
+  options.max_body_bytes_ = 2000;
+  Fixture fixture(options);
+  RawClient client(fixture.server_->port());
+  client.Send(Post("/", std::string(500000, 'x')));
+  CHECK(Contains(client.ReadAll(), "HTTP/1.1 413"));
+  CHECK(fixture.server_->Counts().refused_bodies_ == 1);
+}
+
+TEST_CASE("bodies over the memory for them get 503 and when to come back") {
+  HttpServerOptions options;
+  options.max_total_body_bytes_ = 100;
+  Fixture fixture(options);
+  RawClient client(fixture.server_->port());
+  client.Send(Post("/", std::string(200, 'x')));
+  const std::string answer = client.ReadAll();
+  CHECK(Contains(answer, "HTTP/1.1 503"));
+  CHECK(Contains(answer, "Retry-After: 1"));
+}
+
+TEST_CASE("connections over the limit are answered, and room comes back") {
+  HttpServerOptions options;
+  options.max_connections_ = 2;
+  Fixture fixture(options);
+  const std::uint16_t port = fixture.server_->port();
+  auto first = std::make_unique<RawClient>(port);
+  RawClient second(port);
+  first->Send(Post("/", "one"));
+  REQUIRE(first->ReadUntil("one"));
+  second.Send(Post("/", "two"));
+  REQUIRE(second.ReadUntil("two"));
+
+  RawClient third(port);
+  third.Send(Post("/", "three"));
+  const std::string answer = third.ReadAll();
+  CHECK(Contains(answer, "HTTP/1.1 503"));
+  CHECK(Contains(answer, "Retry-After"));
+  CHECK(Contains(answer, "\"retry_after_ms\":1000"));
+  CHECK(fixture.server_->Counts().refused_connections_ == 1);
+
+  first.reset();
+  bool served = false;
+  for (int i = 0; i < 1000 && !served; ++i) {
+    RawClient again(port);
+    again.Send(Post("/", "again"));
+    served = again.ReadUntil("\r\n\r\nagain");
+  }
+  CHECK(served);
+}
+
+TEST_CASE("what is no HTTP is answered with 400, a stalled request with 408") {
+  HttpServerOptions options;
+  options.request_timeout_ = Duration(50);
+  Fixture fixture(options);
+  RawClient garbage(fixture.server_->port());
+  garbage.Send("what is this\r\n\r\n");
+  CHECK(Contains(garbage.ReadAll(), "HTTP/1.1 400"));
+  RawClient stalled(fixture.server_->port());
+  stalled.Send("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 10\r\n\r\nabc");
+  stalled.ReadAll();
+  CHECK(fixture.server_->Counts().timed_out_ == 1);
+}
+
+TEST_CASE("a drain cuts off no request in flight") {
+  Fixture fixture;
+  const std::uint16_t port = fixture.server_->port();
+  RawClient held(port);
+  held.Send(Post("/held", ""));
+  RawClient idle(port);
+  idle.Send(Post("/", "x"));
+  REQUIRE(idle.ReadUntil("x"));
+  idle.Forget();
+  fixture.AwaitHeld(1);
+
+  fixture.server_->Drain(Duration(100));
+  // Within the grace, new connections are served and told to close.
+  RawClient late(port);
+  late.Send(Post("/", "late"));
+  const std::string answer = late.ReadAll();
+  CHECK(Contains(answer, "HTTP/1.1 200"));
+  CHECK(Contains(answer, "Connection: close"));
+  // The idle connection ends without an answer, the held one with its own.
+  CHECK(idle.ReadAll().empty());
+  CHECK_FALSE(fixture.server_->IsDrained());
+  fixture.Release();
+  CHECK(Contains(held.ReadAll(), "HTTP/1.1 200"));
+  const auto end = std::chrono::steady_clock::now() + kPatience;
+  while (!fixture.server_->IsDrained() &&
+         std::chrono::steady_clock::now() < end) {
+    std::this_thread::yield();
+  }
+  CHECK(fixture.server_->IsDrained());
+}
+
+HttpPost MakePost(std::uint16_t port, const std::string& target,
+                  const std::string& body) {
+  HttpPost post;
+  post.address_ = "127.0.0.1:" + std::to_string(port);
+  post.target_ = target;
+  post.body_ = body;
+  return post;
+}
+
+std::future<HttpResult> Send(HttpClient& client, const HttpPost& post) {
+  auto promise = std::make_shared<std::promise<HttpResult>>();
+  client.Post(post, [promise](HttpResult result) {
+    promise->set_value(std::move(result));
+  });
+  return promise->get_future();
+}
+
+TEST_CASE("the client keeps to its connections and its queue") {
+  Fixture fixture;
+  IoThreads threads(1);
+  HttpClientOptions options;
+  options.max_connections_ = 2;
+  options.max_queued_ = 1;
+  HttpClient client(options, threads, 0);
+  const std::uint16_t port = fixture.server_->port();
+  std::vector<std::future<HttpResult>> held;
+  for (int i = 0; i < 4; ++i) {
+    held.push_back(Send(client, MakePost(port, "/held", "")));
+  }
+  // Two are under way, one waits, the last is refused at once.
+  CHECK(held[3].get().error_ == HttpClientError::kOverloaded);
+  fixture.AwaitHeld(2);
+  CHECK(client.open_connections() == 2);
+  fixture.Release();
+  CHECK(held[0].get().status_ == 200);
+  CHECK(held[1].get().body_ == "late");
+  fixture.AwaitHeld(3);
+  fixture.Release();
+  CHECK(held[2].get().status_ == 200);
+  // Connections are used again.
+  CHECK(Send(client, MakePost(port, "/", "hi")).get().body_ == "hi");
+  CHECK(client.open_connections() == 2);
+}
+
+TEST_CASE("the client ends each request in time and says what it knows") {
+  Fixture fixture;
+  IoThreads threads(1);
+  HttpClient client({}, threads, 0);
+  HttpPost post = MakePost(fixture.server_->port(), "/held", "");
+  post.timeout_ = Duration(50);
+  CHECK(Send(client, post).get().error_ == HttpClientError::kNoAnswer);
+  post.address_ = "nowhere";
+  CHECK(Send(client, post).get().error_ == HttpClientError::kBadAddress);
+  // A port that was free just now.
+  std::uint16_t closed_port = 0;
+  {
+    const Fixture gone;
+    closed_port = gone.server_->port();
+  }
+  CHECK(Send(client, MakePost(closed_port, "/", "")).get().error_ ==
+        HttpClientError::kConnectFailed);
+}
+
+}  // namespace
+}  // namespace flamingohollow
--- /dev/null
+++ b/flamingohollow/testing/stub_control.h
@@ -0,0 +1,50 @@
+// A control process for tests and loads of an entry: answers exchanges and
+// calls as it is told to, and keeps no state but what it was given.
+
+#ifndef FLAMINGOHOLLOW_TESTING_STUB_CONTROL_H_
+#define FLAMINGOHOLLOW_TESTING_STUB_CONTROL_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "flamingohollow/messages.h"
+#include "util/clock.h"
+
+namespace flamingohollow {
+
+class StubControl {
+ public:
+  // Gives the answer; any thread, once. Never calling it loses the answer.
+  using CallResponder = std::function<void(CallReply)>;
+  // Called on the RPC thread.
+  using CallHandler = std::function<void(CallRequest, CallResponder)>;
+
+  explicit StubControl(CallHandler handler);
+  ~StubControl();
+  StubControl(const StubControl&) = delete;
+  StubControl& operator=(const StubControl&) = delete;
+
+  // "IP:PORT".
+  std::string address() const;
+  // Exchanges are answered from this; the parts that are for one exchange
+  // (commands, jobs) are given out once.
+  void SetAnswer(const ControlSync& answer);
+  // The exchanges received so far.
+  std::vector<EntrySync> Syncs() const;
+
+ private:
+  struct Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+// A leader's answer that grants a lease on a table with customer "acme".
+ControlSync LeaderAnswer(Duration lease);
+// A leader's reply about a job of "acme" in that state.
+CallReply JobAnswer(std::uint64_t job, Outcome outcome);
+JobView MakeJobView(std::uint64_t job, Outcome outcome);
+
+}  // namespace flamingohollow
+
+#endif  // FLAMINGOHOLLOW_TESTING_STUB_CONTROL_H_
