--- a/flamingohollow/testing/http_server_test.cc
+++ b/flamingohollow/testing/http_server_test.cc
@@ -208,6 +208,7 @@
   HttpClient client(options, threads, 0);
   const std::uint16_t port = fixture.server_->port();
   std::vector<std::future<HttpResult>> held;
+  held.reserve(4);
   for (int i = 0; i < 4; ++i) {
     held.push_back(Send(client, MakePost(port, "/held", "")));
   }
