--- a/flamingohollow/testing/job_test.cc
+++ b/flamingohollow/testing/job_test.cc
@@ -25,6 +25,9 @@
   std::vector<WorkerCommand> sent_;
   // Commands to this worker are lost.
   WorkerId cut_;
+  // Proposals are kept here instead of committed.
+  bool holds_ = false;
+  std::vector<Command> held_;
 };
 
 void CarryOut(Bench& bench, const JobActions& actions);
@@ -57,6 +60,10 @@
 void CarryOut(Bench& bench, const JobActions& actions) {
   for (const JobAction& action : actions) {
     if (const auto* propose = std::get_if<ProposeAction>(&action)) {
+      if (bench.holds_) {
+        bench.held_.push_back(propose->command_);
+        continue;
+      }
       Commit(bench, propose->command_);
     }
     if (const auto* send = std::get_if<SendAction>(&action)) {
@@ -75,6 +82,14 @@
   CarryOut(bench, OnTick(*bench.controller_, bench.now_));
 }
 
+void TakeOffice(Bench& bench, std::uint64_t term) {
+  JobControllerOptions options;
+  options.placement_.settling_time_ = Duration(0);
+  options.wall_at_start_ = bench.now_;
+  bench.controller_ = MakeJobController(options, &bench.records_, bench.table_,
+                                        Term(term), bench.now_);
+}
+
 Bench MakeBench(int workers) {
   Bench bench;
   Row row;
@@ -84,10 +99,7 @@
   row.guaranteed_ = {{2, Accelerators(8), Adjacency::kWorker}};
   bench.table_.rows_[row.customer_] = row;
   bench.table_.version_ = TableVersion(1);
-  JobControllerOptions options;
-  options.placement_.settling_time_ = Duration(0);
-  bench.controller_ = MakeJobController(options, &bench.records_, bench.table_,
-                                        Term(1), bench.now_);
+  TakeOffice(bench, 1);
   for (int i = 0; i < workers; ++i) {
     const WorkerId id("w" + std::to_string(i));
     LeaseTable worker;
@@ -141,5 +153,156 @@
   CHECK(QueuedJobs(*bench.controller_).empty());
 }
 
+int CountSent(const Bench& bench, WorkerCommandKind kind, const char* worker) {
+  int count = 0;
+  for (const WorkerCommand& command : bench.sent_) {
+    if (command.kind_ == kind && command.worker_.value() == worker) ++count;
+  }
+  return count;
+}
+
+TEST_CASE("an old attempt's part never counts for the next attempt") {
+  Bench bench = MakeBench(1);
+  JobAccepted accepted = Accepted("r", 8);
+  accepted.spec_.idempotent_ = true;
+  Commit(bench, accepted);
+  Tick(bench);
+  const LeaseKey first{JobId(1), AttemptId(1), TaskIndex(0)};
+  LeaseTable& worker = bench.workers_.at(WorkerId("w0"));
+  bench.cut_ = WorkerId("w0");
+  CHECK(FinishTask(worker, first, false, "failed"));
+  Report(bench, WorkerId("w0"));
+  Tick(bench);
+  REQUIRE(View(bench, 1).attempt_ == AttemptId(2));
+  // The first attempt's lease is still there, and now even claims an answer.
+  worker.leases_.at(first).state_ = LeaseState::kFinished;
+  worker.leases_.at(first).part_ = "old";
+  ++worker.changes_;
+  Report(bench, WorkerId("w0"));
+  CHECK(View(bench, 1).outcome_ == Outcome::kPreparing);
+  bench.cut_ = WorkerId();
+  Tick(bench, Duration(600));
+  FinishAll(bench);
+  CHECK(View(bench, 1).parts_ == std::vector<std::string>{"part of w0"});
+}
+
+TEST_CASE("a leaving worker gets no new work, also from a new leader") {
+  Bench bench = MakeBench(2);
+  bench.workers_.at(WorkerId("w0")).state_ = WorkerState::kLeaving;
+  ++bench.workers_.at(WorkerId("w0")).changes_;
+  Report(bench, WorkerId("w0"));
+  Commit(bench, Accepted("first", 8));
+  Commit(bench, Accepted("second", 8));
+  Tick(bench);
+  CHECK(CountSent(bench, WorkerCommandKind::kPrepare, "w0") == 0);
+  CHECK(CountSent(bench, WorkerCommandKind::kPrepare, "w1") == 1);
+  TakeOffice(bench, 2);
+  Report(bench, WorkerId("w0"));
+  Report(bench, WorkerId("w1"));
+  Tick(bench);
+  CHECK(CountSent(bench, WorkerCommandKind::kPrepare, "w0") == 0);
+}
+
+TEST_CASE("a silent worker gets no new work") {
+  Bench bench = MakeBench(1);
+  Tick(bench, Duration(2500));
+  Commit(bench, Accepted("r", 8));
+  Tick(bench);
+  CHECK(bench.sent_.empty());
+  CarryOut(bench,
+           OnWorkersAlive(*bench.controller_, {WorkerId("w0")}, bench.now_));
+  Tick(bench);
+  CHECK(View(bench, 1).outcome_ == Outcome::kRunning);
+}
+
+TEST_CASE(
+    "a worker with a lease that nobody wants takes no work until it ends") {
+  Bench bench = MakeBench(1);
+  WorkerCommand stray;
+  stray.incarnation_ = Incarnation(1);
+  stray.job_ = JobId(77);
+  stray.attempt_ = AttemptId(1);
+  stray.accelerators_ = Accelerators(8);
+  stray.lease_ = Duration(10'000);
+  ApplyWorkerCommand(bench.workers_.at(WorkerId("w0")), stray, bench.now_);
+  bench.cut_ = WorkerId("w0");
+  Report(bench, WorkerId("w0"));
+  Commit(bench, Accepted("r", 8));
+  Tick(bench);
+  CHECK(CountSent(bench, WorkerCommandKind::kPrepare, "w0") == 0);
+  CHECK(CountSent(bench, WorkerCommandKind::kStop, "w0") == 1);
+  bench.cut_ = WorkerId();
+  Tick(bench, Duration(600));
+  Tick(bench);
+  CHECK(View(bench, 1).outcome_ == Outcome::kRunning);
+}
+
+TEST_CASE("a running job is cancelled once its tasks are stopped") {
+  Bench bench = MakeBench(2);
+  Commit(bench, Accepted("r", 16));
+  Tick(bench);
+  bench.cut_ = WorkerId("w0");
+  CarryOut(bench, OnCancel(*bench.controller_, JobId(1), bench.now_));
+  CHECK(View(bench, 1).outcome_ == Outcome::kRunning);
+  bench.cut_ = WorkerId();
+  Tick(bench, Duration(600));
+  CHECK(View(bench, 1).outcome_ == Outcome::kCancelled);
+  CHECK(View(bench, 1).reason_ == "cancelled; it ran in part");
+  Tick(bench);
+  CHECK(bench.workers_.at(WorkerId("w0")).leases_.empty());
+}
+
+TEST_CASE("while an end is proposed, nothing else is") {
+  Bench bench = MakeBench(2);
+  Commit(bench, Accepted("r", 16));
+  Tick(bench);
+  bench.holds_ = true;
+  CarryOut(bench, OnCancel(*bench.controller_, JobId(1), bench.now_));
+  REQUIRE(bench.held_.size() == 1);
+  bench.workers_.at(WorkerId("w0")).incarnation_ = Incarnation(2);
+  Report(bench, WorkerId("w0"));
+  for (int i = 0; i < 100; ++i) Tick(bench);
+  CHECK(bench.held_.size() == 4);
+  for (const Command& command : bench.held_) {
+    CHECK(std::get<JobEnded>(command).outcome_ == Outcome::kCancelled);
+  }
+}
+
+TEST_CASE("records keep one end, and one run of non-idempotent work") {
+  JobRecords records;
+  const auto apply = [&](std::uint64_t index, const Command& command) {
+    return ApplyJobCommand(records, LogIndex(index), command).outcome_;
+  };
+  CHECK(apply(1, Accepted("r", 8)) == ApplyOutcome::kApplied);
+  CHECK(apply(2, Accepted("r", 8)) == ApplyOutcome::kDuplicate);
+  CHECK(apply(3, Accepted("r", 4)) == ApplyOutcome::kRequestIdReused);
+  CHECK(apply(4, JobMayRun{JobId(1), AttemptId(1), {}, Time()}) ==
+        ApplyOutcome::kApplied);
+  CHECK(apply(5, JobRequeued{JobId(1), AttemptId(1), "", Time()}) ==
+        ApplyOutcome::kIgnored);
+  records.jobs_.at(JobId(1)).may_be_running_ = false;
+  CHECK(apply(6, JobMayRun{JobId(1), AttemptId(2), {}, Time()}) ==
+        ApplyOutcome::kIgnored);
+  JobEnded ended;
+  ended.job_ = JobId(1);
+  CHECK(apply(7, ended) == ApplyOutcome::kApplied);
+  ended.outcome_ = Outcome::kNotRun;
+  CHECK(apply(8, ended) == ApplyOutcome::kIgnored);
+  CHECK(ViewRecord(records, JobId(1))->outcome_ == Outcome::kUnknown);
+}
+
+TEST_CASE("a deadline counts on over a leader change") {
+  Bench bench = MakeBench(0);
+  JobAccepted accepted = Accepted("r", 8);
+  accepted.spec_.deadline_ = Duration(1000);
+  accepted.at_ = bench.now_;
+  Commit(bench, accepted);
+  Tick(bench, Duration(600));
+  TakeOffice(bench, 2);
+  Tick(bench, Duration(500));
+  CHECK(View(bench, 1).outcome_ == Outcome::kNotRun);
+  CHECK(View(bench, 1).retry_after_ > Duration(0));
+}
+
 }  // namespace
 }  // namespace flamingohollow
--- a/flamingohollow/testing/lease_table_test.cc
+++ b/flamingohollow/testing/lease_table_test.cc
@@ -118,6 +118,9 @@
   ApplyWorkerCommand(table, MakeCommand(Kind::kStart), Time(0));
   RenewLeases(table, Time(5'000), kLease, {});
   RenewLeases(table, Time(9'000), kLease, {JobId(5)});
+  // Neither does a repeated command renew.
+  ApplyWorkerCommand(table, MakeCommand(Kind::kPrepare), Time(9'000));
+  ApplyWorkerCommand(table, MakeCommand(Kind::kStart), Time(9'000));
   CHECK(NextExpiry(table) == Time(15'000));
   CHECK(ExpireLeases(table, Time(14'999)).empty());
   const LeaseEvents events = ExpireLeases(table, Time(15'000));
