Log: votes that waited while a voter was frozen elect nobody

A candidate that froze for seconds found its votes in the socket's buffer and led, for up to a time-out, on answers from before the freeze.

--- a/flamingohollow/raft.cc
+++ b/flamingohollow/raft.cc
@@ -52,6 +52,7 @@
   RaftState& state = ctx.state_;
   state.role_ = Role::kCandidate;
   state.leader_ = VoterId();
+  state.campaign_started_ = ctx.now_;
   state.votes_.clear();
   state.transfer_campaign_ = transfer;
   state.hard_.term_ = Next(state.hard_.term_);
@@ -70,6 +71,7 @@
   RaftState& state = ctx.state_;
   state.role_ = Role::kPreCandidate;
   state.leader_ = VoterId();
+  state.campaign_started_ = ctx.now_;
   state.transfer_campaign_ = false;
   state.votes_ = {state.id_};
   ResetElectionDeadline(ctx);
@@ -133,6 +135,9 @@
   const Term term =
       reply.pre_vote_ ? Next(state.hard_.term_) : state.hard_.term_;
   if (state.role_ != awaited || message.term_ != term) return;
+  // Votes that waited in a buffer while this voter was frozen say nothing about
+  // who follows it now.
+  if (ctx.now_ - state.campaign_started_ >= state.config_.election_min_) return;
   state.votes_.insert(message.from_);
   if (!HasMajorityOfVotes(state)) return;
   if (reply.pre_vote_) return Campaign(ctx, false);
--- a/flamingohollow/raft.h
+++ b/flamingohollow/raft.h
@@ -183,6 +183,7 @@
   std::optional<Time> heard_leader_;
   // Members that granted the running pre-vote or vote.
   std::set<VoterId> votes_;
+  Time campaign_started_;
   // The running campaign was asked for by the old leader.
   bool transfer_campaign_ = false;
   std::optional<IncomingSnapshot> incoming_;
--- a/flamingohollow/raft_membership.cc
+++ b/flamingohollow/raft_membership.cc
@@ -321,8 +321,8 @@
     if (state.progress_.contains(member.id_)) continue;
     Progress& progress = state.progress_[member.id_];
     progress.next_ = next;
-    // Counts as heard from now, so that a new leader has a time-out's length
-    // to reach its voters.
+    // Counts as heard from now, so that there is a time-out's length to reach
+    // it.
     progress.answered_ = ctx.now_;
   }
 }
--- a/flamingohollow/raft_replicate.cc
+++ b/flamingohollow/raft_replicate.cc
@@ -300,6 +300,10 @@
   RaftState& state = ctx.state_;
   state.progress_.clear();
   TrackMembers(ctx, Next(LastIndex(state.log_)));
+  // Whoever voted did so after the campaign began, and may be gone since.
+  for (auto& [id, progress] : state.progress_) {
+    progress.answered_ = state.campaign_started_;
+  }
   state.uncommitted_bytes_ = 0;
   for (LogIndex index = Next(state.commit_); index <= LastIndex(state.log_);
        index = Next(index)) {
--- a/flamingohollow/testing/raft_rules_test.cc
+++ b/flamingohollow/testing/raft_rules_test.cc
@@ -173,6 +173,17 @@
   CHECK(voter.state_.role_ == Role::kFollower);
 }
 
+TEST_CASE("votes that waited while the voter was frozen elect nobody") {
+  OneVoter voter;
+  voter.Wait(2000);
+  voter.Give(TickEvent{});
+  voter.Receive(VoteReply{.pre_vote_ = true, .granted_ = true}, 2, kTerm);
+  voter.Receive(VoteReply{.pre_vote_ = false, .granted_ = true}, 1, kTerm);
+  voter.Wait(20'000);
+  voter.Receive(VoteReply{.pre_vote_ = false, .granted_ = true}, 2, kTerm);
+  CHECK(voter.state_.role_ != Role::kLeader);
+}
+
 TEST_CASE("a read is confirmed by answers to messages sent after it") {
   OneVoter voter;
   voter.Lead();
