--- a/flamingohollow/decide.cc
+++ b/flamingohollow/decide.cc
@@ -20,6 +20,7 @@
 
 #include "flamingohollow/feasibility.h"
 #include "flamingohollow/guarantee.h"
+#include "flamingohollow/guaranteed_search.h"
 #include "flamingohollow/placement_state.h"
 #include "flamingohollow/reservation.h"
 
@@ -27,6 +28,11 @@
 namespace {
 
 constexpr std::size_t kMaxPlacements = 64;
+// A borrower that has waited this long may claim the place of borrowers that
+// came later. Claims are rare, as each throws work away; the oldest job is
+// tried first, so each waiting job's turn comes.
+constexpr Duration kClaimAfter = Duration(120 * 60 * 1000);
+constexpr Duration kClaimInterval = Duration(15 * 60 * 1000);
 
 void EndOverQuarantines(PlacementState& state) {
   for (const WorkerId& worker : EndQuarantines(state.quarantine_, state.now_)) {
@@ -203,6 +209,22 @@
   return true;
 }
 
+// Whoever is taken back keeps its age, so the older job wins for good: two
+// gangs can't take each other back in turn.
+bool ClaimPlace(PlacementState& state, const PlacementJob& job,
+                PlacementDecisions& decisions) {
+  if (state.now_ - job.queued_at_ < kClaimAfter) return false;
+  if (state.now_ < state.next_claim_) return false;
+  const auto& domains =
+      state.cluster_.tree_.levels_[LevelIndex(job.adjacency_)];
+  if (!BorrowByReclaim(state, job, QueuedAfter(job.queued_at_), domains,
+                       decisions)) {
+    return false;
+  }
+  state.next_claim_ = state.now_ + kClaimInterval;
+  return true;
+}
+
 bool PlaceBorrower(PlacementState& state, const PlacementJob& job,
                    PlacementDecisions& decisions) {
   if (job.accelerators_.value() == 0) {
@@ -226,10 +248,12 @@
         state, job, NotUrgent(),
         state.cluster_.tree_.levels_[LevelIndex(job.adjacency_)], decisions);
   }
-  if (const Reservation* own = ReservationOf(state, job.id_)) {
-    return BorrowByReclaim(state, job, FillersOf(job.id_), {own->node_},
-                           decisions);
+  const Reservation* own = ReservationOf(state, job.id_);
+  if (own != nullptr && BorrowByReclaim(state, job, FillersOf(job.id_),
+                                        {own->node_}, decisions)) {
+    return true;
   }
+  if (ClaimPlace(state, job, decisions)) return true;
   Reserve(state, job, state.now_);
   return false;
 }
--- a/flamingohollow/guarantee.h
+++ b/flamingohollow/guarantee.h
@@ -1,31 +1,19 @@
-// Guaranteed placement: keeping the witness up to date, and finding places for
-// gangs on their customer's cells that leave every other cell its place.
+// Keeping the witness in step with what runs.
 //
-// A gang takes one cell, or several that together cover it, and runs inside
-// the domains of these cells. Places are tried on a copy of the witness, at
-// most a fixed number of them a gang: first those that need no reclaim, by the
-// policy; then those with the cheapest reclaim; last the place that the
-// witness itself names, which always holds. Cost: O(nodes + cells) a trial.
+// Between refreshes only what changed is repaired; a new tree or table means a
+// new witness. Borrowers move into their customer's guarantee when its cells
+// are free and their place allows it, so that nobody inside its guarantee is
+// taken back. Cost: O(nodes + cells) a repair and a trial.
 
 #ifndef FLAMINGOHOLLOW_GUARANTEE_H_
 #define FLAMINGOHOLLOW_GUARANTEE_H_
 
-#include <optional>
 #include <vector>
 
 #include "flamingohollow/placement_state.h"
-#include "flamingohollow/reclaim.h"
 
 namespace flamingohollow {
 
-struct GuaranteedPlan {
-  std::vector<LeafTake> takes_;
-  std::vector<Gang*> victims_;
-  std::vector<CellUse> uses_;
-  // The witness with the gang in place.
-  Witness witness_;
-};
-
 // Brings tree and witness up to date, and moves borrowers of customers with
 // unused cells into their guarantee.
 void RefreshWitness(PlacementState& state);
@@ -34,10 +22,14 @@
 // refreshed. `cluster` must have its tree.
 Witness MakeWitness(const PlacementState& state, const Cluster& cluster);
 
-// None when the customer's unused cells don't cover the gang or no place
-// keeps the other cells backed.
-std::optional<GuaranteedPlan> PlanGuaranteed(const PlacementState& state,
-                                             const PlacementJob& job, Time now);
+std::vector<CellIndex> CellsOfCustomer(const PlacementState& state,
+                                       const CustomerId& customer);
+
+// Puts the takes of one gang, and its uses, into a trial. False when the
+// workers have no firm room or another cell would lose its place.
+bool TryHold(const CapacityTree& tree, Witness& trial,
+             const std::vector<LeafTake>& takes,
+             const std::vector<CellUse>& uses);
 
 }  // namespace flamingohollow
 
--- a/flamingohollow/placement_state.h
+++ b/flamingohollow/placement_state.h
@@ -58,6 +58,8 @@
   // Actual over declared run time, by customer.
   std::map<CustomerId, double> run_time_factors_;
   std::vector<Reservation> reservations_;
+  // No borrower claims the place of a later one before this time.
+  Time next_claim_;
 
   // Invariant: matches cluster, table and gangs, unless one of the two flags
   // is set; RefreshWitness brings it up to date.
--- a/flamingohollow/quarantine.cc
+++ b/flamingohollow/quarantine.cc
@@ -38,6 +38,7 @@
     if (it != quarantine.jobs_.end()) it->second.failed_on_.erase(worker);
   }
   health.failed_.clear();
+  health.proven_ = false;
 }
 
 void BlameJob(Quarantine& quarantine, JobId job, JobHealth& health) {
@@ -51,14 +52,21 @@
 bool RecordSuccess(Quarantine& quarantine, JobId job, const WorkerId& worker) {
   const auto judged = quarantine.jobs_.find(job);
   if (judged != quarantine.jobs_.end()) judged->second.failed_on_.clear();
-  const auto it = quarantine.workers_.find(worker);
-  if (it == quarantine.workers_.end()) return false;
-  const bool was_quarantined = it->second.quarantined_;
+  WorkerHealth& health = quarantine.workers_[worker];
+  const bool was_quarantined = health.quarantined_;
   if (was_quarantined) --quarantine.quarantined_count_;
-  quarantine.workers_.erase(it);
+  health = {};
+  health.proven_ = true;
   return was_quarantined;
 }
 
+// Nothing but this job speaks against the worker.
+bool IsGoodFor(const WorkerHealth& health, JobId job) {
+  if (!health.proven_) return false;
+  return health.failed_.empty() ||
+         (health.failed_.size() == 1 && health.failed_.contains(job));
+}
+
 }  // namespace
 
 bool RecordEvidence(Quarantine& quarantine, JobId job, const WorkerId& worker,
@@ -68,8 +76,8 @@
   if (judged.blamed_) return false;
   WorkerHealth& health = quarantine.workers_[worker];
   if (health.quarantined_) return false;
+  if (IsGoodFor(health, job)) judged.failed_on_.insert(worker);
   if (health.failed_.size() < kJobsToBlameWorker) health.failed_.insert(job);
-  judged.failed_on_.insert(worker);
   const bool blame_worker =
       health.on_probation_ || health.failed_.size() >= kJobsToBlameWorker;
   if (blame_worker && HasRoomFor(quarantine, known_workers)) {
--- a/flamingohollow/quarantine.h
+++ b/flamingohollow/quarantine.h
@@ -2,12 +2,14 @@
 //
 // A worker is blamed when different jobs fail on it with no success between:
 // one job's failures are evidence against the job as much as the worker. A job
-// that fails on several workers is blamed itself, and no longer counts against
-// any worker. A blamed worker takes no work for a while; then whatever is
-// placed on it is the probe. One failure sends it back for twice as long, one
-// success clears it. Never more than a stated share of the workers is away.
+// that fails on several good workers, where others' last results were
+// successes, is blamed itself, and no longer counts against any worker. A
+// blamed worker takes no work for a while; then whatever is placed on it is the
+// probe. One failure sends it back for twice as long, one success clears it.
+// Never more than a stated share of the workers is away.
 //
-// Memory is bounded: a few ids a worker, and the last kMaxJudgedJobs jobs.
+// Memory is bounded: a few ids a known worker, and the last kMaxJudgedJobs
+// jobs.
 
 #ifndef FLAMINGOHOLLOW_QUARANTINE_H_
 #define FLAMINGOHOLLOW_QUARANTINE_H_
@@ -25,7 +27,7 @@
 
 // Different jobs that must fail on a worker before it is blamed.
 inline constexpr std::size_t kJobsToBlameWorker = 3;
-// Different workers that a job must fail on before it is blamed.
+// Different good workers that a job must fail on before it is blamed.
 inline constexpr std::size_t kWorkersToBlameJob = 3;
 inline constexpr Duration kFirstQuarantine = Duration(30 * 1000);
 inline constexpr Duration kLongestQuarantine = Duration(60 * 60 * 1000);
@@ -34,6 +36,8 @@
 struct WorkerHealth {
   // Jobs that failed here since the last success.
   std::set<JobId> failed_;
+  // Something has succeeded here since the last quarantine.
+  bool proven_ = false;
   bool quarantined_ = false;
   // Out of quarantine and not yet cleared by a success.
   bool on_probation_ = false;
@@ -43,6 +47,7 @@
 };
 
 struct JobHealth {
+  // Good workers only.
   std::set<WorkerId> failed_on_;
   bool blamed_ = false;
 };
--- a/flamingohollow/reclaim.cc
+++ b/flamingohollow/reclaim.cc
@@ -18,6 +18,10 @@
   if (eligibility.only_fillers_of_) {
     return gang.filler_for_ == eligibility.only_fillers_of_;
   }
+  if (eligibility.queued_after_ &&
+      gang.job_.queued_at_ <= *eligibility.queued_after_) {
+    return false;
+  }
   return eligibility.urgent_too_ || !gang.job_.urgent_;
 }
 
--- a/flamingohollow/reclaim.h
+++ b/flamingohollow/reclaim.h
@@ -24,11 +24,14 @@
   bool urgent_too_ = false;
   // Only gangs that fill in on this waiting gang's reservation.
   std::optional<JobId> only_fillers_of_;
+  // Only gangs whose job came into the queue after this time.
+  std::optional<Time> queued_after_;
 };
 
-inline Eligibility AnyBorrower() { return {true, std::nullopt}; }
-inline Eligibility NotUrgent() { return {false, std::nullopt}; }
-inline Eligibility FillersOf(JobId job) { return {true, job}; }
+inline Eligibility AnyBorrower() { return {true, std::nullopt, std::nullopt}; }
+inline Eligibility NotUrgent() { return {false, std::nullopt, std::nullopt}; }
+inline Eligibility FillersOf(JobId job) { return {true, job, std::nullopt}; }
+inline Eligibility QueuedAfter(Time at) { return {false, std::nullopt, at}; }
 
 // How much a set of victims costs.
 struct ReclaimCost {
--- a/flamingohollow/reservation.cc
+++ b/flamingohollow/reservation.cc
@@ -8,6 +8,8 @@
 namespace flamingohollow {
 namespace {
 
+// A shorter wait is left to chance: an idle domain costs the others more.
+constexpr Duration kReserveAfter = Duration(15 * 60 * 1000);
 constexpr Duration kUndeclaredRunTime = Duration(60 * 60 * 1000);
 // How much of the old correction stays with each new sample.
 constexpr double kMemory = 0.8;
@@ -93,6 +95,7 @@
 void Reserve(PlacementState& state, const PlacementJob& job, Time now) {
   if (!state.options_.reservations_ || job.accelerators_.value() == 0) return;
   if (state.reservations_.size() >= kMaxReservations) return;
+  if (now - job.queued_at_ < kReserveAfter) return;
   if (ReservationOf(state, job.id_) != nullptr) return;
   const std::int64_t wanted = job.accelerators_.value();
   std::optional<Reservation> best;
@@ -112,6 +115,14 @@
   });
 }
 
+NodeSums UnreservedRoom(const PlacementState& state) {
+  NodeSums room = state.cluster_.free_;
+  for (const Reservation& reservation : state.reservations_) {
+    HideDomain(state.cluster_.tree_, reservation.node_, room);
+  }
+  return room;
+}
+
 NodeSums RoomFor(const PlacementState& state, const PlacementJob& job,
                  Time now) {
   NodeSums room = state.cluster_.free_;
--- a/flamingohollow/reservation.h
+++ b/flamingohollow/reservation.h
@@ -17,7 +17,7 @@
 
 namespace flamingohollow {
 
-inline constexpr std::size_t kMaxReservations = 4;
+inline constexpr std::size_t kMaxReservations = 1;
 
 // Takes the seen run time of a finished gang into the customer's correction.
 void LearnRunTime(PlacementState& state, const Gang& gang, Time now);
@@ -32,8 +32,10 @@
 // Drops the reservations of jobs that no longer wait.
 void DropStaleReservations(PlacementState& state);
 
-// Free room as this job may use it: without the domains that are reserved for
-// others and that it would not have left in time.
+// Free room without any reserved domain.
+NodeSums UnreservedRoom(const PlacementState& state);
+// Free room as this borrower may use it: without the domains that are reserved
+// for others and that it would not have left in time.
 NodeSums RoomFor(const PlacementState& state, const PlacementJob& job,
                  Time now);
 // The waiting job whose reserved domain one of the takes lies in.
--- a/flamingohollow/testing/reclaim_test.cc
+++ b/flamingohollow/testing/reclaim_test.cc
@@ -125,14 +125,35 @@
   CHECK(IsWorkerQuarantined(quarantine, bad));
   for (int i = 0; i < 10; ++i) {
     const WorkerId good(fmt::format("good{}", i));
+    RecordEvidence(quarantine, JobId(100), good, true, 10, Time(0));
     CHECK_FALSE(RecordEvidence(quarantine, JobId(9), good, false, 10, Time(0)));
   }
   CHECK(IsJobBlamed(quarantine, JobId(9)));
 }
 
+// From the measured stream where a tenth of the workers fails everything: a
+// large gang met three of them before any other job did, was blamed, and then
+// never again counted against a worker.
+TEST_CASE("failures on workers that never succeeded do not blame a job") {
+  Quarantine quarantine;
+  quarantine.max_share_ = 0.5;
+  for (std::uint64_t job = 1; job <= 3; ++job) {
+    for (int i = 0; i < 4; ++i) {
+      const WorkerId bad(fmt::format("bad{}", i));
+      RecordEvidence(quarantine, JobId(job), bad, false, 10, Time(0));
+    }
+    CHECK_FALSE(IsJobBlamed(quarantine, JobId(job)));
+  }
+  CHECK(quarantine.quarantined_count_ == 4);
+}
+
 TEST_CASE("jobs that fail everywhere do not cost a worker") {
   Quarantine quarantine;
   quarantine.max_share_ = 0.5;
+  for (int i = 0; i < 10; ++i) {
+    const WorkerId good(fmt::format("good{}", i));
+    RecordEvidence(quarantine, JobId(100), good, true, 10, Time(0));
+  }
   for (std::uint64_t job = 1; job <= 5; ++job) {
     for (int i = 0; i < 10; ++i) {
       const WorkerId good(fmt::format("good{}", i));
