Placement: a failed job keeps away from the workers it failed on

Cause: with a tenth of the workers failing everything, one large gang and one bad worker met again each second for hours, so no second job ever spoke against that worker. A job is now placed off the workers where it failed lately, if it can be.

--- a/flamingohollow/decide.cc
+++ b/flamingohollow/decide.cc
@@ -236,9 +236,13 @@
   request.adjacency_ = job.adjacency_;
   const NodeSums room =
       job.urgent_ ? state.cluster_.free_ : RoomFor(state, job, state.now_);
-  const std::vector<Fit> fits =
-      FindFits(state.cluster_.tree_, room, state.shapes_,
-               state.options_.policy_, request);
+  std::vector<Fit> fits =
+      FindFits(state.cluster_.tree_, AvoidFailures(state, job, room),
+               state.shapes_, state.options_.policy_, request);
+  if (fits.empty()) {
+    fits = FindFits(state.cluster_.tree_, room, state.shapes_,
+                    state.options_.policy_, request);
+  }
   if (!fits.empty()) {
     Commit(state, job, fits.front().takes_, {}, decisions);
     return true;
--- a/flamingohollow/guaranteed_search.cc
+++ b/flamingohollow/guaranteed_search.cc
@@ -36,10 +36,10 @@
     std::int64_t unused = 0;
     for (const CellIndex cell : cells_) unused += Remaining(CellAt(cell));
     if (unused < wanted_) return std::nullopt;
+    const NodeSums preferred =
+        AvoidFailures(state_, job_, UnreservedRoom(state_));
     for (const std::vector<CellIndex>& choices : SingleChoices()) {
-      if (!state_.reservations_.empty()) {
-        if (auto plan = FindFree(choices, UnreservedRoom(state_))) return plan;
-      }
+      if (auto plan = FindFree(choices, preferred)) return plan;
       if (auto plan = FindFree(choices, state_.cluster_.free_)) return plan;
       if (auto plan = FindReclaim(choices)) return plan;
       if (auto plan = FindAtOwnNode(choices)) return plan;
--- a/flamingohollow/placement.cc
+++ b/flamingohollow/placement.cc
@@ -48,6 +48,7 @@
 }
 
 std::size_t KnownWorkers(const PlacementState& state) {
+  if (!state.cluster_.tree_changed_) return state.cluster_.tree_.leaf_count_;
   return static_cast<std::size_t>(std::count_if(
       state.cluster_.workers_.begin(), state.cluster_.workers_.end(),
       [](const auto& entry) { return entry.second.known_; }));
--- a/flamingohollow/quarantine.cc
+++ b/flamingohollow/quarantine.cc
@@ -51,7 +51,10 @@
 
 bool RecordSuccess(Quarantine& quarantine, JobId job, const WorkerId& worker) {
   const auto judged = quarantine.jobs_.find(job);
-  if (judged != quarantine.jobs_.end()) judged->second.failed_on_.clear();
+  if (judged != quarantine.jobs_.end()) {
+    judged->second.failed_on_.clear();
+    judged->second.avoided_.clear();
+  }
   WorkerHealth& health = quarantine.workers_[worker];
   const bool was_quarantined = health.quarantined_;
   if (was_quarantined) --quarantine.quarantined_count_;
@@ -74,6 +77,8 @@
   if (succeeded) return RecordSuccess(quarantine, job, worker);
   JobHealth& judged = HealthOf(quarantine, job);
   if (judged.blamed_) return false;
+  if (judged.avoided_.size() == kMaxAvoided) judged.avoided_.clear();
+  judged.avoided_.insert(worker);
   WorkerHealth& health = quarantine.workers_[worker];
   if (health.quarantined_) return false;
   if (IsGoodFor(health, job)) judged.failed_on_.insert(worker);
@@ -117,6 +122,12 @@
   return it != quarantine.workers_.end() && it->second.quarantined_;
 }
 
+std::set<WorkerId> AvoidedBy(const Quarantine& quarantine, JobId job) {
+  const auto it = quarantine.jobs_.find(job);
+  return it == quarantine.jobs_.end() ? std::set<WorkerId>()
+                                      : it->second.avoided_;
+}
+
 bool IsJobBlamed(const Quarantine& quarantine, JobId job) {
   const auto it = quarantine.jobs_.find(job);
   return it != quarantine.jobs_.end() && it->second.blamed_;
--- a/flamingohollow/quarantine.h
+++ b/flamingohollow/quarantine.h
@@ -32,6 +32,8 @@
 inline constexpr Duration kFirstQuarantine = Duration(30 * 1000);
 inline constexpr Duration kLongestQuarantine = Duration(60 * 60 * 1000);
 inline constexpr std::size_t kMaxJudgedJobs = 8192;
+// At most this many workers are avoided for one job.
+inline constexpr std::size_t kMaxAvoided = 16;
 
 struct WorkerHealth {
   // Jobs that failed here since the last success.
@@ -49,6 +51,9 @@
 struct JobHealth {
   // Good workers only.
   std::set<WorkerId> failed_on_;
+  // All workers where it failed lately; it is placed elsewhere if it can be,
+  // so that one job and one bad worker don't meet for ever.
+  std::set<WorkerId> avoided_;
   bool blamed_ = false;
 };
 
@@ -70,6 +75,8 @@
 bool ForgetWorker(Quarantine& quarantine, const WorkerId& worker);
 
 bool IsWorkerQuarantined(const Quarantine& quarantine, const WorkerId& worker);
+// The workers that the job had better not meet again.
+std::set<WorkerId> AvoidedBy(const Quarantine& quarantine, JobId job);
 bool IsJobBlamed(const Quarantine& quarantine, JobId job);
 
 }  // namespace flamingohollow
--- a/flamingohollow/reservation.cc
+++ b/flamingohollow/reservation.cc
@@ -134,6 +134,17 @@
   return room;
 }
 
+NodeSums AvoidFailures(const PlacementState& state, const PlacementJob& job,
+                       NodeSums room) {
+  const CapacityTree& tree = state.cluster_.tree_;
+  for (const WorkerId& worker : AvoidedBy(state.quarantine_, job.id_)) {
+    const auto leaf = tree.leaves_.find(worker);
+    if (leaf == tree.leaves_.end()) continue;
+    HideDomain(tree, NodeOf(leaf->second), room);
+  }
+  return room;
+}
+
 std::optional<JobId> FilledReservation(const PlacementState& state,
                                        const std::vector<LeafTake>& takes) {
   for (const Reservation& reservation : state.reservations_) {
--- a/flamingohollow/reservation.h
+++ b/flamingohollow/reservation.h
@@ -38,6 +38,9 @@
 // for others and that it would not have left in time.
 NodeSums RoomFor(const PlacementState& state, const PlacementJob& job,
                  Time now);
+// The room without the workers where the job failed lately.
+NodeSums AvoidFailures(const PlacementState& state, const PlacementJob& job,
+                       NodeSums room);
 // The waiting job whose reserved domain one of the takes lies in.
 std::optional<JobId> FilledReservation(const PlacementState& state,
                                        const std::vector<LeafTake>& takes);
--- a/flamingohollow/testing/placement_test.cc
+++ b/flamingohollow/testing/placement_test.cc
@@ -5,6 +5,9 @@
 #include <doctest/doctest.h>
 #include <fmt/format.h>
 
+#include <map>
+#include <set>
+
 #include "flamingohollow/testing/placement_fixture.h"
 
 namespace flamingohollow {
@@ -127,6 +130,27 @@
   CHECK(status.reason_.find("1 of 2 guaranteed cells") == 0);
 }
 
+// From the measured stream where a tenth of the workers fails everything: one
+// gang and one bad worker met again each second for hours.
+TEST_CASE("a job that failed on a worker is placed elsewhere if it can be") {
+  for (const GuaranteedShape& shape : {kOneWorker, GuaranteedShape()}) {
+    PlacementPtr state = MakeCluster(2);
+    SetTable(*state, MakeTable({{"a", shape}}, 8));
+    std::set<WorkerId> used;
+    for (int attempt = 0; attempt < 2; ++attempt) {
+      EnqueueJob(*state, MakeJob(1, "a", 8, Adjacency::kWorker, true));
+      const PlacementDecisions decisions = Decide(*state, kSettled);
+      REQUIRE(decisions.place_.size() == 1);
+      const WorkerId worker = decisions.place_[0].slices_[0].worker_;
+      CHECK(used.insert(worker).second);
+      RecordTaskResult(*state, JobId(1), worker, false, kSettled);
+    }
+    // With nowhere else to go it comes back.
+    EnqueueJob(*state, MakeJob(1, "a", 8, Adjacency::kWorker, true));
+    CHECK(Decide(*state, kSettled).place_.size() == 1);
+  }
+}
+
 TEST_CASE("a restored gang holds its accelerators before its worker is known") {
   PlacementPtr state = MakeCluster(1);
   SetTable(*state, MakeTable({{"a", kTwoWorkers}}));
