--- a/bench/placement_bench.cc
+++ b/bench/placement_bench.cc
@@ -378,12 +378,15 @@
     {PlacementPolicy::kFragmentationGradient, "gradient"},
 };
 
-void PrintHeader(const BenchCluster& cluster,
-                 const std::vector<Stream>& streams) {
+std::size_t CountJobs(const std::vector<Stream>& streams) {
   std::size_t jobs = 0;
   for (const Stream& stream : streams) jobs += stream.arrivals_.size();
-  fmt::print("\n### {}: {} ({} jobs)\n\n", cluster.name_, streams.front().name_,
-             jobs);
+  return jobs;
+}
+
+void PrintHeader(const BenchCluster& cluster, const std::string& name,
+                 std::size_t jobs) {
+  fmt::print("\n### {}: {} ({} jobs)\n\n", cluster.name_, name, jobs);
   fmt::print(
       "| policy | reserve | completion min, median | 95th | 99th | large "
       "median | large 95th | large 99th | longest large wait min | fragm. "
@@ -425,12 +428,15 @@
 
 void MeasureCluster(const BenchCluster& cluster, Duration length, double load,
                     std::uint64_t seeds, bool quick, const std::string& only) {
+  std::map<std::pair<PlacementPolicy, bool>, Measured> all;
+  std::size_t all_jobs = 0;
   for (const auto& [kind, name] : kStreams) {
     if (quick && kind != StreamKind::kSteady) continue;
     if (!only.empty() && name != only) continue;
     const std::vector<Stream> streams =
         MakeStreams(cluster, kind, name, length, load, seeds);
-    PrintHeader(cluster, streams);
+    all_jobs += CountJobs(streams);
+    PrintHeader(cluster, name, CountJobs(streams));
     for (const auto& [policy, policy_name] : kPolicies) {
       for (const bool reservations : {true, false}) {
         PlacementOptions options;
@@ -440,11 +446,19 @@
         for (const Stream& stream : streams) {
           Pool(pooled, Run(cluster, stream, options).Go());
         }
+        Pool(all[{policy, reservations}], pooled);
         PrintRow(policy_name, reservations, std::move(pooled));
         std::fflush(stdout);
       }
     }
   }
+  PrintHeader(cluster, "all streams together", all_jobs);
+  for (const auto& [policy, policy_name] : kPolicies) {
+    for (const bool reservations : {true, false}) {
+      PrintRow(policy_name, reservations,
+               std::move(all[{policy, reservations}]));
+    }
+  }
 }
 
 int Main(int argc, char** argv) {
--- a/flamingohollow/placement.h
+++ b/flamingohollow/placement.h
@@ -33,7 +33,7 @@
 };
 
 struct PlacementOptions {
-  PlacementPolicy policy_ = PlacementPolicy::kBestFit;
+  PlacementPolicy policy_ = PlacementPolicy::kBuddyCells;
   // Large waiting gangs hold a reservation.
   bool reservations_ = true;
   // From a cold start, nothing is refused as "never fits" for this long.
@@ -134,8 +134,8 @@
 // or when no worker is known yet; else the reason why not.
 std::string CheckGuarantees(const PlacementState& state, const Table& table);
 std::vector<GuaranteeStatus> GuaranteeStatuses(const PlacementState& state);
-// Share of the free accelerators that no waiting or typical gang can use,
-// 0 to 1.
+// Share of the free accelerators that a typical gang can't use, averaged over
+// the shapes of the jobs that came lately, 0 to 1.
 double Fragmentation(const PlacementState& state);
 bool IsQuarantined(const PlacementState& state, const WorkerId& worker);
 Accelerators FreeAccelerators(const PlacementState& state,
