--- a/flamingohollow/job_attempt.h
+++ b/flamingohollow/job_attempt.h
@@ -19,6 +19,8 @@
 
 namespace flamingohollow {
 
+struct WorkerInfo;
+
 enum class TaskState : std::uint8_t {
   // Nothing heard of its lease yet.
   kAsked,
@@ -36,6 +38,8 @@
 
 struct AttemptTask {
   Slice slice_;
+  // What is known of the worker; set while it lists the task among its own.
+  WorkerInfo* worker_ = nullptr;
   TaskState state_ = TaskState::kAsked;
   // The worker once held the lease: if it no longer shows it, it is lost.
   bool granted_ = false;
--- a/flamingohollow/job_state.h
+++ b/flamingohollow/job_state.h
@@ -106,11 +106,15 @@
   // As of the last event or tick.
   bool silent_ = false;
   // As placement was last told.
-  bool available_ = false;
+  std::optional<PlacementWorker> told_;
   // The tasks of live attempts on this worker, of any incarnation.
   std::set<LeaseKey> tasks_;
   // As of the newest report; disjoint from `tasks_`.
   std::map<LeaseKey, UnwantedLease> unwanted_;
+  // Some lease of `unwanted_` may hold accelerators.
+  bool holds_unwanted_ = false;
+  // When the commands for `unwanted_` were last gone through.
+  Time cleaned_at_;
 };
 
 struct JobController {
--- a/flamingohollow/job_workers.cc
+++ b/flamingohollow/job_workers.cc
@@ -9,18 +9,6 @@
 namespace flamingohollow {
 namespace {
 
-const WorkerInfo* FindWorker(const JobController& controller,
-                             const WorkerId& id) {
-  const auto found = controller.workers_.find(id);
-  return found == controller.workers_.end() ? nullptr : &found->second;
-}
-
-bool HoldsUnwanted(const WorkerInfo& worker) {
-  return std::any_of(
-      worker.unwanted_.begin(), worker.unwanted_.end(),
-      [](const auto& entry) { return entry.second.maybe_active_; });
-}
-
 PlacementWorker PlacementWorkerOf(const WorkerInfo& worker) {
   PlacementWorker placement_worker;
   placement_worker.id_ = worker.report_.worker_;
@@ -28,19 +16,28 @@
   placement_worker.place_ = worker.report_.place_;
   placement_worker.accelerators_ = worker.report_.accelerators_;
   placement_worker.slots_ = worker.report_.slots_;
-  placement_worker.available_ = worker.available_;
   return placement_worker;
 }
 
 bool IsAvailable(const Step& step, const WorkerInfo& worker) {
   return worker.known_ && worker.report_.state_ == WorkerState::kReady &&
          !IsSilent(step.controller_, worker, step.now_) &&
-         !HoldsUnwanted(worker);
+         !worker.holds_unwanted_;
 }
 
+bool SameForPlacement(const PlacementWorker& a, const PlacementWorker& b) {
+  return a.id_ == b.id_ && a.incarnation_ == b.incarnation_ &&
+         a.place_ == b.place_ && a.accelerators_ == b.accelerators_ &&
+         a.slots_ == b.slots_ && a.available_ == b.available_;
+}
+
+// Most reports are of leases, which placement knows from its own decisions.
 void TellPlacement(Step& step, WorkerInfo& worker) {
-  worker.available_ = IsAvailable(step, worker);
-  SetWorker(*step.controller_.placement_, PlacementWorkerOf(worker), step.now_);
+  PlacementWorker now = PlacementWorkerOf(worker);
+  now.available_ = IsAvailable(step, worker);
+  if (worker.told_ && SameForPlacement(*worker.told_, now)) return;
+  SetWorker(*step.controller_.placement_, now, step.now_);
+  worker.told_ = std::move(now);
   step.controller_.decide_ = true;
 }
 
@@ -74,11 +71,12 @@
   Send(step, worker, std::move(command));
 }
 
-void AddUnwanted(Step& step, const WorkerId& id, WorkerInfo& worker,
-                 const LeaseKey& key, UnwantedLease lease) {
+void AddUnwanted(Step& step, WorkerInfo& worker, const LeaseKey& key,
+                 const UnwantedLease& lease) {
   UnwantedLease& added = worker.unwanted_[key];
   added = lease;
-  step.controller_.cleaning_.insert(id);
+  worker.holds_unwanted_ |= lease.maybe_active_;
+  step.controller_.cleaning_.insert(worker.report_.worker_);
   if (worker.known_) Clean(step, worker, key, added);
 }
 
@@ -108,6 +106,7 @@
 void TakeLeases(Step& step, WorkerInfo& worker, const WorkerReport& report,
                 std::set<LeaseKey>& seen, std::vector<JobId>& changed) {
   std::map<LeaseKey, UnwantedLease> unwanted;
+  bool holds_unwanted = false;
   for (const LeaseReport& lease : report.leases_) {
     const LeaseKey key{lease.job_, lease.attempt_, lease.task_};
     if (AttemptTask* task = FindTask(step, report, key)) {
@@ -119,6 +118,7 @@
     }
     UnwantedLease& entry = unwanted[key];
     entry.maybe_active_ = IsActive(lease.state_);
+    holds_unwanted |= entry.maybe_active_;
     entry.accelerators_ = lease.accelerators_;
     const auto old = worker.unwanted_.find(key);
     const bool known = old != worker.unwanted_.end() &&
@@ -126,6 +126,7 @@
     if (known) entry.sent_at_ = old->second.sent_at_;
   }
   worker.unwanted_ = std::move(unwanted);
+  worker.holds_unwanted_ = holds_unwanted;
 }
 
 // Tasks whose lease the report no longer shows are lost, and so are those of
@@ -148,8 +149,8 @@
   jobs.erase(std::unique(jobs.begin(), jobs.end()), jobs.end());
 }
 
-void CleanWorker(Step& step, const WorkerId& id) {
-  WorkerInfo& worker = step.controller_.workers_.at(id);
+void CleanWorker(Step& step, WorkerInfo& worker) {
+  worker.cleaned_at_ = step.now_;
   for (auto& [key, lease] : worker.unwanted_) {
     Clean(step, worker, key, lease);
   }
@@ -160,14 +161,15 @@
   std::set<WorkerId>& cleaning = step.controller_.cleaning_;
   for (auto it = cleaning.begin(); it != cleaning.end();) {
     if (step.commands_ >= kMaxCommandsPerTick) return;
-    const WorkerInfo& worker = step.controller_.workers_.at(*it);
+    WorkerInfo& worker = step.controller_.workers_.at(*it);
     if (worker.unwanted_.empty()) {
       it = cleaning.erase(it);
       continue;
     }
     const bool reachable =
         worker.known_ && !IsSilent(step.controller_, worker, step.now_);
-    if (reachable) CleanWorker(step, *it);
+    const bool due = !RecentlySent(step, worker.cleaned_at_);
+    if (reachable && due) CleanWorker(step, worker);
     ++it;
   }
 }
@@ -194,26 +196,24 @@
 }
 
 bool TakesWork(const Step& step, const AttemptTask& task) {
-  const WorkerInfo* worker = FindWorker(step.controller_, task.slice_.worker_);
-  return worker != nullptr &&
-         worker->report_.incarnation_ == task.slice_.incarnation_ &&
-         worker->report_.state_ == WorkerState::kReady &&
-         !IsSilent(step.controller_, *worker, step.now_);
+  const WorkerInfo& worker = *task.worker_;
+  return worker.report_.incarnation_ == task.slice_.incarnation_ &&
+         worker.report_.state_ == WorkerState::kReady &&
+         !IsSilent(step.controller_, worker, step.now_);
 }
 
 bool IsOutOfReach(const Step& step, const AttemptTask& task) {
-  const WorkerInfo* worker = FindWorker(step.controller_, task.slice_.worker_);
-  return worker == nullptr || IsSilent(step.controller_, *worker, step.now_);
+  return IsSilent(step.controller_, *task.worker_, step.now_);
 }
 
 bool IsWorkerLost(const Step& step, const AttemptTask& task) {
-  const WorkerInfo* worker = FindWorker(step.controller_, task.slice_.worker_);
-  return worker == nullptr || IsLost(step.controller_, *worker, step.now_);
+  return IsLost(step.controller_, *task.worker_, step.now_);
 }
 
-void AddTasks(Step& step, const LiveJob& job) {
+void AddTasks(Step& step, LiveJob& job) {
   for (std::size_t i = 0; i < job.attempt_->tasks_.size(); ++i) {
-    const Slice& slice = job.attempt_->tasks_[i].slice_;
+    AttemptTask& task = job.attempt_->tasks_[i];
+    const Slice& slice = task.slice_;
     const auto [it, is_new] =
         step.controller_.workers_.try_emplace(slice.worker_);
     WorkerInfo& worker = it->second;
@@ -223,19 +223,19 @@
       worker.heard_at_ = step.now_;
     }
     worker.tasks_.insert(TaskKey(job, i));
+    task.worker_ = &worker;
   }
 }
 
 void RemoveTasks(Step& step, const LiveJob& job) {
   for (std::size_t i = 0; i < job.attempt_->tasks_.size(); ++i) {
     const AttemptTask& task = job.attempt_->tasks_[i];
-    const WorkerId& id = task.slice_.worker_;
-    WorkerInfo& worker = step.controller_.workers_.at(id);
+    WorkerInfo& worker = *task.worker_;
     worker.tasks_.erase(TaskKey(job, i));
     const bool gone = task.slice_.incarnation_ != worker.report_.incarnation_ ||
                       task.state_ == TaskState::kLost;
     if (gone) continue;
-    AddUnwanted(step, id, worker, TaskKey(job, i),
+    AddUnwanted(step, worker, TaskKey(job, i),
                 {!IsOver(task.state_), task.slice_.accelerators_, {}});
     UpdateAvailable(step, worker);
   }
@@ -245,8 +245,7 @@
               WorkerCommandKind kind) {
   AttemptTask& target = job.attempt_->tasks_[task];
   if (RecentlySent(step, target.sent_at_)) return;
-  const WorkerInfo& worker =
-      step.controller_.workers_.at(target.slice_.worker_);
+  const WorkerInfo& worker = *target.worker_;
   if (!worker.known_) return;
   if (worker.report_.incarnation_ != target.slice_.incarnation_) return;
   target.sent_at_ = step.now_;
@@ -292,7 +291,7 @@
   TellPlacement(step, worker);
   if (!worker.unwanted_.empty()) {
     step.controller_.cleaning_.insert(report.worker_);
-    CleanWorker(step, report.worker_);
+    CleanWorker(step, worker);
   }
   SortUnique(changed);
   return changed;
@@ -309,9 +308,8 @@
 void UpdateAvailable(Step& step, WorkerInfo& worker) {
   worker.silent_ = IsSilent(step.controller_, worker, step.now_);
   if (!worker.known_) return;
-  if (IsAvailable(step, worker) != worker.available_) {
-    TellPlacement(step, worker);
-  }
+  const bool told = worker.told_ && worker.told_->available_;
+  if (IsAvailable(step, worker) != told) TellPlacement(step, worker);
 }
 
 void TickWorkers(Step& step) {
--- a/flamingohollow/job_workers.h
+++ b/flamingohollow/job_workers.h
@@ -32,7 +32,7 @@
 
 // Enters the attempt's tasks at their workers; those not known yet are
 // entered as heard from now.
-void AddTasks(Step& step, const LiveJob& job);
+void AddTasks(Step& step, LiveJob& job);
 // Takes them out again; leases still there become unwanted.
 void RemoveTasks(Step& step, const LiveJob& job);
 
