--- a/flamingohollow/testing/job_world_check.cc
+++ b/flamingohollow/testing/job_world_check.cc
@@ -176,6 +176,9 @@
   CheckStarts(world, replay, found);
   CheckRequests(world, replay, found);
   CheckWorkers(world, found);
+  if (world.capacity_refusals_ > 0) {
+    found.push_back("accelerators were given out twice");
+  }
   std::sort(found.begin(), found.end());
   found.erase(std::unique(found.begin(), found.end()), found.end());
   return found;
