Jobs: limits on parts and kept answers; a deadline is of the queue only

A part over 64 KiB fails its task instead of being cut short; ended jobs are kept while their answers take at most 16 MiB together. A deadline that passes while JobMayRun is being committed, or that an earlier leader's requeue left behind, no longer ends a job that ran. A reclaim that comes too late is dropped. In the matrix the small jobs leave room for a second attempt of the gang, so that it could overlap the first.

--- a/flamingohollow/job.cc
+++ b/flamingohollow/job.cc
@@ -27,7 +27,7 @@
 
 void CarryOut(Step& step, const ReclaimDecision& reclaim) {
   LiveJob* job = FindJob(step.controller_, reclaim.job_);
-  if (job == nullptr) return;
+  if (job == nullptr || !job->attempt_) return;
   job->reclaim_ = true;
   Advance(step, reclaim.job_);
 }
@@ -111,9 +111,11 @@
   }
 }
 
-// How long ago the record was accepted, as far as the wall clocks tell.
+// How long the job has been in the queue, as far as the records and the wall
+// clocks tell: when one that ran came back to it is not recorded.
 Duration AgeOf(const JobRecord& record, Time wall_now) {
   if (wall_now == Time()) return Duration(0);
+  if (record.may_run_attempt_ != AttemptId(0)) return Duration(0);
   return std::max(Duration(0), wall_now - record.accepted_at_);
 }
 
--- a/flamingohollow/job.h
+++ b/flamingohollow/job.h
@@ -54,12 +54,16 @@
   // Ended jobs by the time of their end: which to forget next. Worked out from
   // `jobs_` by the first ApplyJobCommand, so it needs no place in a snapshot.
   std::set<std::pair<Time, JobId>> ended_;
+  // What the answers of the ended jobs take.
+  std::size_t ended_bytes_ = 0;
   bool ended_known_ = false;
 };
 
-// Ended jobs are kept for this many later endings, then forgotten with their
-// request ids.
+// Ended jobs are kept for this many later endings, and while their answers take
+// no more than this together; then they are forgotten with their request ids.
+// The newest is always kept.
 inline constexpr std::size_t kKeptEndedJobs = 20000;
+inline constexpr std::size_t kKeptEndedBytes = 16 * 1024 * 1024;
 
 enum class ApplyOutcome : std::uint8_t {
   kApplied,
--- a/flamingohollow/job_attempt.cc
+++ b/flamingohollow/job_attempt.cc
@@ -2,6 +2,8 @@
 
 #include "flamingohollow/job_attempt.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 
 namespace flamingohollow {
@@ -60,7 +62,9 @@
   // The same key with another size is an earlier leader's lease, not a grant
   // of this one.
   if (report.accelerators_ != task.slice_.accelerators_) return false;
-  const TaskState reported = TaskStateOf(report.state_);
+  const bool too_long = report.part_.size() > kMaxPartBytes;
+  const TaskState reported =
+      too_long ? TaskState::kFailed : TaskStateOf(report.state_);
   // A worker never goes back from running to prepared.
   if (reported <= task.state_) return false;
   // "Never ran" of a task that was seen to run is a lie: it is over, no more.
@@ -68,7 +72,10 @@
   task.state_ = contradicts ? TaskState::kLost : reported;
   task.granted_ = true;
   task.started_ = task.started_ || HasStarted(reported);
-  task.part_ = report.part_;
+  task.part_ = too_long
+                   ? fmt::format("a part of {} bytes, over the limit of {}",
+                                 report.part_.size(), kMaxPartBytes)
+                   : report.part_;
   return true;
 }
 
--- a/flamingohollow/job_phases.cc
+++ b/flamingohollow/job_phases.cc
@@ -571,7 +571,9 @@
 void TakeMayRun(Step& step, LiveJob& job) {
   const JobRecord& record = step.controller_.records_->jobs_.at(job.id_);
   job.proposed_.reset();
+  // It left the queue in time, whatever the clock said since.
   ForgetDeadline(step, job);
+  job.deadline_passed_ = false;
   const bool ours = job.attempt_ &&
                     job.attempt_->id_ == record.may_run_attempt_ &&
                     SlicesOf(*job.attempt_) == record.slices_;
--- a/flamingohollow/job_records.cc
+++ b/flamingohollow/job_records.cc
@@ -11,10 +11,21 @@
 namespace flamingohollow {
 namespace {
 
+std::size_t BytesOf(const JobEnded& ended) {
+  std::size_t bytes = ended.reason_.size();
+  for (const std::string& part : ended.parts_) bytes += part.size();
+  return bytes;
+}
+
+void AddEnded(JobRecords& records, JobId job, const JobEnded& ended) {
+  records.ended_.emplace(ended.at_, job);
+  records.ended_bytes_ += BytesOf(ended);
+}
+
 void FindEnded(JobRecords& records) {
   if (records.ended_known_) return;
   for (const auto& [id, record] : records.jobs_) {
-    if (record.end_) records.ended_.emplace(record.end_->at_, id);
+    if (record.end_) AddEnded(records, id, *record.end_);
   }
   records.ended_known_ = true;
 }
@@ -23,11 +34,20 @@
   const JobId job = records.ended_.begin()->second;
   records.ended_.erase(records.ended_.begin());
   const auto found = records.jobs_.find(job);
+  records.ended_bytes_ -= BytesOf(*found->second.end_);
   const JobSpec& spec = found->second.spec_;
   records.by_request_.erase({spec.customer_, spec.request_id_});
   records.jobs_.erase(found);
 }
 
+void ForgetOld(JobRecords& records) {
+  while (records.ended_.size() > 1 &&
+         (records.ended_.size() > kKeptEndedJobs ||
+          records.ended_bytes_ > kKeptEndedBytes)) {
+    ForgetOldest(records);
+  }
+}
+
 JobApplyResult Accept(JobRecords& records, LogIndex index,
                       const JobAccepted& accepted) {
   const JobId id(index.value());
@@ -83,8 +103,8 @@
   if (record == nullptr || !IsTerminal(ended.outcome_)) return false;
   record->end_ = ended;
   record->may_be_running_ = false;
-  records.ended_.emplace(ended.at_, ended.job_);
-  if (records.ended_.size() > kKeptEndedJobs) ForgetOldest(records);
+  AddEnded(records, ended.job_, ended);
+  ForgetOld(records);
   return true;
 }
 
--- a/flamingohollow/testing/job_test.cc
+++ b/flamingohollow/testing/job_test.cc
@@ -291,6 +291,42 @@
   CHECK(ViewRecord(records, JobId(1))->outcome_ == Outcome::kUnknown);
 }
 
+TEST_CASE("a part over the limit fails its task, whole") {
+  Bench bench = MakeBench(1);
+  Commit(bench, Accepted("r", 8));
+  Tick(bench);
+  FinishTask(bench.workers_.at(WorkerId("w0")),
+             {JobId(1), AttemptId(1), TaskIndex(0)}, true,
+             std::string(kMaxPartBytes + 1, 'x'));
+  Report(bench, WorkerId("w0"));
+  CHECK(View(bench, 1).outcome_ == Outcome::kFailed);
+  CHECK(View(bench, 1).parts_.empty());
+}
+
+TEST_CASE("ended jobs are kept within a size, with or without a snapshot") {
+  JobRecords records;
+  constexpr std::uint64_t kJobs = 40;
+  for (std::uint64_t job = 1; job <= kJobs; ++job) {
+    ApplyJobCommand(records, LogIndex(job),
+                    Accepted("r" + std::to_string(job), 8));
+    JobEnded ended;
+    ended.job_ = JobId(job);
+    ended.outcome_ = Outcome::kCompleted;
+    ended.parts_ = {std::string(1024 * 1024, 'x')};
+    ended.at_ = Time(static_cast<std::int64_t>(job));
+    if (job == kJobs / 2) {
+      // As if restored from a snapshot.
+      records.ended_.clear();
+      records.ended_bytes_ = 0;
+      records.ended_known_ = false;
+    }
+    ApplyJobCommand(records, LogIndex(100 + job), ended);
+  }
+  CHECK(records.jobs_.size() == kKeptEndedBytes / (1024 * 1024));
+  CHECK(records.jobs_.begin()->first == JobId(25));
+  CHECK(records.by_request_.size() == records.jobs_.size());
+}
+
 TEST_CASE("a deadline counts on over a leader change") {
   Bench bench = MakeBench(0);
   JobAccepted accepted = Accepted("r", 8);
--- a/flamingohollow/testing/outcome_matrix_test.cc
+++ b/flamingohollow/testing/outcome_matrix_test.cc
@@ -265,7 +265,7 @@
                       return Fate{fault.deliveries_};
                     }};
   RunFor(world, Duration(1000));
-  AddRequest(world, Spec("small-1", 4, true));
+  AddRequest(world, Spec("small-1", 2, true));
   AddRequest(world, Spec("small-2", 2, false));
   RunFor(world, kRunTime * 2 + Duration(90'000));
 
--- a/flamingohollow/worker.h
+++ b/flamingohollow/worker.h
@@ -10,6 +10,7 @@
 #ifndef FLAMINGOHOLLOW_WORKER_H_
 #define FLAMINGOHOLLOW_WORKER_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -37,6 +38,10 @@
   kNeverRan = 5,
 };
 
+// A task's part of the answer, or its error, may have this many bytes. A longer
+// part is refused as a whole: its task has failed.
+inline constexpr std::size_t kMaxPartBytes = 64 * 1024;
+
 // One lease as its worker reports it.
 struct LeaseReport {
   JobId job_;
