--- a/flamingohollow/http_server.cc
+++ b/flamingohollow/http_server.cc
@@ -290,8 +290,9 @@
     return ErrorResponse(431, "too_large", "the headers are over the limit");
   }
   if (error == beast::error::timeout) {
+    // The time-out has closed the socket.
     ++server.timed_out_;
-    return ErrorResponse(408, "invalid", "the request did not arrive in time");
+    return std::nullopt;
   }
   const bool is_http_error =
       error.category() == make_error_code(http::error::bad_method).category();
--- a/flamingohollow/http_server.h
+++ b/flamingohollow/http_server.h
@@ -7,8 +7,8 @@
 //     new ones wait in the system's listen queue;
 //   - a body over the limit: 413;
 //   - more bytes of bodies in memory than allowed: 503 with Retry-After.
-// A request must arrive whole within request_timeout_, and an idle connection
-// is closed after idle_timeout_.
+// A connection is closed when a request does not arrive whole within
+// request_timeout_, or none begins within idle_timeout_.
 
 #ifndef FLAMINGOHOLLOW_HTTP_SERVER_H_
 #define FLAMINGOHOLLOW_HTTP_SERVER_H_
@@ -65,7 +65,8 @@
 
 class HttpServer {
  public:
-  // Binds and starts to serve. `threads` must outlive the server.
+  // Binds and starts to serve. `threads` must outlive the server, but must be
+  // stopped before what `handler` uses is gone.
   static boost::leaf::result<std::unique_ptr<HttpServer>> Create(
       const HttpServerOptions& options, IoThreads& threads,
       HttpHandler handler);
--- a/flamingohollow/testing/entry_test.cc
+++ b/flamingohollow/testing/entry_test.cc
@@ -191,9 +191,13 @@
     return announcement;
   }
 
+  ~TestWorker() { threads_.Stop(); }
+  TestWorker(const TestWorker&) = delete;
+  TestWorker& operator=(const TestWorker&) = delete;
+
   std::atomic<int> commands_{0};
-  std::unique_ptr<HttpServer> server_;
   IoThreads threads_{1};
+  std::unique_ptr<HttpServer> server_;
 };
 
 std::string AnnounceTo(const EntryServer& entry,
--- a/flamingohollow/testing/raw_client.cc
+++ b/flamingohollow/testing/raw_client.cc
@@ -16,6 +16,7 @@
 namespace {
 
 constexpr auto kReadTimeout = std::chrono::seconds(20);
+constexpr const char* kTimedOut = "(timed out)";
 
 }  // namespace
 
@@ -40,6 +41,7 @@
       boost::system::error_code ignored;
       socket_.close(ignored);
       loop_.run();
+      received_ += kTimedOut;
     }
     received_.append(buffer.data(), received);
     return received > 0;
--- a/flamingohollow/testing/raw_client.h
+++ b/flamingohollow/testing/raw_client.h
@@ -21,7 +21,8 @@
   // Reads until `text` has come; false when the connection ends before, or
   // when nothing came for 20 s.
   bool ReadUntil(const std::string& text);
-  // Everything up to the end of the connection.
+  // Everything up to the end of the connection; ends in "(timed out)" when
+  // the end did not come within 20 s.
   std::string ReadAll();
   // Drops what was read so far.
   void Forget();
--- a/flamingohollow/testing/settings_test.cc
+++ b/flamingohollow/testing/settings_test.cc
@@ -4,8 +4,13 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <boost/leaf/handle_errors.hpp>
+#include <filesystem>
+#include <map>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace flamingohollow {
@@ -129,5 +134,85 @@
   CHECK(Mistakes(text) == Lines{"3 group", "8 http", "17 limits.drain_ms"});
 }
 
+// The sample settings of one user, in order of their file names.
+std::vector<Settings> Samples(const std::string& user) {
+  std::vector<std::filesystem::path> files;
+  for (const auto& file :
+       std::filesystem::directory_iterator("examples/" + user)) {
+    files.push_back(file.path());
+  }
+  std::sort(files.begin(), files.end());
+  std::vector<Settings> samples;
+  for (const auto& file : files) {
+    CAPTURE(file.string());
+    auto settings = LoadSettings(file.string());
+    REQUIRE(settings);
+    CHECK(file.stem().string() == settings->name_.value());
+    samples.push_back(std::move(*settings));
+  }
+  return samples;
+}
+
+TEST_CASE("sample settings fit together, with no majority in one domain") {
+  struct User {
+    const char* name_;
+    std::set<std::string> domains_;
+    std::size_t entries_;
+  };
+  const std::vector<User> users = {
+      {"sen-vang", {"saigon-a", "binh-duong", "can-tho"}, 8},
+      {"saa-sahihi", {"kariakoo", "msasani", "ubungo", "kigamboni"}, 9}};
+  for (const User& user : users) {
+    CAPTURE(user.name_);
+    const std::vector<Settings> samples = Samples(user.name_);
+    std::vector<VoterSettings> voters;
+    std::set<std::string> addresses;
+    std::set<std::string> entry_domains;
+    std::size_t entries = 0;
+    for (const Settings& settings : samples) {
+      const bool is_entry = settings.role_ == ProcessRole::kEntry;
+      CHECK(addresses.insert(is_entry ? settings.http_ : settings.listen_)
+                .second);
+      if (is_entry) {
+        ++entries;
+        entry_domains.insert(settings.failure_domain_.value());
+        // All entries together keep to a worker's 60 connections.
+        CHECK(settings.limits_.max_worker_connections_ * user.entries_ <= 60);
+      } else if (voters.empty()) {
+        voters = settings.voters_;
+      }
+    }
+    CHECK(entries == user.entries_);
+    CHECK(entry_domains == user.domains_);
+    REQUIRE(voters.size() == 5);
+    std::map<std::string, std::size_t> by_domain;
+    for (const VoterSettings& voter : voters) {
+      ++by_domain[voter.failure_domain_.value()];
+    }
+    for (const auto& [domain, count] : by_domain) {
+      CHECK(user.domains_.contains(domain));
+      CHECK(2 * count < voters.size());
+    }
+    CHECK(by_domain.size() == user.domains_.size());
+    // Each control process is one of the voters, and entries know them all.
+    for (const Settings& settings : samples) {
+      if (settings.role_ == ProcessRole::kEntry) {
+        REQUIRE(settings.controls_.size() == voters.size());
+        for (std::size_t i = 0; i < voters.size(); ++i) {
+          CHECK(settings.controls_[i] == voters[i].address_);
+        }
+        continue;
+      }
+      const auto self = std::find_if(
+          voters.begin(), voters.end(),
+          [&](const auto& voter) { return voter.name_ == settings.name_; });
+      REQUIRE(self != voters.end());
+      CHECK(self->address_ == settings.listen_);
+      CHECK(self->failure_domain_ == settings.failure_domain_);
+      CHECK(settings.voters_.size() == voters.size());
+    }
+  }
+}
+
 }  // namespace
 }  // namespace flamingohollow
--- a/util/io_threads.cc
+++ b/util/io_threads.cc
@@ -14,10 +14,21 @@
 
 namespace asio = boost::asio;
 
+namespace {
+
+class EventLoop : public asio::io_context {
+ public:
+  // The hint says that only one thread runs the loop.
+  EventLoop() : asio::io_context(1) {}
+  // Destroys what waits on the loop, while the loop itself stays valid.
+  void DropWork() { shutdown(); }
+};
+
+}  // namespace
+
 struct IoThreads::Impl {
-  // The hint of 1 says that only one thread runs the loop.
   struct Worker {
-    asio::io_context loop_{1};
+    EventLoop loop_;
     asio::executor_work_guard<asio::io_context::executor_type> guard_{
         loop_.get_executor()};
     std::thread thread_;
@@ -50,6 +61,9 @@
   for (auto& worker : impl_->workers_) {
     if (worker->thread_.joinable()) worker->thread_.join();
   }
+  // What waits on one loop may own timers and sockets of another, so all of it
+  // goes before the first loop does.
+  for (auto& worker : impl_->workers_) worker->loop_.DropWork();
 }
 
 }  // namespace flamingohollow
--- a/util/io_threads.h
+++ b/util/io_threads.h
@@ -29,7 +29,9 @@
   boost::asio::io_context& Loop(std::size_t index);
   // Runs `task` on a loop's thread; thread-safe.
   void Post(std::size_t index, std::function<void()> task);
-  // Stops and joins the threads; nothing runs on the loops afterwards.
+  // Stops and joins the threads and drops what waits on the loops; nothing
+  // runs on them afterwards. Timers and sockets of the loops stay valid until
+  // the destructor.
   void Stop();
 
  private:
