Entry: exact bound on calls, early answers once the leader is lost, a span for the call to control

Calls in flight were counted on the control thread, so a burst on the traffic threads could pass the bound by what was queued in between; room is now taken before the hand-over.

With a trace id from outside the entry and control spans are under it and name the job's own, under which the commands to workers are. Commands without a request id get no span.

--- a/bench/entry_bench.cc
+++ b/bench/entry_bench.cc
@@ -37,6 +37,7 @@
 #include <vector>
 
 #include "flamingohollow/entry.h"
+#include "flamingohollow/entry_core.h"
 #include "flamingohollow/testing/stub_control.h"
 #include "util/io_threads.h"
 
--- a/flamingohollow/entry.cc
+++ b/flamingohollow/entry.cc
@@ -164,7 +164,7 @@
   Verdict verdict = FilterTraffic(context, passage);
   const std::string route = RouteName(passage);
   if (!verdict.has_value() && passage.parsed_.kind_ == RouteKind::kCall &&
-      core_.in_flight() >= kMaxCallsInFlight) {
+      !core_.TryBeginCall()) {
     verdict = ErrorResponse(kUnavailable, "unavailable",
                             "too many requests in flight", kBusyRetryAfter);
   }
@@ -214,8 +214,7 @@
   bool busy = true;
   while (busy && MonotonicNow() < deadline) {
     std::this_thread::sleep_for(kDrainPoll);
-    busy = !server_->IsDrained() || requests_ > 0 ||
-           core_.in_flight() > 0;
+    busy = !server_->IsDrained() || requests_ > 0 || core_.in_flight() > 0;
   }
   LogInfo("{} {}", settings_.name_.value(),
           busy ? "stops at the end of its drain time" : "is drained");
--- a/flamingohollow/entry.h
+++ b/flamingohollow/entry.h
@@ -45,9 +45,6 @@
   std::unique_ptr<Impl> impl_;
 };
 
-// Calls that may be under way to the leader; more are refused at once.
-inline constexpr std::uint64_t kMaxCallsInFlight = 512;
-
 }  // namespace flamingohollow
 
 #endif  // FLAMINGOHOLLOW_ENTRY_H_
--- a/flamingohollow/entry_core.cc
+++ b/flamingohollow/entry_core.cc
@@ -78,6 +78,12 @@
   threads_.Post(0, std::move(task));
 }
 
+bool EntryCore::TryBeginCall() {
+  if (++calls_ <= kMaxCallsInFlight) return true;
+  --calls_;
+  return false;
+}
+
 void EntryCore::Start() {
   MaybeSync();
   ScheduleTick();
@@ -204,7 +210,7 @@
     const WorkerCommand& first = batch.commands_.front();
     post.trace_parent_ =
         FormatTraceParent(JobTrace(first.customer_, first.request_id_));
-    ++in_flight_;
+    ++commands_;
     client_.Post(std::move(post),
                  [this, batch = std::move(batch),
                   sent_at = MonotonicNow()](HttpResult result) mutable {
@@ -218,7 +224,7 @@
 
 void EntryCore::OnCommandsAnswered(const Batch& batch, Time sent_at,
                                    HttpResult result) {
-  --in_flight_;
+  --commands_;
   const Time now = MonotonicNow();
   bool ok = result.error_ == HttpClientError::kNone && result.status_ == kOk;
   if (ok) {
@@ -243,6 +249,8 @@
 void EntryCore::RecordDispatchSpans(const Batch& batch, Time started_at,
                                     Duration duration) {
   for (const WorkerCommand& command : batch.commands_) {
+    // Without its request id a command can't be put under its job's trace.
+    if (command.request_id_.value().empty()) continue;
     Span span;
     span.context_ = JobTrace(command.customer_, command.request_id_);
     span.parent_ = span.context_.span_;
--- a/flamingohollow/entry_core.h
+++ b/flamingohollow/entry_core.h
@@ -36,6 +36,9 @@
 
 namespace flamingohollow {
 
+// Calls that may be under way to the leader; more are refused at once.
+inline constexpr std::uint64_t kMaxCallsInFlight = 512;
+
 struct EntryCoreOptions {
   NodeName name_;
   Incarnation incarnation_;
@@ -59,7 +62,8 @@
   // Answers waiting callers with their job's present state; later ones are
   // answered without waiting.
   void Drain();
-  // A request that passed the traffic filters.
+  // A request that passed the traffic filters; for a call, TryBeginCall has
+  // given room.
   void Handle(Passage passage, HttpResponder respond);
 
   // Whether the entry takes new work: it holds a lease and does not drain.
@@ -69,12 +73,16 @@
 
   // These may be called on any thread.
   void Post(std::function<void()> task);
-  // Requests and commands that are under way.
-  std::uint64_t in_flight() const { return in_flight_; }
+  // Takes room for one call to the leader; false when kMaxCallsInFlight are
+  // under way. Callers that wait for a job's end don't count.
+  bool TryBeginCall();
+  // Calls to the leader and requests to workers that are under way.
+  std::uint64_t in_flight() const { return calls_ + commands_; }
 
  private:
   void HandleCall(Passage passage, HttpResponder respond);
   void HandleAnnounce(const Passage& passage, const HttpResponder& respond);
+  Span MakeChild(const Span& parent, const std::string& name);
   void OnCallResult(const std::shared_ptr<Passage>& passage,
                     const HttpResponder& respond, CallResult result);
   bool WaitForEnd(const std::shared_ptr<Passage>& passage,
@@ -121,7 +129,8 @@
   std::uint32_t sync_credit_ = 0;
   // The waiting callers changed since the last exchange was sent.
   bool watch_changed_ = false;
-  std::atomic<std::uint64_t> in_flight_{0};
+  std::atomic<std::uint64_t> calls_{0};
+  std::atomic<std::uint64_t> commands_{0};
 
   // Asio's timers, kept out of this header.
   struct Timers;
--- a/flamingohollow/entry_requests.cc
+++ b/flamingohollow/entry_requests.cc
@@ -51,6 +51,7 @@
   const StateContext context{table_, limits_, MonotonicNow()};
   Verdict verdict = FilterState(context, passage);
   if (verdict.has_value()) {
+    if (passage.parsed_.kind_ == RouteKind::kCall) --calls_;
     respond(std::move(*verdict));
     return;
   }
@@ -78,14 +79,30 @@
 
 void EntryCore::HandleCall(Passage passage, HttpResponder respond) {
   auto shared = std::make_shared<Passage>(std::move(passage));
-  ++in_flight_;
-  link_.Call(shared->parsed_.call_,
-             [this, shared, respond = std::move(respond)](CallResult result) {
-               --in_flight_;
+  Span span = MakeChild(shared->span_, "control");
+  CallRequest call = shared->parsed_.call_;
+  call.trace_parent_ = FormatTraceParent(span.context_);
+  link_.Call(std::move(call),
+             [this, shared, span = std::move(span),
+              respond = std::move(respond)](CallResult result) mutable {
+               --calls_;
+               span.duration_ = WallNow() - span.started_at_;
+               spans_.Record(span);
                OnCallResult(shared, respond, std::move(result));
              });
 }
 
+// A span below `parent` that starts now.
+Span EntryCore::MakeChild(const Span& parent, const std::string& name) {
+  Span span;
+  span.context_ = parent.context_;
+  span.context_.span_ = random_() | 1;
+  span.parent_ = parent.context_.span_;
+  span.name_ = name;
+  span.started_at_ = WallNow();
+  return span;
+}
+
 void EntryCore::OnCallResult(const std::shared_ptr<Passage>& passage,
                              const HttpResponder& respond, CallResult result) {
   if (!result.reply_.has_value()) {
--- a/flamingohollow/filter.cc
+++ b/flamingohollow/filter.cc
@@ -58,12 +58,17 @@
   }
 }
 
-// A submission without a trace from outside goes under its job's own one.
+// A submission without a trace from outside goes under its job's own one; with
+// one, it names the job's, under which the commands to workers are.
 void JoinJobTrace(Passage& passage) {
   const CallRequest& call = passage.parsed_.call_;
-  if (passage.span_.parent_ != 0 || call.kind_ != CallKind::kSubmit) return;
+  if (call.kind_ != CallKind::kSubmit) return;
   const TraceContext job =
       JobTrace(call.spec_.customer_, call.spec_.request_id_);
+  if (passage.span_.parent_ != 0) {
+    passage.span_.tags_.emplace_back("job_trace_id", TraceIdText(job));
+    return;
+  }
   passage.span_.context_.trace_high_ = job.trace_high_;
   passage.span_.context_.trace_low_ = job.trace_low_;
   passage.span_.parent_ = job.span_;
--- a/flamingohollow/leader_finder.cc
+++ b/flamingohollow/leader_finder.cc
@@ -17,16 +17,18 @@
 }  // namespace
 
 LeaderFinder MakeLeaderFinder(std::vector<std::string> controls,
-                              std::uint64_t seed) {
+                              std::uint64_t seed, Time now) {
   LeaderFinder finder;
   finder.controls_ = std::move(controls);
   finder.next_ = seed % finder.controls_.size();
+  finder.heard_at_ = now;
   TryNext(finder);
   return finder;
 }
 
-void OnLeaderAnswer(LeaderFinder& finder, const std::string& from) {
+void OnLeaderAnswer(LeaderFinder& finder, const std::string& from, Time now) {
   finder.address_ = from;
+  finder.heard_at_ = now;
   finder.found_ = true;
 }
 
@@ -46,6 +48,12 @@
   if (from == finder.address_) TryNext(finder);
 }
 
+Time CallDeadline(const LeaderFinder& finder, const CallOptions& options,
+                  Time now) {
+  const bool lost = now - finder.heard_at_ >= options.timeout_;
+  return now + (lost ? options.lost_timeout_ : options.timeout_);
+}
+
 bool IsRead(CallKind kind) {
   switch (kind) {
     case CallKind::kTableShow:
--- a/flamingohollow/leader_finder.h
+++ b/flamingohollow/leader_finder.h
@@ -27,26 +27,35 @@
   std::size_t next_ = 0;
   // The last answer from address_ came from the leader.
   bool found_ = false;
+  // When a leader last answered.
+  Time heard_at_;
 };
 
 LeaderFinder MakeLeaderFinder(std::vector<std::string> controls,
-                              std::uint64_t seed);
+                              std::uint64_t seed, Time now);
 
-void OnLeaderAnswer(LeaderFinder& finder, const std::string& from);
+void OnLeaderAnswer(LeaderFinder& finder, const std::string& from, Time now);
 // `from` does not lead and names `hint`, or nobody when empty.
 void OnNotLeader(LeaderFinder& finder, const std::string& from,
                  const std::string& hint);
 void OnNoAnswer(LeaderFinder& finder, const std::string& from);
 
 struct CallOptions {
-  // For the whole call.
+  // For the whole call: long enough to outlast an election.
   Duration timeout_ = Duration(5000);
+  // For the whole call once no leader was heard for timeout_: callers are told
+  // at once to come back.
+  Duration lost_timeout_ = Duration(500);
   Duration attempt_timeout_ = Duration(1500);
   std::uint32_t max_attempts_ = 24;
   Duration first_pause_ = Duration(20);
   Duration max_pause_ = Duration(400);
 };
 
+// When a call that starts now is given up.
+Time CallDeadline(const LeaderFinder& finder, const CallOptions& options,
+                  Time now);
+
 enum class AttemptOutcome : std::uint8_t {
   // The process surely did nothing.
   kNotDone,
--- a/flamingohollow/leader_link.cc
+++ b/flamingohollow/leader_link.cc
@@ -35,7 +35,7 @@
         rpc_(rpc),
         post_(std::move(post)),
         random_(seed),
-        finder_(MakeLeaderFinder(std::move(controls), seed)) {}
+        finder_(MakeLeaderFinder(std::move(controls), seed, MonotonicNow())) {}
 
   const CallOptions options_;
   RpcNode& rpc_;
@@ -84,7 +84,7 @@
       OnNotLeader(finder_, from, reply->leader_address_);
       return Decide(call, AttemptOutcome::kNotDone);
     }
-    OnLeaderAnswer(finder_, from);
+    OnLeaderAnswer(finder_, from, MonotonicNow());
     if (reply->status_ == kOutcomeUnknownStatus &&
         IsIdempotent(call->request_.kind_)) {
       call->last_reply_ = *reply;
@@ -126,7 +126,7 @@
       return;
     }
     if (sync->is_leader_) {
-      OnLeaderAnswer(finder_, from);
+      OnLeaderAnswer(finder_, from, MonotonicNow());
     } else {
       OnNotLeader(finder_, from, sync->leader_address_);
     }
@@ -147,7 +147,8 @@
   auto call = std::make_shared<LeaderLinkState::PendingCall>();
   call->body_ = Encode(request);
   call->request_ = std::move(request);
-  call->progress_.deadline_ = MonotonicNow() + state_->options_.timeout_;
+  call->progress_.deadline_ =
+      CallDeadline(state_->finder_, state_->options_, MonotonicNow());
   call->done_ = std::move(done);
   state_->Try(call);
 }
--- a/flamingohollow/testing/entry_test.cc
+++ b/flamingohollow/testing/entry_test.cc
@@ -14,6 +14,7 @@
 #include <utility>
 #include <vector>
 
+#include "flamingohollow/entry_core.h"
 #include "flamingohollow/http_server.h"
 #include "flamingohollow/testing/raw_client.h"
 #include "flamingohollow/testing/stub_control.h"
--- a/flamingohollow/testing/leader_finder_test.cc
+++ b/flamingohollow/testing/leader_finder_test.cc
@@ -18,7 +18,7 @@
 }
 
 TEST_CASE("hints are followed; without one all controls are tried") {
-  LeaderFinder finder = MakeLeaderFinder({"a", "b", "c"}, 1);
+  LeaderFinder finder = MakeLeaderFinder({"a", "b", "c"}, 1, kNow);
   CHECK(finder.address_ == "b");
   OnNotLeader(finder, "b", "z");
   CHECK(finder.address_ == "z");
@@ -33,11 +33,21 @@
   }
   CHECK(tried == std::set<std::string>{"a", "b", "c"});
   CHECK_FALSE(finder.found_);
-  OnLeaderAnswer(finder, "c");
+  OnLeaderAnswer(finder, "c", kNow);
   CHECK(finder.address_ == "c");
   CHECK(finder.found_);
 }
 
+TEST_CASE("once the leader is lost for long, calls end early") {
+  const CallOptions options;
+  LeaderFinder finder = MakeLeaderFinder({"a"}, 0, kNow);
+  CHECK(CallDeadline(finder, options, kNow) == kNow + options.timeout_);
+  const Time later = kNow + options.timeout_;
+  CHECK(CallDeadline(finder, options, later) == later + options.lost_timeout_);
+  OnLeaderAnswer(finder, "a", later);
+  CHECK(CallDeadline(finder, options, later) == later + options.timeout_);
+}
+
 TEST_CASE("a call that may have been carried out is not sent twice") {
   const CallOptions options;
   const auto after_unknown = [&](CallKind kind) {
--- a/flamingohollow/testing/settings_test.cc
+++ b/flamingohollow/testing/settings_test.cc
@@ -3,6 +3,7 @@
 #include "flamingohollow/settings.h"
 
 #include <doctest/doctest.h>
+#include <rapidcheck.h>
 
 #include <algorithm>
 #include <boost/leaf/handle_errors.hpp>
@@ -134,6 +135,19 @@
   CHECK(Mistakes(text) == Lines{"3 group", "8 http", "17 limits.drain_ms"});
 }
 
+TEST_CASE("foreign bytes give mistakes or settings, never a crash") {
+  rc::check([] {
+    std::string text = *rc::gen::element(std::string(kEntry), kControl);
+    const int edits = *rc::gen::inRange(1, 8);
+    for (int i = 0; i < edits; ++i) {
+      const auto at = *rc::gen::inRange<std::size_t>(0, text.size());
+      text[at] = *rc::gen::element('\t', '\n', ' ', ':', '-', '[', '{', '&',
+                                   '*', '!', '\0', '\xff', '"', '1');
+    }
+    Mistakes(text);
+  });
+}
+
 // The sample settings of one user, in order of their file names.
 std::vector<Settings> Samples(const std::string& user) {
   std::vector<std::filesystem::path> files;
--- a/flamingohollow/trace.cc
+++ b/flamingohollow/trace.cc
@@ -41,12 +41,12 @@
   return value;
 }
 
+}  // namespace
+
 std::string TraceIdText(const TraceContext& context) {
   return fmt::format("{:016x}{:016x}", context.trace_high_, context.trace_low_);
 }
 
-}  // namespace
-
 bool IsTraced(const TraceContext& context) {
   return context.trace_high_ != 0 || context.trace_low_ != 0;
 }
--- a/flamingohollow/trace.h
+++ b/flamingohollow/trace.h
@@ -37,6 +37,8 @@
 
 // "00-<32 hex>-<16 hex>-<2 hex>"; nothing when `text` is not of that form.
 std::optional<TraceContext> ParseTraceParent(std::string_view text);
+// The trace id as 32 hex digits.
+std::string TraceIdText(const TraceContext& context);
 // Empty for no trace.
 std::string FormatTraceParent(const TraceContext& context);
 
