--- a/flamingohollow/testing/entry_test.cc
+++ b/flamingohollow/testing/entry_test.cc
@@ -39,12 +39,13 @@
   return true;
 }
 
-std::unique_ptr<EntryServer> MakeEntry(std::vector<std::string> controls) {
+std::unique_ptr<EntryServer> MakeEntry(std::vector<std::string> controls,
+                                       Duration drain = Duration(10000)) {
   Settings settings;
   settings.name_ = NodeName("entry-0");
   settings.http_ = "127.0.0.1:0";
   settings.controls_ = std::move(controls);
-  settings.limits_.drain_ = Duration(10000);
+  settings.limits_.drain_ = drain;
   auto server = EntryServer::Create(
       settings, {{kToken, TokenRole::kOperator, "operator"},
                  {kWorkerToken, TokenRole::kWorker, "workers"}});
@@ -291,6 +292,21 @@
   stopping.join();
 }
 
+TEST_CASE("a graceful stop ends by its limit when an answer never comes") {
+  std::atomic<bool> asked{false};
+  StubControl control([&](const CallRequest&, const auto&) { asked = true; });
+  control.SetAnswer(LeaderAnswer(kLongLease));
+  const auto entry = MakeEntry({control.address()}, Duration(100));
+  REQUIRE(Await([&] { return IsReady(*entry); }));
+  RawClient caller(entry->port());
+  caller.Send(Request("POST", "/v1/jobs", kSubmit, ""));
+  REQUIRE(Await([&] { return asked.load(); }));
+  // The call itself would be tried for 5 s.
+  const auto start = std::chrono::steady_clock::now();
+  entry->Stop();
+  CHECK(std::chrono::steady_clock::now() - start < std::chrono::seconds(4));
+}
+
 TEST_CASE("beyond the calls in flight, callers are refused at once") {
   std::mutex mutex;
   std::vector<StubControl::CallResponder> held;
