--- a/flamingohollow/job_attempt.cc
+++ b/flamingohollow/job_attempt.cc
@@ -58,6 +58,7 @@
 }
 
 bool ApplyLeaseReport(AttemptTask& task, const LeaseReport& report) {
+  task.missing_since_.reset();
   if (IsOver(task.state_)) return false;
   // The same key with another size is an earlier leader's lease, not a grant
   // of this one.
@@ -85,6 +86,13 @@
   return true;
 }
 
+bool AnyMissing(const Attempt& attempt) {
+  return std::any_of(attempt.tasks_.begin(), attempt.tasks_.end(),
+                     [](const AttemptTask& task) {
+                       return task.missing_since_ && !IsOver(task.state_);
+                     });
+}
+
 bool AllPrepared(const Attempt& attempt) {
   return All(attempt, [](const AttemptTask& task) {
     return task.state_ == TaskState::kPrepared;
--- a/flamingohollow/job_attempt.h
+++ b/flamingohollow/job_attempt.h
@@ -32,7 +32,8 @@
   kStopped,
   // Confirmed by its worker: never started and never will.
   kNeverRan,
-  // Its worker restarted or forgot the lease: it is over, but may have run.
+  // Its worker restarted, or goes on reporting without the lease: it is over,
+  // but may have run.
   kLost,
 };
 
@@ -41,8 +42,11 @@
   // What is known of the worker; set while it lists the task among its own.
   WorkerInfo* worker_ = nullptr;
   TaskState state_ = TaskState::kAsked;
-  // The worker once held the lease: if it no longer shows it, it is lost.
+  // The worker once held the lease.
   bool granted_ = false;
+  // Since when the worker's reports don't show the granted lease. One such
+  // report may be an old one that an entry held back over a leader change.
+  std::optional<Time> missing_since_;
   // Some report showed that it had started.
   bool started_ = false;
   // The task's part of the answer, or its error.
@@ -88,9 +92,10 @@
 // Takes in what the task's worker reports of its lease. False when that is
 // nothing new.
 bool ApplyLeaseReport(AttemptTask& task, const LeaseReport& report);
-// The task's worker restarted, or no longer shows a lease that it had granted.
-// False when the task was over already.
+// The task is over without its worker's word on how. False when it was over
+// already.
 bool MarkLost(AttemptTask& task);
+bool AnyMissing(const Attempt& attempt);
 
 // The task runs no more and holds no accelerators.
 constexpr bool IsOver(TaskState state) { return state >= TaskState::kFinished; }
--- a/flamingohollow/job_phases.cc
+++ b/flamingohollow/job_phases.cc
@@ -372,7 +372,7 @@
   for (const AttemptTask& task : attempt.tasks_) {
     const std::string& worker = task.slice_.worker_.value();
     if (task.state_ == TaskState::kLost) {
-      return fmt::format("worker \"{}\" restarted", worker);
+      return fmt::format("worker \"{}\" no longer has its lease", worker);
     }
     const bool ended = task.state_ == TaskState::kStopped ||
                        task.state_ == TaskState::kNeverRan;
@@ -432,7 +432,8 @@
   if (job.proposed_) return true;
   if (job.phase_ == JobPhase::kQueued) return false;
   // A running gang is left alone until a worker says or stops saying something.
-  return job.phase_ != JobPhase::kRunning || !AllRunning(*job.attempt_);
+  return job.phase_ != JobPhase::kRunning || !AllRunning(*job.attempt_) ||
+         AnyMissing(*job.attempt_);
 }
 
 void UpdateBusy(Step& step, const LiveJob& job) {
@@ -478,6 +479,7 @@
 }
 
 void AdvancePhase(Step& step, LiveJob& job) {
+  if (job.attempt_) MarkLongMissing(step, *job.attempt_);
   switch (job.phase_) {
     case JobPhase::kQueued:
       AdvanceQueued(step, job);
@@ -604,7 +606,8 @@
 void TakeEnded(Step& step, LiveJob& job) {
   job.proposed_.reset();
   ForgetDeadline(step, job);
-  RemoveJob(*step.controller_.placement_, job.id_);
+  // An attempt's accelerators stay taken until its leases are over.
+  if (!job.attempt_) RemoveJob(*step.controller_.placement_, job.id_);
   job.phase_ = JobPhase::kEnded;
   step.actions_.emplace_back(std::in_place_type<NotifyAction>,
                              NotifyAction{job.id_});
--- a/flamingohollow/job_workers.cc
+++ b/flamingohollow/job_workers.cc
@@ -125,22 +125,33 @@
                        old->second.maybe_active_ == entry.maybe_active_;
     if (known) entry.sent_at_ = old->second.sent_at_;
   }
+  // A prepare that the leader no longer wants may still be on its way: until
+  // the stop has left its mark at the worker, the lease may come.
+  if (report.incarnation_ == worker.report_.incarnation_) {
+    for (const auto& [key, lease] : worker.unwanted_) {
+      if (!lease.maybe_active_ || unwanted.contains(key)) continue;
+      unwanted.emplace(key, lease);
+      holds_unwanted = true;
+    }
+  }
   worker.unwanted_ = std::move(unwanted);
   worker.holds_unwanted_ = holds_unwanted;
 }
 
-// Tasks whose lease the report no longer shows are lost, and so are those of
-// an earlier incarnation. A lease that was never granted may still come.
+// Tasks of an earlier incarnation are lost. Those whose lease the report
+// doesn't show are missing; a lease that was never granted may still come.
 void MarkMissing(Step& step, const WorkerInfo& worker,
                  const std::set<LeaseKey>& seen, std::vector<JobId>& changed) {
   for (const LeaseKey& key : worker.tasks_) {
     if (seen.contains(key)) continue;
     LiveJob& job = step.controller_.jobs_.at(key.job_);
     AttemptTask& task = job.attempt_->tasks_[key.task_.value()];
-    const bool restarted =
-        task.slice_.incarnation_ < worker.report_.incarnation_;
-    if (!restarted && !task.granted_) continue;
-    if (MarkLost(task)) changed.push_back(key.job_);
+    if (task.slice_.incarnation_ < worker.report_.incarnation_) {
+      if (MarkLost(task)) changed.push_back(key.job_);
+    } else if (task.granted_ && !task.missing_since_) {
+      task.missing_since_ = step.now_;
+      changed.push_back(key.job_);
+    }
   }
 }
 
@@ -210,6 +221,15 @@
   return IsLost(step.controller_, *task.worker_, step.now_);
 }
 
+void MarkLongMissing(const Step& step, Attempt& attempt) {
+  for (AttemptTask& task : attempt.tasks_) {
+    if (!task.missing_since_ || IsOutOfReach(step, task)) continue;
+    const bool long_missing =
+        step.now_ - *task.missing_since_ >= step.controller_.options_.lease_;
+    if (long_missing) MarkLost(task);
+  }
+}
+
 void AddTasks(Step& step, LiveJob& job) {
   for (std::size_t i = 0; i < job.attempt_->tasks_.size(); ++i) {
     AttemptTask& task = job.attempt_->tasks_[i];
--- a/flamingohollow/job_workers.h
+++ b/flamingohollow/job_workers.h
@@ -30,6 +30,10 @@
 // The task's worker has been unheard of for a whole lease.
 bool IsWorkerLost(const Step& step, const AttemptTask& task);
 
+// Tasks whose lease their worker, heard from all the while, has not shown for a
+// whole lease are lost: were the report an old one, a newer one had come.
+void MarkLongMissing(const Step& step, Attempt& attempt);
+
 // Enters the attempt's tasks at their workers; those not known yet are
 // entered as heard from now.
 void AddTasks(Step& step, LiveJob& job);
--- a/flamingohollow/testing/job_world.cc
+++ b/flamingohollow/testing/job_world.cc
@@ -92,6 +92,21 @@
   worker.running_.erase(found);
 }
 
+// Whether the refused lease finds no room beside those of its own leader, or
+// those that run. A former leader's late prepare may stand in its way: that one
+// never starts, and is stopped as soon as it is reported.
+bool IsGivenOutTwice(const LeaseTable& table, const LeaseEvent& refused) {
+  if (table.state_ != WorkerState::kReady) return false;
+  const Term term = table.fences_.at(refused.key_.job_).term_;
+  std::uint32_t used = refused.accelerators_.value();
+  for (const auto& [key, lease] : table.leases_) {
+    const bool stray = lease.state_ == LeaseState::kPrepared &&
+                       table.fences_.at(key.job_).term_ < term;
+    if (IsActive(lease.state_) && !stray) used += lease.accelerators_.value();
+  }
+  return used > table.accelerators_.value();
+}
+
 void CarryOut(World& world, int index, const LeaseEvents& events) {
   WorldWorker& worker = world.workers_[index];
   for (const LeaseEvent& event : events) {
@@ -108,7 +123,7 @@
       EndRun(world, worker, event.key_, false);
     }
     if (event.kind_ == LeaseEventKind::kRefused &&
-        worker.table_.state_ == WorkerState::kReady) {
+        IsGivenOutTwice(worker.table_, event)) {
       ++world.capacity_refusals_;
     }
   }
--- a/flamingohollow/testing/job_world.h
+++ b/flamingohollow/testing/job_world.h
@@ -170,6 +170,8 @@
   // Prepares refused for want of accelerators or slots.
   int capacity_refusals_ = 0;
   std::vector<std::string> violations_;
+  // Some worker fails its tasks, at least for a time.
+  bool may_fail_ = false;
   Duration run_time_ = Duration(2000);
 
   // Called at the first passing of the hop by request 0's job.
