--- a/flamingohollow/job.cc
+++ b/flamingohollow/job.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "flamingohollow/job_phases.h"
+#include "flamingohollow/job_queue.h"
 #include "flamingohollow/job_state.h"
 #include "flamingohollow/job_workers.h"
 
@@ -36,7 +37,9 @@
   LiveJob* job = FindJob(step.controller_, refuse.job_);
   const bool waits =
       job != nullptr && job->phase_ == JobPhase::kQueued && !job->proposed_;
-  if (waits) RefuseJob(step, *job, refuse.reason_);
+  if (!waits) return;
+  RefuseJob(step, *job, refuse.reason_);
+  Advance(step, refuse.job_);
 }
 
 void DecidePlaces(Step& step) {
--- a/flamingohollow/job_phases.h
+++ b/flamingohollow/job_phases.h
@@ -32,14 +32,6 @@
 
 // Begins an attempt on the slices that placement chose.
 void BeginAttempt(Step& step, LiveJob& job, const std::vector<Slice>& slices);
-// Placement says that the job can never run here. That is only as true as the
-// workers are known: a job that ran before does fit, and a new leader must give
-// the workers of its predecessor's jobs a lease's time to be heard of.
-void RefuseJob(Step& step, LiveJob& job, const std::string& reason);
-
-// A refused job has waited long enough: back to placement.
-void EndBackOff(Step& step, const LiveJob& job);
-
 // Does what can be done now. May remove the job.
 void Advance(Step& step, JobId job);
 
--- a/flamingohollow/job_state.h
+++ b/flamingohollow/job_state.h
@@ -4,6 +4,9 @@
 //   job_attempt  what is known of one attempt's tasks
 //   job_outcome  what may be said of a stopped attempt
 //   job_workers  the workers, their reports and leases that nobody wants
+//   job_queue    a job in the queue
+//   job_stopping an attempt that is being stopped
+//   job_propose  the records that it proposes
 //   job_phases   a job's way from the queue to its end
 //   job          the events from outside
 //
--- /dev/null
+++ b/flamingohollow/job_stopping.cc
@@ -0,0 +1,172 @@
+// Stopping an attempt and judging its job: see job_stopping.h.
+
+#include "flamingohollow/job_stopping.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "flamingohollow/job_outcome.h"
+#include "flamingohollow/job_propose.h"
+#include "flamingohollow/job_queue.h"
+#include "flamingohollow/job_workers.h"
+
+namespace flamingohollow {
+namespace {
+
+void Exclude(Step& step, LiveJob& job) {
+  if (job.attempt_->excluded_at_) return;
+  job.attempt_->excluded_at_ = step.now_;
+  step.actions_.emplace_back(std::in_place_type<ExcludeFromRenewalAction>,
+                             ExcludeFromRenewalAction{job.id_, true});
+}
+
+bool WaitedLong(const Step& step, const Attempt& attempt) {
+  return step.now_ - attempt.stop_began_at_ >= OptionsOf(step).prepare_timeout_;
+}
+
+bool AnyOutOfReach(const Step& step, const Attempt& attempt) {
+  return std::any_of(attempt.tasks_.begin(), attempt.tasks_.end(),
+                     [&step](const AttemptTask& task) {
+                       return !IsOver(task.state_) && IsOutOfReach(step, task);
+                     });
+}
+
+// No more confirmations of ends are to be expected soon.
+bool CantLearnSoon(const Step& step, const Attempt& attempt) {
+  return AnyOutOfReach(step, attempt) || WaitedLong(step, attempt);
+}
+
+// All leases of an attempt without JobMayRun are over or out of reach. Those
+// out of reach never start; they only keep their worker from new work until
+// it says that they are gone.
+bool IsAbandoned(const Step& step, const Attempt& attempt) {
+  return std::all_of(attempt.tasks_.begin(), attempt.tasks_.end(),
+                     [&](const AttemptTask& task) {
+                       return IsOver(task.state_) || IsOutOfReach(step, task) ||
+                              WaitedLong(step, attempt);
+                     });
+}
+
+bool CanDrop(const Step& step, const Attempt& attempt) {
+  if (!attempt.may_run_) return IsAbandoned(step, attempt);
+  return SurelyOver(attempt, OptionsOf(step), step.now_);
+}
+
+void SendStops(Step& step, LiveJob& job) {
+  for (std::size_t i = 0; i < job.attempt_->tasks_.size(); ++i) {
+    if (IsOver(job.attempt_->tasks_[i].state_)) continue;
+    SendTask(step, job, i, WorkerCommandKind::kStop);
+  }
+}
+
+// Leases that a stop doesn't reach must end by themselves. Nearly all stops are
+// confirmed at once, so an exclusion is worth its traffic only if a worker is
+// out of reach or a stop had to be repeated.
+void ExcludeIfNeeded(Step& step, LiveJob& job) {
+  const Attempt& attempt = *job.attempt_;
+  if (!attempt.may_run_ || AllOver(attempt)) return;
+  const bool repeated =
+      step.now_ - attempt.stop_began_at_ >= OptionsOf(step).resend_interval_;
+  if (repeated || AnyOutOfReach(step, attempt)) Exclude(step, job);
+}
+
+StopFacts FactsOf(const Step& step, const LiveJob& job) {
+  const Attempt& attempt = *job.attempt_;
+  StopFacts facts;
+  facts.cause_ = *attempt.stop_cause_;
+  facts.reason_ = attempt.stop_reason_;
+  facts.idempotent_ = job.spec_.idempotent_;
+  facts.blames_job_ = IsBlamed(*step.controller_.placement_, job.id_);
+  facts.all_finished_ = AllFinished(attempt);
+  facts.all_never_ran_ = AllNeverRan(attempt);
+  facts.any_started_ = AnyStarted(attempt);
+  facts.all_over_ = AllOver(attempt);
+  facts.surely_over_ = SurelyOver(attempt, OptionsOf(step), step.now_);
+  facts.out_of_reach_ = CantLearnSoon(step, attempt);
+  facts.attempts_left_ = job.runs_ < OptionsOf(step).max_attempts_;
+  return facts;
+}
+
+void ProposeRequeue(Step& step, LiveJob& job) {
+  JobRequeued requeued;
+  requeued.job_ = job.id_;
+  requeued.attempt_ = job.attempt_->id_;
+  requeued.reason_ = job.attempt_->stop_reason_;
+  Propose(step, job, std::move(requeued));
+}
+
+void JudgeMayRun(Step& step, LiveJob& job) {
+  StopVerdict verdict = JudgeStopped(FactsOf(step, job));
+  switch (verdict.kind_) {
+    case StopVerdictKind::kWait:
+      return;
+    case StopVerdictKind::kRequeue:
+      ProposeRequeue(step, job);
+      return;
+    case StopVerdictKind::kEnd:
+      ProposeEnd(step, job, verdict.outcome_, std::move(verdict.reason_),
+                 verdict.retry_after_);
+      return;
+  }
+}
+
+// Without JobMayRun there is nothing to wait for before an answer: this attempt
+// never ran.
+void JudgeNeverStarted(Step& step, LiveJob& job) {
+  if (job.cancel_) {
+    ProposeEnd(step, job, Outcome::kCancelled, "cancelled before it started");
+    return;
+  }
+  if (job.deadline_passed_) {
+    ProposeNotRun(step, job, DeadlineReason(job), kRetryAfterDeadline);
+    return;
+  }
+  if (!IsAbandoned(step, *job.attempt_)) return;
+  DropAttempt(step, job);
+  Queue(step, job);
+}
+
+}  // namespace
+
+// The attempt's leases are over: frees its accelerators.
+void DropAttempt(Step& step, LiveJob& job) {
+  RemoveTasks(step, job);
+  if (job.attempt_->excluded_at_) {
+    step.actions_.emplace_back(std::in_place_type<ExcludeFromRenewalAction>,
+                               ExcludeFromRenewalAction{job.id_, false});
+  }
+  RemoveJob(*step.controller_.placement_, job.id_);
+  step.controller_.decide_ = true;
+  job.attempt_.reset();
+}
+
+void AdvanceStopping(Step& step, LiveJob& job) {
+  SendStops(step, job);
+  ExcludeIfNeeded(step, job);
+  if (job.proposed_) return;
+  if (job.cancel_) job.attempt_->stop_cause_ = StopCause::kCancelled;
+  if (job.attempt_->may_run_) {
+    JudgeMayRun(step, job);
+  } else {
+    JudgeNeverStarted(step, job);
+  }
+}
+
+void BeginStop(Step& step, LiveJob& job, StopCause cause, std::string reason) {
+  Attempt& attempt = *job.attempt_;
+  attempt.stop_cause_ = cause;
+  attempt.stop_began_at_ = step.now_;
+  attempt.stop_reason_ = std::move(reason);
+  ForgetSent(attempt);
+  job.phase_ = JobPhase::kStopping;
+  AdvanceStopping(step, job);
+}
+
+void AdvanceEnded(Step& step, LiveJob& job) {
+  if (!job.attempt_) return;
+  SendStops(step, job);
+  ExcludeIfNeeded(step, job);
+  if (CanDrop(step, *job.attempt_)) DropAttempt(step, job);
+}
+
+}  // namespace flamingohollow
