--- a/flamingohollow/testing/job_test.cc
+++ b/flamingohollow/testing/job_test.cc
@@ -291,6 +291,45 @@
   CHECK(ViewRecord(records, JobId(1))->outcome_ == Outcome::kUnknown);
 }
 
+TEST_CASE("a new leader takes no held-back report for a lost lease") {
+  Bench bench = MakeBench(1);
+  const WorkerReport old = ReportOf(bench, WorkerId("w0"));
+  Commit(bench, Accepted("r", 8));
+  Tick(bench);
+  TakeOffice(bench, 2);
+  CarryOut(bench, OnWorkerReport(*bench.controller_, old, bench.now_));
+  Tick(bench);
+  CHECK(View(bench, 1).outcome_ == Outcome::kStarting);
+  Report(bench, WorkerId("w0"));
+  CHECK(View(bench, 1).outcome_ == Outcome::kRunning);
+  // A worker that goes on without the lease has lost it.
+  bench.workers_.at(WorkerId("w0")).leases_.clear();
+  ++bench.workers_.at(WorkerId("w0")).changes_;
+  for (int i = 0; i < 101; ++i) {
+    Report(bench, WorkerId("w0"));
+    Tick(bench);
+  }
+  CHECK(View(bench, 1).outcome_ == Outcome::kUnknown);
+}
+
+TEST_CASE("an ended job's accelerators stay taken until its leases are over") {
+  Bench bench = MakeBench(2);
+  Commit(bench, Accepted("r", 16));
+  Tick(bench);
+  bench.cut_ = WorkerId("w0");
+  bench.workers_.at(WorkerId("w1")).incarnation_ = Incarnation(2);
+  bench.workers_.at(WorkerId("w1")).leases_.clear();
+  Report(bench, WorkerId("w1"));
+  CHECK(View(bench, 1).outcome_ == Outcome::kUnknown);
+  Tick(bench);
+  const PlacementState& placement = Placement(*bench.controller_);
+  CHECK(FreeAccelerators(placement, WorkerId("w0")) == Accelerators(0));
+  bench.cut_ = WorkerId();
+  Tick(bench, Duration(600));
+  Tick(bench);
+  CHECK(FreeAccelerators(placement, WorkerId("w0")) == Accelerators(8));
+}
+
 TEST_CASE("a part over the limit fails its task, whole") {
   Bench bench = MakeBench(1);
   Commit(bench, Accepted("r", 8));
