--- a/flamingohollow/testing/entry_test.cc
+++ b/flamingohollow/testing/entry_test.cc
@@ -6,6 +6,7 @@
 
 #include <atomic>
 #include <chrono>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <mutex>
@@ -62,13 +63,18 @@
 }
 
 // One request on a connection of its own; the whole answer.
-std::string Ask(const EntryServer& entry, const std::string& method,
-                const std::string& target, const std::string& body = "") {
-  RawClient client(entry.port());
+std::string AskPort(std::uint16_t port, const std::string& method,
+                    const std::string& target, const std::string& body = "") {
+  RawClient client(port);
   client.Send(Request(method, target, body, "Connection: close\r\n"));
   return client.ReadAll();
 }
 
+std::string Ask(const EntryServer& entry, const std::string& method,
+                const std::string& target, const std::string& body = "") {
+  return AskPort(entry.port(), method, target, body);
+}
+
 bool IsReady(const EntryServer& entry) {
   return Contains(Ask(entry, "GET", "/readyz"), "HTTP/1.1 200");
 }
@@ -263,7 +269,8 @@
     has_held = true;
   });
   control.SetAnswer(LeaderAnswer(kLongLease));
-  const auto entry = MakeEntry({control.address()});
+  auto entry = MakeEntry({control.address()});
+  const std::uint16_t port = entry->port();
   REQUIRE(Await([&] { return IsReady(*entry); }));
   RawClient waiting(entry->port());
   waiting.Send(Request("POST", "/v1/jobs?wait_ms=60000", kSubmit, ""));
@@ -275,15 +282,19 @@
   in_flight.Send(Request("GET", "/v1/jobs/7", "", ""));
   REQUIRE(Await([&] { return has_held.load(); }));
 
-  std::thread stopping([&] { entry->Stop(); });
+  // As the daemon does: once Stop returns, everything goes.
+  std::thread stopping([&] {
+    entry->Stop();
+    entry.reset();
+  });
   // The waiting caller gets the job's present state and may ask elsewhere.
   const std::string moved = waiting.ReadAll();
   CHECK(Contains(moved, "HTTP/1.1 202"));
   CHECK(Contains(moved, "\"outcome\":\"running\""));
   CHECK(Contains(moved, "\"job\":\"7\""));
   // The balancer is told, while new requests are still served.
-  CHECK(Contains(Ask(*entry, "GET", "/readyz"), "HTTP/1.1 503"));
-  CHECK(Contains(Ask(*entry, "POST", "/v1/jobs", kSubmit), "HTTP/1.1 202"));
+  CHECK(Contains(AskPort(port, "GET", "/readyz"), "HTTP/1.1 503"));
+  CHECK(Contains(AskPort(port, "POST", "/v1/jobs", kSubmit), "HTTP/1.1 202"));
   {
     const std::lock_guard lock(mutex);
     held(JobAnswer(7, Outcome::kRunning));
