--- a/flamingohollow/control_core.cc
+++ b/flamingohollow/control_core.cc
@@ -23,6 +23,8 @@
 constexpr std::size_t kKeptVersions = 256;
 // A proof of leadership that takes longer is sought anew.
 constexpr Duration kConfirmTimeout = Duration(2000);
+// Pruning passes over all workers' routes, whose lifetime is far longer.
+constexpr Duration kPruneInterval = Duration(1000);
 
 // A record that was committed must decode: a voter that passed one over would
 // no longer be the replica of the others.
@@ -102,6 +104,8 @@
   if (!leadership_) return;
   ExpireWaiters(now);
   DropLapsed(leadership_->entries_, now);
+  if (now < leadership_->next_prune_) return;
+  leadership_->next_prune_ = now + kPruneInterval;
   leadership_->exchanges_.Prune(leadership_->entries_, now);
 }
 
--- a/flamingohollow/control_core.h
+++ b/flamingohollow/control_core.h
@@ -49,7 +49,7 @@
 inline constexpr Duration kQueueRetryAfter = Duration(2000);
 // The leader proves this often that it still leads.
 inline constexpr Duration kConfirmInterval = Duration(1000);
-inline constexpr Duration kControllerInterval = Duration(50);
+inline constexpr Duration kControllerInterval = Duration(100);
 // A job list holds the newest this many.
 inline constexpr std::size_t kMaxListedJobs = 1000;
 
@@ -112,6 +112,7 @@
     std::optional<Time> confirming_since_;
     Time next_confirm_;
     Time next_controller_tick_;
+    Time next_prune_;
     // Proposals of the controller that the replica had no room for.
     std::deque<Command> deferred_;
   };
