Log: a learner whose addition was rolled back can join again

The next leader saw a folder that is not blank and left it out for good.

A removed voter that saw its removal can be added again with its folder.

--- a/flamingohollow/raft_membership.cc
+++ b/flamingohollow/raft_membership.cc
@@ -38,7 +38,10 @@
   if (IsBlank(state)) return JoinState::kBlank;
   const bool only_founded =
       LastIndex(state.log_) == kFoundingIndex && state.commit_ == LogIndex();
-  return only_founded ? JoinState::kFounded : JoinState::kFormed;
+  if (only_founded) return JoinState::kFounded;
+  return IsVoter(CurrentMembership(state.log_), state.id_)
+             ? JoinState::kFormed
+             : JoinState::kNoVoter;
 }
 
 ProbeReply DescribeSelf(const RaftState& state, std::uint64_t nonce) {
@@ -49,6 +52,14 @@
           .pledge_ = state.hard_.pledge_};
 }
 
+// Whether a voter may join as a learner. A blank one may; so may one that
+// holds a log but counts in no quorum by it, such as a learner whose addition
+// an earlier leader could not commit: its folder has kept all it ever promised.
+bool MayJoin(const ProbeReply& reply) {
+  if (reply.state_ == JoinState::kBlank) return reply.pledge_ == 0;
+  return reply.state_ == JoinState::kNoVoter;
+}
+
 // Founding.
 
 void FinishInit(StepContext ctx, bool ok, std::string reason) {
@@ -99,7 +110,8 @@
   if (formation.phase_ != FormationPhase::kProbe) return;
   const Founder* founder = FindFounder(formation, reply.name_);
   if (founder == nullptr || formation.answered_.contains(reply.name_)) return;
-  if (reply.state_ == JoinState::kFormed) {
+  if (reply.state_ == JoinState::kFormed ||
+      reply.state_ == JoinState::kNoVoter) {
     return FinishInit(
         ctx, false,
         "voter " + reply.name_.value() + " already belongs to a formed group");
@@ -249,7 +261,7 @@
   if (FindMember(current, id) != nullptr) {
     return FinishJoining(ctx, true, "already a member");
   }
-  if (reply.state_ != JoinState::kBlank || reply.pledge_ != 0) {
+  if (!MayJoin(reply)) {
     return FinishJoining(
         ctx, false,
         "the data folder of " + reply.name_.value() + " is not empty");
@@ -270,11 +282,11 @@
   if (by_operator) state.operator_waits_ = index;
 }
 
-// A member's address is answered by a blank folder: it lost its former one.
+// A member's address is answered by another identity: it lost its folder.
 void StartRepair(StepContext ctx, const ProbeReply& reply) {
   const RaftState& state = ctx.state_;
   if (!LeaderReady(state) || state.joining_.has_value()) return;
-  if (reply.state_ != JoinState::kBlank || reply.pledge_ != 0) return;
+  if (!MayJoin(reply)) return;
   const Member* member =
       FindMemberByName(CurrentMembership(state.log_), reply.name_);
   if (member == nullptr || member->address_ != reply.address_) return;
--- a/flamingohollow/raft_message.h
+++ b/flamingohollow/raft_message.h
@@ -101,6 +101,8 @@
   // Holds the founding membership and nothing else.
   kFounded = 1,
   kFormed = 2,
+  // Holds a log by which it is no voter: a learner, or removed.
+  kNoVoter = 3,
 };
 
 // Answers a Probe, and any message that was meant for another VoterId at this
--- a/flamingohollow/testing/raft_rules_test.cc
+++ b/flamingohollow/testing/raft_rules_test.cc
@@ -235,7 +235,7 @@
   voter.Give(AddVoterEvent{{NodeName("4"), "4"}});
   ProbeReply reply;
   reply.name_ = NodeName("4");
-  reply.address_ = "4";
+  reply.address_ = std::string("4");
   reply.nonce_ = voter.state_.joining_->nonce_ + 1;
   // An answer to an older probe may name an identity that is gone.
   voter.Receive(reply, 9, Term());
@@ -258,6 +258,31 @@
   CHECK_FALSE(learner());
 }
 
+TEST_CASE("a learner that no leader committed can still join") {
+  OneVoter learner;
+  learner.entries_[0].membership_[0].learner_ = true;
+  learner.Start({});
+  learner.state_.name_ = learner.members_[2].name_;
+  Message message;
+  message.from_ = VoterId(2);
+  message.body_ = Probe{.nonce_ = 5};
+  const Actions actions = Step(&learner.state_, message, learner.now_);
+  REQUIRE(actions.send_.size() == 1);
+  const auto reply = std::get<ProbeReply>(actions.send_[0].body_);
+  OneVoter leader;
+  leader.Lead();
+  leader.CommitOpening();
+  const Member& third = leader.members_[2];
+  leader.Give(AddVoterEvent{{third.name_, third.address_}});
+  ProbeReply answer = reply;
+  answer.nonce_ = leader.state_.joining_->nonce_;
+  leader.Receive(answer, 9, Term());
+  const Member* member =
+      FindMember(CurrentMembership(leader.state_.log_), VoterId(9));
+  REQUIRE(member != nullptr);
+  CHECK(member->learner_);
+}
+
 TEST_CASE("a blank voter pledges to one founding, and takes only that") {
   OneVoter blank(true);
   const auto accepts = [&blank](bool take, const Membership& membership) {
