Log: schedules ask only for losses that a group can bear

Two voters bear no loss, so the rule for promotions under way now holds for additions under way as well.

--- a/flamingohollow/testing/raft_sim.cc
+++ b/flamingohollow/testing/raft_sim.cc
@@ -404,28 +404,34 @@
   return intact >= QuorumSize(membership);
 }
 
-bool RaftSim::MayWipe(std::size_t i) const {
-  const Membership* newest = nullptr;
-  for (const auto& [index, entry] : committed_) {
-    if (entry.kind_ == EntryKind::kMembership) newest = &entry.membership_;
-  }
-  if (newest == nullptr || !KeepsQuorum(*newest, i)) return false;
+bool RaftSim::Survives(const Membership& membership,
+                       std::size_t without) const {
+  if (!KeepsQuorum(membership, without)) return false;
   // The leader may promote a learner in the moment before it sees the loss:
   // that membership must survive too.
-  for (const Member& learner : *newest) {
+  for (const Member& learner : membership) {
     if (!learner.learner_) continue;
-    Membership promoted = *newest;
+    Membership promoted = membership;
     for (Member& member : promoted) {
       if (member.id_ == learner.id_) member.learner_ = false;
     }
-    if (!KeepsQuorum(promoted, i)) return false;
+    if (!KeepsQuorum(promoted, without)) return false;
+  }
+  return true;
+}
+
+bool RaftSim::MayWipe(std::size_t i) const {
+  const Membership* newest = nullptr;
+  for (const auto& [index, entry] : committed_) {
+    if (entry.kind_ == EntryKind::kMembership) newest = &entry.membership_;
   }
+  if (newest == nullptr || !Survives(*newest, i)) return false;
   // A change under way may still win or lose: both must survive.
   return std::all_of(nodes_.begin(), nodes_.end(), [&](const SimNode& node) {
     const Membership& own = CurrentMembership(node.state_.log_);
     return own.empty() ||
            CurrentMembershipIndex(node.state_.log_) <= committed() ||
-           KeepsQuorum(own, i);
+           Survives(own, i);
   });
 }
 
--- a/flamingohollow/testing/raft_sim.h
+++ b/flamingohollow/testing/raft_sim.h
@@ -136,6 +136,7 @@
   };
 
   bool Active(const SimNode& node) const;
+  bool Survives(const Membership& membership, std::size_t without) const;
   void StepNode(SimNode* node, const RaftEvent& event);
   void CarryOut(SimNode* node, Actions actions);
   void Post(SimNode* node, const std::vector<Message>& messages);
