max_rate counts over all entries; the stand-in leaves an entry that can't renew

Cause: each entry had its own bucket, so N entries allowed N times the customer's rate. Ruled out: dividing the rate among entries, which refuses a customer whose callers use one entry. Conclusion: the leader holds the bucket that decides, resends take no token, and a refusal waits for the proof of leadership; entries still refuse early. The worker stand-in goes to another entry when an answer renews nothing.

--- a/flamingohollow/control_calls.cc
+++ b/flamingohollow/control_calls.cc
@@ -258,15 +258,31 @@
 void ControlCore::HandleSubmit(const CallRequest& request,
                                CallResponder respond) {
   if (!RefuseSubmit(request)) {
-    ProposeJob(request.spec_, std::move(respond));
+    ProposeWithinRate(request.spec_, std::move(respond));
     return;
   }
   WhenConfirmed(std::move(respond), [this, request](CallResponder answer) {
     if (const auto refusal = RefuseSubmit(request)) return answer(*refusal);
-    ProposeJob(request.spec_, std::move(answer));
+    ProposeWithinRate(request.spec_, std::move(answer));
   });
 }
 
+// The entries refuse early what is over the rate at one of them; here it is
+// counted over all entries.
+void ControlCore::ProposeWithinRate(const JobSpec& spec,
+                                    CallResponder respond) {
+  const Row& row = state_.table_.rows_.at(spec.customer_);
+  const Duration wait = TakeToken(leadership_->rates_, row, Now());
+  if (wait == Duration(0)) return ProposeJob(spec, std::move(respond));
+  const CallReply refusal =
+      ErrorReply(CallError::kOverLimit,
+                 "customer \"" + spec.customer_.value() +
+                     "\" submits faster than column \"max_rate\" allows",
+                 wait);
+  WhenConfirmed(std::move(respond),
+                [refusal](const CallResponder& answer) { answer(refusal); });
+}
+
 void ControlCore::ProposeJob(const JobSpec& spec, CallResponder respond) {
   const CustomerId& customer = spec.customer_;
   ++submitting_[customer];
--- a/flamingohollow/control_core.h
+++ b/flamingohollow/control_core.h
@@ -32,6 +32,7 @@
 #include "flamingohollow/control_state.h"
 #include "flamingohollow/job.h"
 #include "flamingohollow/messages.h"
+#include "flamingohollow/rate_limit.h"
 #include "flamingohollow/replica.h"
 #include "util/clock.h"
 
@@ -113,6 +114,8 @@
     Time next_confirm_;
     Time next_controller_tick_;
     Time next_prune_;
+    // Submissions of each customer, over all entries.
+    RateLimits rates_;
     // Proposals of the controller that the replica had no room for.
     std::deque<Command> deferred_;
   };
@@ -143,6 +146,7 @@
   void HandleTableApply(CallRequest request, CallResponder respond);
   void ProposeChange(const TableChange& change, CallResponder respond);
   void HandleSubmit(const CallRequest& request, CallResponder respond);
+  void ProposeWithinRate(const JobSpec& spec, CallResponder respond);
   void ProposeJob(const JobSpec& spec, CallResponder respond);
   CallReply AcceptedReply(const JobApplyResult& result) const;
   void HandleCancel(const CallRequest& request, CallResponder respond);
--- a/flamingohollow/testing/control_test.cc
+++ b/flamingohollow/testing/control_test.cc
@@ -242,6 +242,23 @@
   CHECK((*f.last_)->retry_after_ > Duration(0));
 }
 
+TEST_CASE("a customer's rate counts over all entries, resends excepted") {
+  Fixture f;
+  f.Lead();
+  auto apply = Fixture::ApplyRequest("t", 0, 1);
+  apply.change_.upserts_[0].max_queued_ = 100;
+  f.Call(apply);
+  for (int i = 0; i < 10; ++i) {
+    CHECK(f.Call(Fixture::SubmitRequest(std::to_string(i)))->status_ == 202);
+  }
+  const auto refused = f.Call(Fixture::SubmitRequest("10"));
+  CHECK(refused->status_ == 429);
+  CHECK(refused->retry_after_ > Duration(0));
+  CHECK(f.Call(Fixture::SubmitRequest("0"))->status_ == 202);
+  f.now_ = f.now_ + refused->retry_after_;
+  CHECK(f.Call(Fixture::SubmitRequest("10"))->status_ == 202);
+}
+
 TEST_CASE("submissions that can't be: unknown customer, foreign token") {
   Fixture f;
   f.Lead();
--- a/flamingohollow/testing/fake_worker.cc
+++ b/flamingohollow/testing/fake_worker.cc
@@ -299,6 +299,8 @@
       if (!reply) co_return;
       whole = !reply->known_;
       if (whole) continue;
+      // This entry has no authority to renew; another one may.
+      if (reply->renew_ == Duration()) co_return;
       co_await WaitForChange(reply->announce_after_);
       whole = leases_.changes_ != announced_changes_;
     }
