--- a/flamingohollow/control_core.cc
+++ b/flamingohollow/control_core.cc
@@ -191,12 +191,10 @@
   lead.entries_ = MakeEntries(entries, term, now);
   lead.next_confirm_ = now;
   lead.next_controller_tick_ = now;
-  LogInfo("leads group in term {}", term.value());
 }
 
 void ControlCore::LeadershipLost() {
   if (!leadership_) return;
-  LogInfo("no longer leads in term {}", leadership_->term_.value());
   // Moved out first: responders may come back in here.
   const std::unique_ptr<Leadership> lost = std::move(leadership_);
   results_.clear();
