--- a/flamingohollow/raft_replicate.cc
+++ b/flamingohollow/raft_replicate.cc
@@ -441,19 +441,32 @@
   Reply(ctx, message, reply, term_is_new ? Delivery::kSynced : Delivery::kNow);
 }
 
-void HandleAppendReply(StepContext ctx, const Message& message,
-                       const AppendReply& reply) {
-  RaftState& state = ctx.state_;
-  const auto found = state.progress_.find(message.from_);
-  const Member* member =
-      FindMember(CurrentMembership(state.log_), message.from_);
+namespace {
+
+// Notes when the member was asked what it answers now, and the read round that
+// it confirms. Null when this voter does not lead or the sender is no member.
+template <typename Answer>
+const Member* TakeAnswer(RaftState& state, VoterId from, const Answer& reply) {
+  const auto found = state.progress_.find(from);
+  const Member* member = FindMember(CurrentMembership(state.log_), from);
   if (state.role_ != Role::kLeader || found == state.progress_.end() ||
       member == nullptr) {
-    return;
+    return nullptr;
   }
   Progress& progress = found->second;
   progress.answered_ = std::max(progress.answered_, reply.sent_);
   progress.round_ = std::max(progress.round_, reply.round_);
+  return member;
+}
+
+}  // namespace
+
+void HandleAppendReply(StepContext ctx, const Message& message,
+                       const AppendReply& reply) {
+  RaftState& state = ctx.state_;
+  const Member* member = TakeAnswer(state, message.from_, reply);
+  if (member == nullptr) return;
+  Progress& progress = state.progress_.at(message.from_);
   if (!reply.accepted_) {
     Rewind(&progress,
            std::max(Next(progress.match_),
@@ -531,16 +544,9 @@
 void HandleSnapshotReply(StepContext ctx, const Message& message,
                          const SnapshotReply& reply) {
   RaftState& state = ctx.state_;
-  const auto found = state.progress_.find(message.from_);
-  const Member* member =
-      FindMember(CurrentMembership(state.log_), message.from_);
-  if (state.role_ != Role::kLeader || found == state.progress_.end() ||
-      member == nullptr) {
-    return;
-  }
-  Progress& progress = found->second;
-  progress.answered_ = std::max(progress.answered_, reply.sent_);
-  progress.round_ = std::max(progress.round_, reply.round_);
+  const Member* member = TakeAnswer(state, message.from_, reply);
+  if (member == nullptr) return;
+  Progress& progress = state.progress_.at(message.from_);
   if (reply.index_ == progress.snapshot_) {
     // A lower offset comes from a member that was restarted, or is an old
     // answer: only the time-out sends again, so echoes don't multiply.
