A worker that moved between entries stays alive

Cause: the leader took a worker as alive through the last entry that spoke of it. Ruled out: naming all workers again at intervals, which costs what was saved. Conclusion: each entry's set stands by itself; a worker is alive while any entry stands for it. The case in control_test fails with the old rule; faults_test Idle watches a real cluster for 8 s.

--- a/flamingohollow/control_exchanges.cc
+++ b/flamingohollow/control_exchanges.cc
@@ -44,22 +44,32 @@
     all_reported = SetRoute(worker, id).reported_ && all_reported;
   }
   Peer& peer = peers_[id];
-  for (const WorkerId& worker : sync.silent_) peer.workers_.erase(worker);
+  for (const WorkerId& worker : sync.silent_) {
+    peer.workers_.erase(worker);
+    LeaveRoute(worker, id);
+  }
   for (const WorkerId& worker : peer.workers_) routes_[worker].heard_ = now;
   return all_reported;
 }
 
-// A worker is alive through one entry: the last one that spoke of it.
 EntryExchanges::Route& EntryExchanges::SetRoute(const WorkerId& worker,
                                                 const HolderId& id) {
   Route& route = routes_[worker];
-  const auto former = peers_.find(route.holder_);
-  if (former != peers_.end()) former->second.workers_.erase(worker);
   route.holder_ = id;
   peers_[id].workers_.insert(worker);
   return route;
 }
 
+// A worker that went to another entry may have been named by that one first,
+// as exchanges of different entries overtake each other.
+void EntryExchanges::LeaveRoute(const WorkerId& worker, const HolderId& id) {
+  const auto route = routes_.find(worker);
+  if (route == routes_.end() || route->second.holder_ != id) return;
+  for (const auto& [other, peer] : peers_) {
+    if (peer.workers_.contains(worker)) route->second.holder_ = other;
+  }
+}
+
 std::vector<WorkerId> EntryExchanges::WorkersThrough(
     const EntrySync& sync) const {
   const auto peer = peers_.find({sync.entry_, sync.incarnation_});
--- a/flamingohollow/control_exchanges.h
+++ b/flamingohollow/control_exchanges.h
@@ -120,8 +120,8 @@
     bool known_ = false;
     // Of its newest exchange.
     std::uint64_t sequence_ = 0;
-    // Alive through this entry: named by it and not called silent since, nor
-    // named by another entry.
+    // Alive through this entry: named by it and not called silent since. A
+    // worker may be alive through several.
     std::set<WorkerId> workers_;
     std::map<CommandKey, QueuedCommand> commands_;
     std::map<JobId, std::optional<Told>> watched_;
@@ -141,6 +141,7 @@
   // True when all workers that the sync names have reported themselves.
   bool SetRoutes(const EntrySync& sync, const HolderId& id, Time now);
   Route& SetRoute(const WorkerId& worker, const HolderId& id);
+  void LeaveRoute(const WorkerId& worker, const HolderId& id);
   static void SetWatched(Peer& peer, const std::vector<JobId>& watched);
   static void DropOldCommands(Peer& peer, Time now);
   static void GatherNews(Peer& peer, const LeaderView& view);
--- a/flamingohollow/testing/control_test.cc
+++ b/flamingohollow/testing/control_test.cc
@@ -420,6 +420,34 @@
   CHECK((*held)->commands_[0].kind_ == WorkerCommandKind::kPrepare);
 }
 
+TEST_CASE("a worker that moved is alive though its former entry speaks last") {
+  Fixture f;
+  f.Lead();
+  f.Apply("t", 0, 1);
+  WorkerReport report;
+  report.worker_ = WorkerId("worker-0");
+  report.incarnation_ = Incarnation(1);
+  report.sequence_ = 1;
+  report.accelerators_ = Accelerators(8);
+  auto former = Fixture::EntryAt(1);
+  auto present = former;
+  present.entry_ = NodeName("entry-1");
+  former.reports_ = {report};
+  present.reports_ = {report};
+  f.Sync(present);
+  f.Sync(former);
+  present.reports_.clear();
+  former.reports_.clear();
+  former.silent_ = {report.worker_};
+  f.Sync(former);
+  for (int second = 0; second < 10; ++second) {
+    f.Sync(present);
+    f.Advance(Duration(1000));
+  }
+  const auto workers = f.Call(Fixture::Ask(CallKind::kWorkers));
+  CHECK(workers->body_.find("\"state\":\"ready\"") != std::string::npos);
+}
+
 TEST_CASE("commands that no exchange took in time are dropped") {
   EntryExchanges exchanges;
   Entries entries = MakeEntries(EntriesOptions{}, Term(1), Time(0));
--- a/flamingohollow/testing/faults_test.py
+++ b/flamingohollow/testing/faults_test.py
@@ -299,6 +299,17 @@
         self.cluster.wait_gone(start["worker"])
 
 
+class Idle(ClusterTest):
+    """Nothing changes while nothing happens."""
+
+    def test_idle_workers_stay_ready(self):
+        time.sleep(8)
+        code, answer = self.cluster.ask("workers")
+        self.assertEqual(code, 0, answer)
+        self.assertEqual({worker["state"] for worker in answer["workers"]},
+                         {"ready"})
+
+
 class BadWorkers(ClusterTest):
     """Workers that fail, hang, answer late or twice, or refuse."""
 
