--- a/app/flamingohollowd.cc
+++ b/app/flamingohollowd.cc
@@ -23,6 +23,7 @@
 #include "flamingohollow/control_process.h"
 #include "flamingohollow/entry.h"
 #include "flamingohollow/settings.h"
+#include "util/flags.h"
 
 ABSL_FLAG(std::string, config, "", "the settings file");
 ABSL_FLAG(bool, check, false, "check the settings and exit");
@@ -110,6 +111,10 @@
 int main(int argc, char** argv) {
   absl::SetProgramUsageMessage(
       "a control or an entry process: flamingohollowd --config=FILE [--check]");
+  if (const auto mistake = flamingohollow::FindFlagMistake(argc, argv)) {
+    fmt::print(stderr, "{}\n", *mistake);
+    return flamingohollow::kBadSettings;
+  }
   absl::ParseCommandLine(argc, argv);
   return flamingohollow::Main();
 }
