Tool: a refused resend of an accepted job is no outcome

Cause: when an entry drained, the tool resent without a pause, ran into max_rate, and told an accepted job as not_run, which it was not. Ruled out: a fault of the entry, which rightly limits what comes to it.

--- a/app/flamingohollow.cc
+++ b/app/flamingohollow.cc
@@ -14,6 +14,7 @@
 #include <algorithm>
 #include <boost/json.hpp>
 #include <boost/leaf/handle_errors.hpp>
+#include <chrono>
 #include <cstdint>
 #include <cstdio>
 #include <cstdlib>
@@ -22,6 +23,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <thread>
 #include <utility>
 #include <variant>
 #include <vector>
@@ -80,6 +82,8 @@
 constexpr Duration kAnswerTimeout(10'000);
 // One wait at an entry; a longer wait is made of several.
 constexpr Duration kLongestSingleWait(15'000);
+// Between two looks at a job that is waited for.
+constexpr Duration kPollPause(200);
 
 constexpr char kUsageText[] =
     "flamingohollow --servers=HOST:PORT,... [--json] COMMAND\n"
@@ -321,7 +325,8 @@
     if (object.contains(field)) job[field] = object[field];
   }
   Print(job, JobText);
-  return exit_code;
+  const bool may_have_run = answer.maybe_done_ && answer.status_ != 422;
+  return may_have_run ? kUnknownOutcome : exit_code;
 }
 
 ToolRequest SubmitRequest(const std::string& request_id, Duration wait) {
@@ -329,8 +334,17 @@
           request_id, json::serialize(SubmitBody()), kAnswerTimeout + wait};
 }
 
+// The next try goes to another entry, after a pause: an entry that is stopping
+// answers at once.
+void TurnToNextEntry(ToolConnection& connection) {
+  std::rotate(connection.servers_.begin(), connection.servers_.begin() + 1,
+              connection.servers_.end());
+  std::this_thread::sleep_for(std::chrono::milliseconds(kPollPause.ms()));
+}
+
 // Sends the submission again until its job has ended: the request id makes
-// each resend ask for the same job, whatever became of the entry before.
+// each resend ask for the same job, whatever became of the entry before. Once
+// the job was accepted, no refusal of a resend says that it did not run.
 int Submit() {
   if (absl::GetFlag(FLAGS_customer).empty()) {
     return Usage("--customer is empty");
@@ -339,8 +353,9 @@
     return Usage("--accelerators is 0");
   }
   const std::string request_id = RequestIdFlag();
-  const ToolConnection connection = MakeConnection();
+  ToolConnection connection = MakeConnection();
   const bool wait = absl::GetFlag(FLAGS_wait);
+  std::optional<json::object> accepted;
   const Time end = MonotonicNow() + Duration(absl::GetFlag(FLAGS_wait_ms));
   for (;;) {
     const Duration left = end - MonotonicNow();
@@ -348,13 +363,15 @@
         wait ? std::clamp(left, Duration(), kLongestSingleWait) : Duration();
     const ToolAnswer answer =
         Ask(connection, SubmitRequest(request_id, this_wait));
-    if (StatusExitCode(answer) != kDone) {
-      return PrintRefusal(answer, request_id);
+    const bool done = StatusExitCode(answer) == kDone;
+    if (!done && !accepted) return PrintRefusal(answer, request_id);
+    if (done) accepted = ParseAnswer(answer);
+    const std::string outcome = OutcomeOf(*accepted);
+    if (wait && !HasEnded(outcome) && left > Duration()) {
+      TurnToNextEntry(connection);
+      continue;
     }
-    const json::object job = ParseAnswer(answer);
-    const std::string outcome = OutcomeOf(job);
-    if (wait && !HasEnded(outcome) && left > Duration()) continue;
-    Print(job, JobText);
+    Print(*accepted, JobText);
     return wait ? OutcomeExitCode(outcome) : kDone;
   }
 }
--- a/flamingohollow/testing/faults_test.py
+++ b/flamingohollow/testing/faults_test.py
@@ -274,6 +274,19 @@
         self.cluster.wait_gone("entry-0")
         self.assert_at_most_once("waits")
 
+    def test_refused_resend_of_an_accepted_job_is_no_outcome(self):
+        code, answer = self.cluster.apply(
+            TABLE.replace("16,1000,1000", "16,1000,1"))
+        self.assertEqual(code, 0, answer)
+        job = self.cluster.begin(
+            "submit", "--customer=acme", "--accelerators=8", "--run_ms=1500",
+            "--request_id=slow", "--wait")
+        wait_until("the job runs", lambda: self.cluster.starts("slow"))
+        self.cluster.kill("entry-0", signal.SIGTERM)
+        code, answer = finish(job)
+        self.assertEqual((code, answer["outcome"]), (0, "completed"), answer)
+        self.assert_at_most_once("slow")
+
     def test_leaving_worker_gets_no_new_work(self):
         self.cluster.kill("worker-0", signal.SIGUSR1)
         left_at = time.time() * 1000
