Fault tests: one body for a caller whose entry drains

Cause: the test of a refused resend repeated the one of a draining entry. Conclusion: both call one check and keep all assertions; the second now also waits for the entry to end.

--- a/flamingohollow/testing/faults_test.py
+++ b/flamingohollow/testing/faults_test.py
@@ -263,29 +263,26 @@
 class Shutdown(ClusterTest):
     """Graceful stops cut off nothing."""
 
-    def test_entry_stops_without_cutting_off_a_waiting_caller(self):
+    def check_caller_outlives_its_entry(self, request_id):
+        """Drains the entry that a caller waits at; the caller gets its answer."""
         job = self.cluster.begin(
             "submit", "--customer=acme", "--accelerators=8", "--run_ms=1500",
-            "--request_id=waits", "--wait")
-        wait_until("the job runs", lambda: self.cluster.starts("waits"))
+            f"--request_id={request_id}", "--wait")
+        wait_until("the job runs", lambda: self.cluster.starts(request_id))
         self.cluster.kill("entry-0", signal.SIGTERM)
         code, answer = finish(job)
         self.assertEqual((code, answer["outcome"]), (0, "completed"), answer)
         self.cluster.wait_gone("entry-0")
-        self.assert_at_most_once("waits")
+        self.assert_at_most_once(request_id)
+
+    def test_entry_stops_without_cutting_off_a_waiting_caller(self):
+        self.check_caller_outlives_its_entry("waits")
 
     def test_refused_resend_of_an_accepted_job_is_no_outcome(self):
         code, answer = self.cluster.apply(
             TABLE.replace("16,1000,1000", "16,1000,1"))
         self.assertEqual(code, 0, answer)
-        job = self.cluster.begin(
-            "submit", "--customer=acme", "--accelerators=8", "--run_ms=1500",
-            "--request_id=slow", "--wait")
-        wait_until("the job runs", lambda: self.cluster.starts("slow"))
-        self.cluster.kill("entry-0", signal.SIGTERM)
-        code, answer = finish(job)
-        self.assertEqual((code, answer["outcome"]), (0, "completed"), answer)
-        self.assert_at_most_once("slow")
+        self.check_caller_outlives_its_entry("slow")
 
     def test_leaving_worker_gets_no_new_work(self):
         self.cluster.kill("worker-0", signal.SIGUSR1)
