--- a/flamingohollow/control.cc
+++ b/flamingohollow/control.cc
@@ -141,6 +141,9 @@
       return HandleSync(body, std::move(respond));
     case RpcKind::kCall:
       return HandleCall(body, std::move(respond));
+    case RpcKind::kGraph:
+      // Graph jobs have a control process of their own; see graph_control.h.
+      break;
   }
   respond("");
 }
--- /dev/null
+++ b/flamingohollow/fleet.cc
@@ -0,0 +1,61 @@
+#include "flamingohollow/fleet.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace flamingohollow {
+namespace {
+
+// A worker's clock may run this much slow, in thousandths: 2% by the worker
+// protocol, and 1% for our own.
+constexpr std::int64_t kClockDriftPerMille = 30;
+// Added to each computed end of a lease, for rounding and timers.
+constexpr Duration kLeaseMargin = Duration(200);
+
+}  // namespace
+
+void AddRun(FleetWorker& worker, const AttemptRef& attempt, Run run) {
+  const Resources need = run.need_;
+  if (!worker.runs_.emplace(attempt, std::move(run)).second) return;
+  worker.used_ = worker.used_ + need;
+}
+
+void RemoveRun(FleetWorker& worker, const AttemptRef& attempt) {
+  const auto found = worker.runs_.find(attempt);
+  if (found == worker.runs_.end()) return;
+  worker.used_ = worker.used_ - found->second.need_;
+  worker.runs_.erase(found);
+}
+
+bool TakesTasks(const FleetWorker& worker, Duration report_interval, Time now) {
+  return worker.reported_ && !worker.report_.draining_ && worker.seen_ &&
+         worker.silent_calls_ < kMaxSilentCalls &&
+         now - worker.heard_ < report_interval * kMissedReports &&
+         now >= worker.avoid_until_;
+}
+
+std::int64_t LeaseUntil(const FleetWorker& worker, Duration lease, Time now) {
+  return worker.clock_ms_ + (now - worker.clock_at_).ms() + lease.ms();
+}
+
+Duration Stretch(Duration span) {
+  return Duration(span.ms() + span.ms() * kClockDriftPerMille / 1000);
+}
+
+void NoteLease(FleetWorker& worker, std::int64_t until_ms) {
+  const Duration left(std::max<std::int64_t>(0, until_ms - worker.clock_ms_));
+  const Time over = worker.clock_at_ + Stretch(left) + kLeaseMargin;
+  worker.lease_over_ = std::max(worker.lease_over_, over);
+}
+
+void NoteClock(FleetWorker& worker, std::int64_t clock_ms, Time now) {
+  const std::int64_t expected =
+      worker.clock_ms_ + (now - worker.clock_at_).ms();
+  const bool first = worker.clock_at_ == Time();
+  // An answer that was under way for long says less than is known.
+  if (!first && clock_ms + kLeaseMargin.ms() < expected) return;
+  worker.clock_ms_ = clock_ms;
+  worker.clock_at_ = now;
+}
+
+}  // namespace flamingohollow
--- /dev/null
+++ b/flamingohollow/graph_control.cc
@@ -0,0 +1,364 @@
+#include "flamingohollow/graph_control.h"
+
+#include <algorithm>
+#include <atomic>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/leaf/handle_errors.hpp>
+#include <chrono>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <future>
+#include <random>
+#include <thread>
+#include <utility>
+
+#include "flamingohollow/peer_links.h"
+#include "flamingohollow/replica_factory.h"
+#include "flamingohollow/rpc.h"
+#include "util/event_log.h"
+#include "util/pack.h"
+
+namespace flamingohollow {
+namespace {
+
+namespace asio = boost::asio;
+namespace leaf = boost::leaf;
+
+// Decisions wait for at most this long.
+constexpr Duration kTickInterval = Duration(20);
+// Each control node tells the leader that it is there.
+constexpr Duration kAnnounceInterval = Duration(500);
+// A node tries to found the group this often, the seeds one after another.
+constexpr Duration kFoundingInterval = Duration(400);
+// A call that is passed on to the leader is given up after this long.
+constexpr Duration kPassOnTimeout = Duration(500);
+// Messages handed over and not yet handled; more are turned away.
+constexpr std::size_t kMaxQueuedMessages = 8192;
+// Between voters, as in control_process.cc.
+constexpr Duration kHeartbeat = Duration(250);
+constexpr Duration kElectionMin = Duration(750);
+constexpr Duration kElectionMax = Duration(1250);
+constexpr std::chrono::milliseconds kStopPoll(10);
+// Exit code after an error of the disk.
+constexpr int kDiskFailed = 1;
+
+// Marks a data folder whose node may found the group, also after a restart in
+// the middle of the first start.
+std::string FounderMark(const GraphSettings& settings) {
+  return settings.data_folder_ + "/founder";
+}
+
+bool MayFound(const GraphSettings& settings) {
+  const std::string own = InternalAddress(settings);
+  const std::vector<std::string> seeds = SeedAddresses(settings);
+  const bool seed = std::find(seeds.begin(), seeds.end(), own) != seeds.end();
+  if (!seed) return false;
+  std::error_code ignored;
+  const std::string mark = FounderMark(settings);
+  if (std::filesystem::exists(mark, ignored)) return true;
+  if (!settings.first_start_) return false;
+  std::filesystem::create_directories(settings.data_folder_, ignored);
+  std::ofstream(mark) << "1\n";
+  return true;
+}
+
+std::string HostOf(const std::string& address) {
+  return address.substr(0, address.rfind(':'));
+}
+
+}  // namespace
+
+struct GraphControl::Impl {
+  Impl(const GraphSettings& settings, IoThreads& threads, SendOrder send)
+      : settings_(settings),
+        threads_(threads),
+        own_address_(InternalAddress(settings)),
+        tick_timer_(threads.Loop(0)),
+        service_(MakeOptions(settings), {&MonotonicNow, &WallNow},
+                 std::move(send)),
+        peers_(
+            own_address_,
+            [this](const std::string& address, std::string body,
+                   std::function<void(const std::string&)> done) {
+              CallPeer(address, std::move(body), std::move(done));
+            },
+            [this](std::string message) {
+              replica_->Receive(std::move(message));
+            }) {}
+
+  static GraphServiceOptions MakeOptions(const GraphSettings& settings) {
+    GraphServiceOptions options;
+    options.name_ = NodeName(settings.address_);
+    options.voters_ = 2 * settings.tolerated_losses_ + 1;
+    options.scheduler_.lease_ = settings.lease_;
+    options.scheduler_.keep_ended_ = settings.keep_ended_;
+    options.scheduler_.placement_.report_interval_ = settings.report_interval_;
+    options.scheduler_.placement_.remote_factor_ = settings.remote_factor_;
+    return options;
+  }
+
+  ReplicaOptions MakeReplicaOptions() const;
+  void CallPeer(const std::string& address, std::string body,
+                std::function<void(const std::string&)> done);
+  void Receive(RpcKind kind, std::string body, RpcResponder respond);
+  void HandleRpc(RpcKind kind, const std::string& body,
+                 const RpcResponder& respond);
+  void HandleGraph(const GraphCall& call, const RpcResponder& respond);
+  void PassOn(GraphCall call, const GraphReply& hint,
+              const RpcResponder& respond);
+  void HandleLocal(const GraphCall& call, const GraphReplyCallback& done);
+  void ScheduleTick();
+  void Tick();
+  void TryFounding(Time now);
+  void Announce(Time now);
+
+  GraphSettings settings_;
+  IoThreads& threads_;
+  const std::string own_address_;
+  asio::steady_timer tick_timer_;
+  GraphService service_;
+  PeerLinks peers_;
+  std::unique_ptr<Replica> replica_;
+  // After the replica, so that no message comes in while that goes.
+  std::unique_ptr<RpcNode> rpc_;
+  std::unique_ptr<GraphRelay> relay_;
+  std::atomic<std::size_t> queued_ = 0;
+
+  // Loop 0 only. Messages that come before Start are dropped: the replica may
+  // not be there yet.
+  bool running_ = false;
+  bool may_found_ = false;
+  bool founding_ = false;
+  Time next_founding_;
+  Time next_announce_;
+  bool announcing_ = false;
+  std::atomic<bool> stopped_ = false;
+};
+
+ReplicaOptions GraphControl::Impl::MakeReplicaOptions() const {
+  ReplicaOptions options;
+  options.group_ = GroupId(1);
+  options.name_ = NodeName(settings_.address_);
+  options.address_ = own_address_;
+  options.data_folder_ = settings_.data_folder_ + "/log";
+  for (const std::string& seed : SeedAddresses(settings_)) {
+    options.founders_.push_back({NodeName(HostOf(seed)), seed});
+  }
+  options.raft_.heartbeat_ = kHeartbeat;
+  options.raft_.election_min_ = kElectionMin;
+  options.raft_.election_max_ = kElectionMax;
+  std::random_device device;
+  options.seed_ = (std::uint64_t{device()} << 32) | device();
+  return options;
+}
+
+void GraphControl::Impl::CallPeer(
+    const std::string& address, std::string body,
+    std::function<void(const std::string&)> done) {
+  rpc_->Call(address, RpcKind::kPeer, std::move(body), kPeerTimeout,
+             [this, done = std::move(done)](bool ok, std::string answer) {
+               if (!ok || answer.empty()) return;
+               threads_.Post(
+                   0, [done, answer = std::move(answer)] { done(answer); });
+             });
+}
+
+// RPC thread.
+void GraphControl::Impl::Receive(RpcKind kind, std::string body,
+                                 RpcResponder respond) {
+  if (queued_.fetch_add(1) >= kMaxQueuedMessages) {
+    queued_.fetch_sub(1);
+    // An empty answer decodes to nothing: the sender counts it as lost.
+    return respond("");
+  }
+  threads_.Post(
+      0, [this, kind, body = std::move(body), respond = std::move(respond)] {
+        queued_.fetch_sub(1);
+        HandleRpc(kind, body, respond);
+      });
+}
+
+void GraphControl::Impl::HandleRpc(RpcKind kind, const std::string& body,
+                                   const RpcResponder& respond) {
+  if (!running_) return respond("");
+  if (kind == RpcKind::kPeer) return respond(peers_.Receive(body));
+  const auto call =
+      kind == RpcKind::kGraph ? Unpack<GraphCall>(body) : std::nullopt;
+  if (!call.has_value()) return respond("");
+  HandleGraph(*call, respond);
+}
+
+void GraphControl::Impl::HandleGraph(const GraphCall& call,
+                                     const RpcResponder& respond) {
+  HandleLocal(call, [this, call, respond](const GraphReply& reply) {
+    const bool on = reply.outcome_ == GraphOutcome::kNotLeader &&
+                    call.pass_on_ && !reply.leader_address_.empty();
+    if (on) return PassOn(call, reply, respond);
+    respond(Pack(reply));
+  });
+}
+
+void GraphControl::Impl::PassOn(GraphCall call, const GraphReply& hint,
+                                const RpcResponder& respond) {
+  call.pass_on_ = false;
+  rpc_->Call(hint.leader_address_, RpcKind::kGraph, Pack(call), kPassOnTimeout,
+             [respond](bool ok, std::string answer) {
+               respond(ok ? std::move(answer) : std::string());
+             });
+}
+
+void GraphControl::Impl::HandleLocal(const GraphCall& call,
+                                     const GraphReplyCallback& done) {
+  service_.Handle(call, [this, done](const GraphReply& reply) {
+    if (reply.outcome_ == GraphOutcome::kNotLeader) return done(reply);
+    GraphReply own = reply;
+    own.leader_address_ = own_address_;
+    done(own);
+  });
+}
+
+void GraphControl::Impl::ScheduleTick() {
+  tick_timer_.expires_after(std::chrono::milliseconds(kTickInterval.ms()));
+  tick_timer_.async_wait([this](boost::system::error_code error) {
+    if (error) return;
+    Tick();
+    ScheduleTick();
+  });
+}
+
+void GraphControl::Impl::Tick() {
+  const Time now = MonotonicNow();
+  replica_->Tick(now);
+  const std::string failure = replica_->Status().failure_;
+  if (!failure.empty()) {
+    // What is on the disk is unknown now: start again from what it holds.
+    LogEvent("stop", {{"why", failure}});
+    std::_Exit(kDiskFailed);
+  }
+  service_.Tick();
+  if (may_found_) TryFounding(now);
+  Announce(now);
+}
+
+void GraphControl::Impl::TryFounding(Time now) {
+  if (replica_->Status().formed_) {
+    may_found_ = false;
+    return;
+  }
+  if (founding_ || now < next_founding_) return;
+  founding_ = true;
+  replica_->Init([this](bool ok, const std::string& reason) {
+    founding_ = false;
+    next_founding_ = MonotonicNow() + kFoundingInterval;
+    LogEvent("founding", {{"ok", ok}, {"reason", reason}});
+  });
+}
+
+void GraphControl::Impl::Announce(Time now) {
+  if (announcing_ || now < next_announce_) return;
+  next_announce_ = now + kAnnounceInterval;
+  announcing_ = true;
+  GraphCall call;
+  call.kind_ = GraphCallKind::kAnnounce;
+  call.node_ = {NodeName(settings_.address_), own_address_};
+  relay_->Call(std::move(call), kAnnounceInterval, kAnnounceInterval * 2,
+               [this](const GraphReply&) { announcing_ = false; });
+}
+
+GraphControl::GraphControl(std::unique_ptr<Impl> impl)
+    : impl_(std::move(impl)) {}
+
+GraphControl::~GraphControl() = default;
+
+leaf::result<std::unique_ptr<GraphControl>> GraphControl::Create(
+    const GraphSettings& settings, IoThreads& threads, SendOrder send) {
+  auto impl = std::make_unique<Impl>(settings, threads, std::move(send));
+  Impl* raw = impl.get();
+  impl->may_found_ = MayFound(settings);
+  // The first seed goes first; the others only if it does not succeed.
+  const std::vector<std::string> seeds = SeedAddresses(settings);
+  const auto place =
+      std::find(seeds.begin(), seeds.end(), raw->own_address_) - seeds.begin();
+  impl->next_founding_ = MonotonicNow() + kFoundingInterval * place;
+
+  BOOST_LEAF_ASSIGN(
+      impl->rpc_,
+      leaf::try_handle_some(
+          [&] {
+            return RpcNode::Create(
+                raw->own_address_,
+                [raw](RpcKind kind, std::string body, RpcResponder respond) {
+                  raw->Receive(kind, std::move(body), std::move(respond));
+                });
+          },
+          [&](RpcError) -> leaf::result<std::unique_ptr<RpcNode>> {
+            return leaf::new_error(
+                ControlError{"cannot listen on " + raw->own_address_});
+          }));
+  BOOST_LEAF_ASSIGN(
+      impl->replica_,
+      leaf::try_handle_some(
+          [&] {
+            return MakeReplica(
+                raw->MakeReplicaOptions(), &raw->service_,
+                [raw](const std::string& address, const std::string& message) {
+                  raw->peers_.Send(address, message);
+                },
+                [&threads](std::function<void()> task) {
+                  threads.Post(0, std::move(task));
+                },
+                MonotonicNow());
+          },
+          [](const ReplicaError& error)
+              -> leaf::result<std::unique_ptr<Replica>> {
+            return leaf::new_error(ControlError{error.message_});
+          }));
+  impl->service_.SetReplica(impl->replica_.get());
+  impl->relay_ = std::make_unique<GraphRelay>(
+      *impl->rpc_, threads, seeds,
+      [raw](const GraphCall& call, const GraphReplyCallback& done) {
+        raw->HandleLocal(call, done);
+      });
+  return std::unique_ptr<GraphControl>(new GraphControl(std::move(impl)));
+}
+
+void GraphControl::Start() {
+  impl_->threads_.Post(0, [impl = impl_.get()] {
+    impl->running_ = true;
+    impl->ScheduleTick();
+  });
+}
+
+GraphRelay& GraphControl::relay() { return *impl_->relay_; }
+
+const GraphCounters& GraphControl::counters() const {
+  return impl_->service_.counters();
+}
+
+void GraphControl::SetSeeds(const GraphSettings& settings) {
+  impl_->threads_.Post(0, [impl = impl_.get(), settings] {
+    impl->relay_->SetSeeds(SeedAddresses(settings));
+  });
+}
+
+void GraphControl::Stop(Duration limit) {
+  impl_->threads_.Post(0, [impl = impl_.get()] {
+    if (!impl->replica_->Status().is_leader_) {
+      impl->stopped_ = true;
+      return;
+    }
+    impl->replica_->TransferLeadership(
+        [impl](bool ok, const std::string& reason) {
+          LogEvent("hand_over", {{"ok", ok}, {"reason", reason}});
+          impl->stopped_ = true;
+        });
+  });
+  const Time end = MonotonicNow() + limit;
+  while (!impl_->stopped_ && MonotonicNow() < end) {
+    std::this_thread::sleep_for(kStopPoll);
+  }
+}
+
+}  // namespace flamingohollow
--- /dev/null
+++ b/flamingohollow/graph_service.cc
@@ -0,0 +1,435 @@
+#include "flamingohollow/graph_service.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "util/event_log.h"
+#include "util/pack.h"
+
+namespace flamingohollow {
+namespace {
+
+bool IsJobKey(std::string_view text) {
+  constexpr std::size_t kJobKeyLength = 16;
+  return text.size() == kJobKeyLength &&
+         text.find_first_not_of("0123456789abcdefABCDEF") ==
+             std::string_view::npos;
+}
+
+// Depth first; `state` is 0 for unseen, 1 for on the path, 2 for done.
+bool HasCycle(const GraphSpec& spec, std::size_t step,
+              std::vector<std::uint8_t>& state) {
+  if (state[step] == 2) return false;
+  if (state[step] == 1) return true;
+  state[step] = 1;
+  for (const std::uint32_t before : spec.steps_[step].after_) {
+    if (HasCycle(spec, before, state)) return true;
+  }
+  state[step] = 2;
+  return false;
+}
+
+}  // namespace
+
+std::optional<std::string> FindSpecMistake(const GraphSpec& spec) {
+  if (spec.steps_.empty()) return "the job has no steps";
+  if (spec.steps_.size() > kMaxStepsPerJob) return "the job has too many steps";
+  std::uint64_t tasks = 0;
+  for (const StepSpec& step : spec.steps_) {
+    tasks += step.tasks_;
+    if (step.tasks_ == 0) return "a step has no tasks";
+    for (const std::uint32_t before : step.after_) {
+      if (before >= spec.steps_.size()) return "a step follows an unknown one";
+    }
+  }
+  if (tasks > kMaxTasksPerJob) return "the job has too many tasks";
+  std::vector<std::uint8_t> state(spec.steps_.size());
+  for (std::size_t i = 0; i < spec.steps_.size(); ++i) {
+    if (HasCycle(spec, i, state))
+      return "the steps follow each other in a ring";
+  }
+  return std::nullopt;
+}
+
+GraphService::GraphService(GraphServiceOptions options, GraphClocks clocks,
+                           SendOrder send)
+    : options_(std::move(options)),
+      clocks_(std::move(clocks)),
+      send_(std::move(send)) {}
+
+bool GraphService::Leads() const {
+  return leadership_ != nullptr && replica_->HasQuorum(Now());
+}
+
+GraphReply GraphService::Reply(GraphOutcome outcome, std::string text) const {
+  GraphReply reply;
+  reply.outcome_ = outcome;
+  reply.text_ = std::move(text);
+  reply.catalog_version_ = state_.catalog_.version_;
+  if (leadership_ != nullptr) reply.term_ = leadership_->term_;
+  return reply;
+}
+
+GraphReply GraphService::NotNow(std::string text, Duration retry_after) const {
+  GraphReply reply = Reply(GraphOutcome::kNotNow, std::move(text));
+  reply.retry_after_ = retry_after;
+  return reply;
+}
+
+GraphReply GraphService::NotLeader() const {
+  const ReplicaStatus status = replica_->Status();
+  GraphReply reply = Reply(GraphOutcome::kNotLeader);
+  // A leader without a quorum knows of no better one.
+  if (!status.is_leader_) reply.leader_address_ = status.leader_address_;
+  for (const VoterStatus& voter : status.voters_) {
+    reply.control_addresses_.push_back(voter.address_);
+  }
+  return reply;
+}
+
+void GraphService::Handle(const GraphCall& call, const Responder& respond) {
+  if (!Leads()) return respond(NotLeader());
+  switch (call.kind_) {
+    case GraphCallKind::kSubmit:
+      return HandleSubmit(call, respond);
+    case GraphCallKind::kRead:
+      return HandleRead(call, respond);
+    case GraphCallKind::kCancel:
+      return HandleCancel(call, respond);
+    case GraphCallKind::kReport:
+      return HandleReport(call, respond);
+    case GraphCallKind::kLeave:
+      return HandleLeave(call, respond);
+    case GraphCallKind::kPutCatalog:
+      return HandlePutCatalog(call, respond);
+    case GraphCallKind::kReadCatalog:
+      return HandleReadCatalog(respond);
+    case GraphCallKind::kAnnounce:
+      return HandleAnnounce(call, respond);
+  }
+  respond(Reply(GraphOutcome::kInvalid, "unknown call"));
+}
+
+// Callers.
+
+std::optional<GraphReply> GraphService::CheckAccess(const CallerRequest& caller,
+                                                    Access& access) const {
+  if (state_.catalog_.version_ == CatalogVersion()) {
+    return NotNow("no catalog yet", kNotNowRetryAfter);
+  }
+  access.queue_ = FindQueue(state_.catalog_, caller.host_, caller.path_);
+  if (access.queue_ == nullptr) {
+    return Reply(GraphOutcome::kNoQueue, "no such queue");
+  }
+  access.rest_ = caller.path_.substr(access.queue_->path_prefix_.size());
+  const CustomerRow* customer = FindCustomerByKey(state_.catalog_, caller.key_);
+  if (customer != nullptr) access.customer_ = customer->name_;
+  if (customer == nullptr && !access.queue_->public_) {
+    return Reply(GraphOutcome::kBadKey, "unknown key");
+  }
+  return std::nullopt;
+}
+
+std::optional<GraphReply> GraphService::RefuseSubmit(
+    const GraphSpec& spec, const QueueRow& queue) const {
+  const bool settled = Now() - leadership_->since_ > kSettleTime;
+  if (settled &&
+      !CouldEverRun(spec, queue.pool_, leadership_->scheduler_.fleet_)) {
+    GraphReply reply =
+        Reply(GraphOutcome::kRefused, "the job fits on no known workers");
+    reply.retry_after_ = kNoFitRetryAfter;
+    return reply;
+  }
+  return std::nullopt;
+}
+
+void GraphService::HandleSubmit(const GraphCall& call,
+                                const Responder& respond) {
+  Access access;
+  if (auto refusal = CheckAccess(call.caller_, access)) {
+    return respond(*refusal);
+  }
+  if (!call.spec_.has_value() || !IsJobKey(access.rest_)) {
+    return respond(Reply(GraphOutcome::kInvalid, "the job can't be read"));
+  }
+  const GraphJobKey key(access.rest_);
+  // Sent again after an unclear answer: it is one job.
+  if (FindJob(state_, key) != nullptr) {
+    return respond(Reply(GraphOutcome::kOk, "accepted"));
+  }
+  if (auto mistake = FindSpecMistake(*call.spec_)) {
+    return respond(Reply(GraphOutcome::kInvalid, *mistake));
+  }
+  if (auto refusal = RefuseSubmit(*call.spec_, *access.queue_)) {
+    Count("jobs_refused");
+    LogEvent("refuse", {{"job", key.value()}, {"why", refusal->text_}});
+    return respond(*refusal);
+  }
+  const QueueRow& queue = *access.queue_;
+  const SubmitRecord record{
+      .key_ = key,
+      .queue_ = queue.name_,
+      .customer_ = access.customer_,
+      .terms_ = {queue.pool_, queue.priority_, queue.max_attempts_,
+                 queue.slack_, queue.objective_},
+      .spec_ = *call.spec_,
+      .accepted_ = clocks_.wall_()};
+  ProposeFor(record, respond, [this, key, name = queue.name_] {
+    Count("jobs_accepted");
+    LogEvent("accept", {{"job", key.value()},
+                        {"queue", name.value()},
+                        {"catalog", state_.catalog_.version_.value()}});
+    return Reply(GraphOutcome::kOk, "accepted");
+  });
+}
+
+void GraphService::HandleRead(const GraphCall& call, const Responder& respond) {
+  Access access;
+  if (auto refusal = CheckAccess(call.caller_, access)) {
+    return respond(*refusal);
+  }
+  if (access.rest_.empty()) return respond(QueueLength(access.queue_->name_));
+  const GraphJob* job = FindJob(state_, GraphJobKey(access.rest_));
+  if (job == nullptr || job->customer_ != access.customer_) {
+    return respond(Reply(GraphOutcome::kNoJob, "no such job"));
+  }
+  respond(Reply(GraphOutcome::kOk, std::string(JobStateName(*job))));
+}
+
+void GraphService::HandleCancel(const GraphCall& call,
+                                const Responder& respond) {
+  Access access;
+  if (auto refusal = CheckAccess(call.caller_, access)) {
+    return respond(*refusal);
+  }
+  const GraphJobKey key(access.rest_);
+  const GraphJob* job = FindJob(state_, key);
+  if (job == nullptr || job->customer_ != access.customer_) {
+    return respond(Reply(GraphOutcome::kNoJob, "no such job"));
+  }
+  if (job->state_ != GraphJobState::kActive) {
+    return respond(Reply(GraphOutcome::kOk, "ended"));
+  }
+  ProposeFor(CancelRecord{key, clocks_.wall_()}, respond, [this, key] {
+    Count("jobs_cancelled");
+    LogEvent("cancel", {{"job", key.value()}});
+    return Reply(GraphOutcome::kOk, "cancelled");
+  });
+}
+
+GraphReply GraphService::QueueLength(const QueueName& queue) const {
+  std::uint64_t waiting = 0;
+  for (const auto& [key, job] : state_.jobs_) {
+    const bool waits = job.queue_ == queue &&
+                       job.state_ == GraphJobState::kActive && !job.begun_;
+    if (waits) ++waiting;
+  }
+  GraphReply reply = Reply(GraphOutcome::kOk);
+  reply.count_ = waiting;
+  return reply;
+}
+
+// Workers.
+
+void GraphService::HandleReport(const GraphCall& call,
+                                const Responder& respond) {
+  Feed(call.report_);
+  respond(Reply(GraphOutcome::kOk));
+}
+
+void GraphService::HandleLeave(const GraphCall& call,
+                               const Responder& respond) {
+  Feed(WorkerLeft{call.worker_});
+  respond(Reply(GraphOutcome::kOk));
+}
+
+// The operator.
+
+void GraphService::HandlePutCatalog(const GraphCall& call,
+                                    const Responder& respond) {
+  if (auto mistake = FindCatalogMistake(call.catalog_)) {
+    Count("catalogs_invalid");
+    LogEvent("catalog_invalid",
+             {{"version", call.catalog_.version_.value()}, {"why", *mistake}});
+    return respond(Reply(GraphOutcome::kInvalid, *mistake));
+  }
+  if (call.catalog_.version_ <= state_.catalog_.version_) {
+    return respond(Reply(GraphOutcome::kOk, "a newer version is in force"));
+  }
+  const CatalogVersion version = call.catalog_.version_;
+  ProposeFor(CatalogRecord{call.catalog_}, respond, [this, version] {
+    Count("catalogs_accepted");
+    LogEvent("catalog", {{"version", version.value()}});
+    return Reply(GraphOutcome::kOk);
+  });
+}
+
+void GraphService::HandleReadCatalog(const Responder& respond) {
+  replica_->ConfirmLeadership([this, respond](bool ok, const std::string&) {
+    if (!ok) return respond(NotLeader());
+    if (state_.catalog_.version_ == CatalogVersion()) {
+      return respond(NotNow("no catalog yet", kNotNowRetryAfter));
+    }
+    respond(Reply(GraphOutcome::kOk, state_.catalog_.text_));
+  });
+}
+
+// Nodes.
+
+void GraphService::HandleAnnounce(const GraphCall& call,
+                                  const Responder& respond) {
+  const NodeAnnouncement& node = call.node_;
+  if (!node.control_address_.empty()) {
+    leadership_->nodes_[node.name_] = {node.control_address_, Now()};
+  }
+  GraphReply reply = Reply(GraphOutcome::kOk);
+  for (const VoterStatus& voter : replica_->Status().voters_) {
+    reply.control_addresses_.push_back(voter.address_);
+  }
+  respond(reply);
+}
+
+void GraphService::PlanMembers() {
+  if (leadership_->changing_members_) return;
+  std::vector<PlannedMember> members;
+  for (const VoterStatus& voter : replica_->Status().voters_) {
+    members.push_back({voter.name_, voter.learner_});
+  }
+  const auto change =
+      PlanMembership(members, leadership_->nodes_, options_.name_,
+                     options_.voters_, leadership_->since_, Now());
+  if (!change.has_value()) return;
+  leadership_->changing_members_ = true;
+  const NodeName name =
+      change->add_.value_or(change->remove_.value_or(NodeName()));
+  const std::string_view what = change->add_.has_value() ? "add" : "remove";
+  const auto done = [this, name, what](bool ok, const std::string& reason) {
+    LogEvent("voter", {{"change", what},
+                       {"node", name.value()},
+                       {"ok", ok},
+                       {"reason", reason}});
+    if (leadership_ != nullptr) leadership_->changing_members_ = false;
+  };
+  if (change->add_.has_value()) {
+    return replica_->AddVoter(name, leadership_->nodes_.at(name).address_,
+                              done);
+  }
+  replica_->RemoveVoter(name, done);
+}
+
+// Records.
+
+void GraphService::ProposeFor(const GraphRecord& record,
+                              const Responder& respond,
+                              std::function<GraphReply()> reply) {
+  ++proposals_;
+  replica_->Propose(Pack(record), [this, respond, reply = std::move(reply)](
+                                      const ProposeResult& result) {
+    --proposals_;
+    switch (result.outcome_) {
+      case ProposeOutcome::kCommitted:
+        return respond(reply());
+      case ProposeOutcome::kNotLeader:
+        return respond(NotLeader());
+      case ProposeOutcome::kOverloaded:
+        return respond(NotNow("too many changes at once", kNotNowRetryAfter));
+      case ProposeOutcome::kUnknown:
+        return respond(
+            Reply(GraphOutcome::kUnknown, "leadership was lost meanwhile"));
+    }
+  });
+}
+
+void GraphService::ProposeForScheduler(GraphRecord record) {
+  std::string command = Pack(record);
+  const Term term = leadership_->term_;
+  replica_->Propose(
+      std::move(command),
+      [this, term, record = std::move(record)](const ProposeResult& result) {
+        if (result.outcome_ == ProposeOutcome::kCommitted) return;
+        if (leadership_ == nullptr) return;
+        if (leadership_->term_ != term) return;
+        Feed(RecordLost{record});
+      });
+}
+
+void GraphService::ApplyCommitted(LogIndex /*index*/,
+                                  std::string_view command) {
+  const auto record = Unpack<GraphRecord>(command);
+  if (!record.has_value()) {
+    Count("records_unreadable");
+    LogEvent("record_unreadable", {{"bytes", command.size()}});
+    return;
+  }
+  ApplyRecord(state_, *record);
+  Feed(RecordApplied{&*record});
+}
+
+std::string GraphService::EncodeSnapshot() { return Pack(state_); }
+
+bool GraphService::RestoreSnapshot(std::string_view snapshot) {
+  auto state = Unpack<GraphState>(snapshot);
+  if (!state.has_value()) return false;
+  state_ = std::move(*state);
+  return true;
+}
+
+void GraphService::LeadershipGained(Term term) {
+  LogEvent("leader", {{"term", term.value()},
+                      {"catalog", state_.catalog_.version_.value()},
+                      {"jobs", state_.jobs_.size()}});
+  Count("leaderships");
+  leadership_ = std::make_unique<Leadership>();
+  leadership_->term_ = term;
+  leadership_->since_ = Now();
+  leadership_->scheduler_ =
+      MakeScheduler(options_.scheduler_, FencingToken(term.value()), state_,
+                    Now(), clocks_.wall_());
+}
+
+void GraphService::LeadershipLost() {
+  LogEvent("leader_lost", {{"term", leadership_->term_.value()}});
+  leadership_.reset();
+}
+
+// The scheduler.
+
+void GraphService::Feed(const SchedulerEvent& event) {
+  if (leadership_ == nullptr) return;
+  Run(Step(leadership_->scheduler_, state_, event, Now()));
+}
+
+void GraphService::Run(std::vector<SchedulerAction> actions) {
+  for (SchedulerAction& action : actions) {
+    if (leadership_ == nullptr) return;
+    if (auto* record = std::get_if<GraphRecord>(&action)) {
+      ProposeForScheduler(std::move(*record));
+    } else if (auto* start = std::get_if<StartOrder>(&action)) {
+      SendToWorker(*start);
+    } else if (auto* stop = std::get_if<StopOrder>(&action)) {
+      SendToWorker(*stop);
+    } else if (auto* look = std::get_if<LookOrder>(&action)) {
+      SendToWorker(*look);
+    }
+  }
+}
+
+void GraphService::SendToWorker(const WorkerOrder& order) {
+  const Term term = leadership_->term_;
+  send_(order, [this, term](const SchedulerEvent& event) {
+    const bool same = leadership_ != nullptr && leadership_->term_ == term;
+    if (same) Feed(event);
+  });
+}
+
+void GraphService::Tick() {
+  // A leader that can't reach a majority gives no orders: another one may lead
+  // by now.
+  if (!Leads()) return;
+  Feed(SchedulerTick{clocks_.wall_()});
+  if (leadership_ == nullptr || Now() < leadership_->next_upkeep_) return;
+  leadership_->next_upkeep_ = Now() + kUpkeepInterval;
+  PlanMembers();
+}
+
+}  // namespace flamingohollow
--- /dev/null
+++ b/flamingohollow/graph_state.cc
@@ -0,0 +1,253 @@
+#include "flamingohollow/graph_state.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace flamingohollow {
+namespace {
+
+OccurrenceRecord MakeOccurrence(const GraphSpec& spec) {
+  OccurrenceRecord record;
+  record.steps_.resize(spec.steps_.size());
+  for (std::size_t i = 0; i < spec.steps_.size(); ++i) {
+    record.steps_[i].tasks_.resize(spec.steps_[i].tasks_);
+  }
+  return record;
+}
+
+GraphJob* FindJob(GraphState& state, const GraphJobKey& key) {
+  const auto found = state.jobs_.find(key);
+  return found == state.jobs_.end() ? nullptr : &found->second;
+}
+
+StepRecord* FindStep(GraphJob& job, Occurrence occurrence, StepIndex step) {
+  const auto found = job.occurrences_.find(occurrence);
+  if (found == job.occurrences_.end()) return nullptr;
+  auto& steps = found->second.steps_;
+  return step.value() < steps.size() ? &steps[step.value()] : nullptr;
+}
+
+void EndJob(GraphJob& job, GraphJobState state, Time at) {
+  if (job.state_ != GraphJobState::kActive) return;
+  job.state_ = state;
+  job.ended_ = at;
+}
+
+bool AllStepsDone(const OccurrenceRecord& occurrence) {
+  return std::all_of(occurrence.steps_.begin(), occurrence.steps_.end(),
+                     &IsDone);
+}
+
+bool AnyOpen(const OccurrenceRecord& occurrence) {
+  return std::any_of(occurrence.steps_.begin(), occurrence.steps_.end(),
+                     [](const StepRecord& step) { return step.open_ > 0; });
+}
+
+// Drops the occurrence when it is finished, and completes the job with its
+// last one.
+void FinishOccurrence(GraphJob& job, Occurrence occurrence, Time at) {
+  const auto found = job.occurrences_.find(occurrence);
+  if (found == job.occurrences_.end()) return;
+  if (!AllStepsDone(found->second) || AnyOpen(found->second)) return;
+  job.occurrences_.erase(found);
+  ++job.finished_;
+  if (job.finished_ == OccurrencesOf(job.spec_)) {
+    EndJob(job, GraphJobState::kCompleted, at);
+  }
+}
+
+void CloseTask(StepRecord& step, TaskRecord& task) {
+  if (!task.open_) return;
+  task.open_ = false;
+  --step.open_;
+}
+
+void MarkDone(StepRecord& step, TaskRecord& task) {
+  CloseTask(step, task);
+  if (task.done_) return;
+  task.done_ = true;
+  ++step.done_;
+}
+
+// Counts a failed attempt; true when no further one is allowed.
+bool CountFailure(const GraphJob& job, const StepSpec& spec, StepRecord& step,
+                  TaskRecord& task) {
+  if (spec.long_running_) return false;
+  if (!spec.gang_) return ++task.failures_ >= job.terms_.max_attempts_;
+  if (step.failed_attempt_ == task.attempt_) return false;
+  step.failed_attempt_ = task.attempt_;
+  return ++step.failures_ >= job.terms_.max_attempts_;
+}
+
+void ApplyEnd(GraphState& state, const EndedAttempt& ended, Time at) {
+  const TaskRef& ref = ended.attempt_.task_;
+  if (!IsOpen(state, ended.attempt_)) return;
+  GraphJob& job = *FindJob(state, ref.job_);
+  StepRecord& step = *FindStep(job, ref.occurrence_, ref.step_);
+  const StepSpec& spec = job.spec_.steps_[ref.step_.value()];
+  TaskRecord& task = step.tasks_[ref.index_.value()];
+  CloseTask(step, task);
+  if (ended.checkpoint_ != Checkpoint()) {
+    task.checkpoint_ = ended.checkpoint_;
+    step.checkpoint_ = ended.checkpoint_;
+  }
+  const bool finite = !spec.long_running_;
+  if (ended.end_ == AttemptEnd::kDone && finite) {
+    // One member's end stands for the whole gang.
+    if (spec.gang_) {
+      for (TaskRecord& member : step.tasks_) MarkDone(step, member);
+    } else {
+      MarkDone(step, task);
+    }
+  }
+  if (ended.end_ == AttemptEnd::kFailed &&
+      CountFailure(job, spec, step, task)) {
+    EndJob(job, GraphJobState::kFailed, at);
+  }
+  FinishOccurrence(job, ref.occurrence_, at);
+}
+
+void Apply(GraphState& state, const CatalogRecord& record) {
+  if (record.catalog_.version_ <= state.catalog_.version_) return;
+  state.catalog_ = record.catalog_;
+}
+
+void Apply(GraphState& state, const SubmitRecord& record) {
+  if (state.jobs_.contains(record.key_)) return;
+  GraphJob job{.key_ = record.key_,
+               .queue_ = record.queue_,
+               .customer_ = record.customer_,
+               .terms_ = record.terms_,
+               .spec_ = record.spec_,
+               .accepted_ = record.accepted_,
+               .ended_ = Time(),
+               .occurrences_ = {}};
+  if (record.spec_.occurrences_ == 0) {
+    job.occurrences_[Occurrence()] = MakeOccurrence(record.spec_);
+    job.due_ = 1;
+  }
+  state.jobs_.emplace(record.key_, std::move(job));
+}
+
+void Apply(GraphState& state, const CancelRecord& record) {
+  GraphJob* job = FindJob(state, record.key_);
+  if (job != nullptr)
+    EndJob(*job, GraphJobState::kCancelled, record.cancelled_);
+}
+
+void Apply(GraphState& state, const OpenRecord& record) {
+  for (const OpenedAttempt& opened : record.attempts_) {
+    const TaskRef& ref = opened.attempt_.task_;
+    GraphJob* job = FindJob(state, ref.job_);
+    if (job == nullptr || job->state_ != GraphJobState::kActive) continue;
+    StepRecord* step = FindStep(*job, ref.occurrence_, ref.step_);
+    if (step == nullptr || ref.index_.value() >= step->tasks_.size()) continue;
+    TaskRecord& task = step->tasks_[ref.index_.value()];
+    const bool stale = opened.attempt_.attempt_ <= task.attempt_;
+    if (stale || task.open_ || task.done_) continue;
+    task.attempt_ = opened.attempt_.attempt_;
+    task.open_ = true;
+    task.worker_ = opened.worker_;
+    task.life_ = opened.life_;
+    ++step->open_;
+    job->begun_ = true;
+  }
+}
+
+void Apply(GraphState& state, const EndRecord& record) {
+  for (const EndedAttempt& ended : record.attempts_) {
+    ApplyEnd(state, ended, record.ended_);
+  }
+}
+
+void Apply(GraphState& state, const DueRecord& record) {
+  for (const DueRecord::Item& item : record.items_) {
+    GraphJob* job = FindJob(state, item.key_);
+    if (job == nullptr || job->state_ != GraphJobState::kActive) continue;
+    if (item.occurrence_.value() != job->due_) continue;
+    job->occurrences_[item.occurrence_] = MakeOccurrence(job->spec_);
+    ++job->due_;
+  }
+}
+
+void Apply(GraphState& state, const ForgetRecord& record) {
+  for (const GraphJobKey& key : record.keys_) {
+    const GraphJob* job = FindJob(state, key);
+    if (job != nullptr && job->state_ != GraphJobState::kActive) {
+      state.jobs_.erase(key);
+    }
+  }
+}
+
+}  // namespace
+
+std::uint32_t OccurrencesOf(const GraphSpec& spec) {
+  return std::max<std::uint32_t>(1, spec.occurrences_);
+}
+
+void ApplyRecord(GraphState& state, const GraphRecord& record) {
+  std::visit([&state](const auto& body) { Apply(state, body); }, record);
+}
+
+const GraphJob* FindJob(const GraphState& state, const GraphJobKey& key) {
+  const auto found = state.jobs_.find(key);
+  return found == state.jobs_.end() ? nullptr : &found->second;
+}
+
+const StepRecord* FindStep(const GraphJob& job, Occurrence occurrence,
+                           StepIndex step) {
+  const auto found = job.occurrences_.find(occurrence);
+  if (found == job.occurrences_.end()) return nullptr;
+  const auto& steps = found->second.steps_;
+  return step.value() < steps.size() ? &steps[step.value()] : nullptr;
+}
+
+bool IsOpen(const GraphState& state, const AttemptRef& attempt) {
+  const TaskRef& ref = attempt.task_;
+  const GraphJob* job = FindJob(state, ref.job_);
+  if (job == nullptr) return false;
+  const StepRecord* step = FindStep(*job, ref.occurrence_, ref.step_);
+  if (step == nullptr || ref.index_.value() >= step->tasks_.size()) {
+    return false;
+  }
+  const TaskRecord& task = step->tasks_[ref.index_.value()];
+  return task.open_ && task.attempt_ == attempt.attempt_;
+}
+
+std::string_view JobStateName(const GraphJob& job) {
+  switch (job.state_) {
+    case GraphJobState::kActive:
+      return job.begun_ ? "running" : "pending";
+    case GraphJobState::kCompleted:
+      return "completed";
+    case GraphJobState::kFailed:
+      return "failed";
+    case GraphJobState::kCancelled:
+      return "cancelled";
+  }
+  return "";
+}
+
+std::string_view AttemptEndName(AttemptEnd end) {
+  switch (end) {
+    case AttemptEnd::kDone:
+      return "done";
+    case AttemptEnd::kFailed:
+      return "failed";
+    case AttemptEnd::kStopped:
+      return "stopped";
+    case AttemptEnd::kLapsed:
+      return "lapsed";
+    case AttemptEnd::kBroken:
+      return "broken";
+    case AttemptEnd::kAlone:
+      return "alone";
+    case AttemptEnd::kLost:
+      return "lost";
+    case AttemptEnd::kNeverBegan:
+      return "never began";
+  }
+  return "";
+}
+
+}  // namespace flamingohollow
--- a/flamingohollow/http_client.cc
+++ b/flamingohollow/http_client.cc
@@ -98,6 +98,7 @@
   if (!post.trace_parent_.empty()) {
     message.set("traceparent", post.trace_parent_);
   }
+  for (const auto& [name, value] : post.headers_) message.set(name, value);
   message.body() = std::move(post.body_);
   message.prepare_payload();
   return message;
--- a/flamingohollow/http_client.h
+++ b/flamingohollow/http_client.h
@@ -12,6 +12,8 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "util/clock.h"
 #include "util/io_threads.h"
@@ -52,6 +54,8 @@
   std::string body_;
   // W3C trace context; empty for none.
   std::string trace_parent_;
+  // Further headers; names and values.
+  std::vector<std::pair<std::string, std::string>> headers_;
   Duration timeout_ = Duration(2000);
 };
 
--- a/flamingohollow/http_server.cc
+++ b/flamingohollow/http_server.cc
@@ -41,7 +41,7 @@
 
 constexpr auto kUseTuple = asio::as_tuple(asio::use_awaitable);
 constexpr std::size_t kReadChunk = 4096;
-constexpr std::uint32_t kMaxHeaderBytes = 8192;
+constexpr std::uint32_t kMaxHeaderBytes = 16384;
 // An idle connection may still get a request this long into the drain.
 constexpr Duration kIdleLinger = Duration(500);
 // After an early answer, the rest of the input is read for this long and this
@@ -59,7 +59,8 @@
   return found == fields.end() ? std::string() : std::string(found->value());
 }
 
-HttpRequest ToRequest(RequestParser& parser) {
+HttpRequest ToRequest(RequestParser& parser,
+                      const std::vector<std::string>& headers) {
   auto& message = parser.get();
   HttpRequest request;
   request.method_ = std::string(message.method_string());
@@ -67,6 +68,9 @@
   request.authorization_ = Header(message, "Authorization");
   request.idempotency_key_ = Header(message, "Idempotency-Key");
   request.trace_parent_ = Header(message, "traceparent");
+  for (const std::string& name : headers) {
+    request.headers_.push_back(Header(message, name));
+  }
   request.body_ = std::move(message.body());
   return request;
 }
@@ -343,7 +347,8 @@
   ++server.requests_;
   const unsigned version = parser.get().version();
   const bool wants_more = parser.keep_alive();
-  HttpResponse response = co_await Handle(session, ToRequest(parser));
+  HttpResponse response =
+      co_await Handle(session, ToRequest(parser, server.options_.headers_));
   co_return co_await Write(session, std::move(response), version,
                            wants_more && !server.draining_);
 }
--- a/flamingohollow/http_server.h
+++ b/flamingohollow/http_server.h
@@ -18,6 +18,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "flamingohollow/http_types.h"
 #include "util/clock.h"
@@ -32,6 +33,8 @@
   std::uint32_t max_body_bytes_ = 1024 * 1024;
   // Bodies held in memory at one time, over all connections.
   std::uint64_t max_total_body_bytes_ = 64ULL * 1024 * 1024;
+  // Further headers to read into HttpRequest::headers_.
+  std::vector<std::string> headers_;
   Duration idle_timeout_ = Duration(60000);
   Duration request_timeout_ = Duration(10000);
   Duration write_timeout_ = Duration(10000);
--- a/flamingohollow/http_types.h
+++ b/flamingohollow/http_types.h
@@ -6,6 +6,7 @@
 
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "util/clock.h"
 
@@ -20,6 +21,8 @@
   std::string authorization_;
   std::string idempotency_key_;
   std::string trace_parent_;
+  // The values of HttpServerOptions::headers_, in their order.
+  std::vector<std::string> headers_;
   std::string body_;
 };
 
--- a/flamingohollow/rpc.h
+++ b/flamingohollow/rpc.h
@@ -24,6 +24,8 @@
   kSync = 2,
   // Entry to control: CallRequest, answered by CallReply.
   kCall = 3,
+  // To control: GraphCall, answered by GraphReply (graph_messages.h).
+  kGraph = 4,
 };
 
 enum class RpcError : std::uint8_t {
--- a/util/clock.h
+++ b/util/clock.h
@@ -58,8 +58,9 @@
   std::int64_t ms_ = 0;
 };
 
-// The monotonic clock of this machine: for leases and time-outs. Its epoch
-// differs from machine to machine, so its points never leave the process.
+// The monotonic clock of this machine, which also counts the time that it is
+// suspended: for leases and time-outs. Its epoch differs from machine to
+// machine, so its points never leave the process.
 Time MonotonicNow();
 
 // Unix time: for records that people read. It may jump.
