Scheduler: the lease of a worker that leaves orders unanswered runs out

Cause: each unanswered look carried a later lease end, which might still be carried out, so a cut worker's tasks stayed bound for longer and longer; a start that got lost bound its task for a whole lease; and one unanswered order was not enough to keep further tasks away.

Change: a silent worker's orders carry what was granted before; starts carry a short lease, looks a long one only for tasks that surely run; a worker gets no new task until it has answered again.

--- a/flamingohollow/fleet.cc
+++ b/flamingohollow/fleet.cc
@@ -34,18 +34,20 @@
          now >= worker.avoid_until_;
 }
 
-std::int64_t LeaseUntil(const FleetWorker& worker, Duration lease, Time now) {
-  return worker.clock_ms_ + (now - worker.clock_at_).ms() + lease.ms();
-}
-
 Duration Stretch(Duration span) {
   return Duration(span.ms() + span.ms() * kClockDriftPerMille / 1000);
 }
 
-void NoteLease(FleetWorker& worker, std::int64_t until_ms) {
-  const Duration left(std::max<std::int64_t>(0, until_ms - worker.clock_ms_));
+std::int64_t GrantLease(FleetWorker& worker, Duration lease, Time now) {
+  const bool silent = worker.silent_calls_ > 0 && worker.granted_until_ms_ > 0;
+  if (silent) return worker.granted_until_ms_;
+  const std::int64_t until =
+      worker.clock_ms_ + (now - worker.clock_at_).ms() + lease.ms();
+  worker.granted_until_ms_ = std::max(worker.granted_until_ms_, until);
+  const Duration left(std::max<std::int64_t>(0, until - worker.clock_ms_));
   const Time over = worker.clock_at_ + Stretch(left) + kLeaseMargin;
   worker.lease_over_ = std::max(worker.lease_over_, over);
+  return until;
 }
 
 void NoteClock(FleetWorker& worker, std::int64_t clock_ms, Time now) {
--- a/flamingohollow/fleet.h
+++ b/flamingohollow/fleet.h
@@ -88,6 +88,8 @@
   // The worker's clock showed at least `clock_ms_` at `clock_at_`.
   std::int64_t clock_ms_ = 0;
   Time clock_at_;
+  // The longest lease in any order to it, on its clock.
+  std::int64_t granted_until_ms_ = 0;
   // From then on its lease is over, whatever was cut or delayed.
   Time lease_over_;
   std::map<AttemptRef, Run> runs_;
@@ -120,16 +122,18 @@
 inline constexpr Duration kReportInterval = Duration(1500);
 // A worker that missed this many reports gets no new work.
 inline constexpr std::int64_t kMissedReports = 3;
-// Calls without an answer before a worker gets no new work.
-inline constexpr std::uint32_t kMaxSilentCalls = 2;
+// Calls in a row without an answer after which a worker gets no new work until
+// it answers again.
+inline constexpr std::uint32_t kMaxSilentCalls = 1;
 
 // Whether new tasks may be placed on the worker.
 bool TakesTasks(const FleetWorker& worker, Duration report_interval, Time now);
 
-// A point on the worker's clock `lease` from now; never later than that.
-std::int64_t LeaseUntil(const FleetWorker& worker, Duration lease, Time now);
-// Notes that the worker may hold a lease until `until_ms` on its clock.
-void NoteLease(FleetWorker& worker, std::int64_t until_ms);
+// The end of the lease that an order to the worker carries, on its clock:
+// `lease` from now, or what was granted before, for a worker that left the last
+// call unanswered. So the lease of a worker that can't be reached runs out,
+// however often it is called. Counts as granted from here on.
+std::int64_t GrantLease(FleetWorker& worker, Duration lease, Time now);
 // Takes a reading of the worker's clock in.
 void NoteClock(FleetWorker& worker, std::int64_t clock_ms, Time now);
 // How much longer `span` may take on a worker's clock that runs slow.
--- a/flamingohollow/graph_scheduler.cc
+++ b/flamingohollow/graph_scheduler.cc
@@ -105,8 +105,7 @@
       spec.gang_ ? step->checkpoint_
                  : step->tasks_[attempt.task_.index_.value()].checkpoint_;
   order.lease_until_ms_ =
-      LeaseUntil(worker, ctx.scheduler_.options_.lease_, ctx.now_);
-  NoteLease(worker, order.lease_until_ms_);
+      GrantLease(worker, ctx.scheduler_.options_.start_lease_, ctx.now_);
   run.order_in_flight_ = true;
   run.since_ = ctx.now_;
   ++run.orders_;
@@ -140,19 +139,27 @@
 
 void SendLook(Context& ctx, FleetWorker& worker) {
   const SchedulerOptions& options = ctx.scheduler_.options_;
-  LookOrder order{
-      .target_ = TargetOf(ctx, worker),
-      .number_ = ++worker.looks_,
-      .last_end_ = worker.logged_end_,
-      .lease_until_ms_ = LeaseUntil(worker, options.lease_, ctx.now_),
-      .wait_ = options.look_wait_};
+  LookOrder order;
+  order.target_ = TargetOf(ctx, worker);
+  order.number_ = ++worker.looks_;
+  order.last_end_ = worker.logged_end_;
+  order.wait_ = options.look_wait_;
+  // Without a task that surely runs a worker needs no lease; with one it takes
+  // longer until a task that gets lost on the way there is known to be over.
+  bool runs = false;
+  for (const auto& [attempt, run] : worker.runs_) {
+    runs = runs || run.phase_ == RunPhase::kRunning ||
+           run.phase_ == RunPhase::kRecovering;
+  }
+  if (runs) {
+    order.lease_until_ms_ = GrantLease(worker, options.lease_, ctx.now_);
+  }
   bool settled = worker.seen_;
   for (const auto& [attempt, run] : worker.runs_) {
     settled = settled && run.phase_ == RunPhase::kRunning;
   }
   // Something waits for what the look shows, not for an end.
   if (!settled || worker.runs_.empty()) order.wait_ = Duration(0);
-  NoteLease(worker, order.lease_until_ms_);
   worker.look_in_flight_ = true;
   ctx.actions_.emplace_back(std::move(order));
 }
@@ -581,6 +588,7 @@
   if (!worker.reported_) return;
   if (worker.report_.draining_) Evacuate(ctx, worker);
   const bool needed = !worker.seen_ || !worker.runs_.empty() ||
+                      worker.silent_calls_ > 0 ||
                       worker.told_end_ < worker.logged_end_;
   const bool free = !worker.look_in_flight_ && !worker.ends_proposed_ &&
                     ctx.now_ >= worker.next_look_;
--- a/flamingohollow/graph_scheduler.h
+++ b/flamingohollow/graph_scheduler.h
@@ -34,6 +34,9 @@
 struct SchedulerOptions {
   // Leases of workers; the worker protocol sets the longest allowed.
   Duration lease_ = Duration(10000);
+  // In a start order. Short, so that a start that gets lost binds its task only
+  // this long; the first look extends it.
+  Duration start_lease_ = Duration(4000);
   // How long a look waits at the worker for an end.
   Duration look_wait_ = Duration(2000);
   // An order without an answer is sent again after this long.
@@ -78,6 +81,7 @@
   std::uint64_t number_ = 0;
   // The worker may forget its ends up to here.
   std::uint64_t last_end_ = 0;
+  // 0: the look leaves the lease as it is.
   std::int64_t lease_until_ms_ = 0;
   Duration wait_;
 };
--- /dev/null
+++ b/flamingohollow/testing/graph_placement_test.cc
@@ -0,0 +1,212 @@
+// Placement: one test a rule, each playing the load that the rule is for.
+
+#include "flamingohollow/graph_placement.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <string>
+
+#include "flamingohollow/testing/graph_fixture.h"
+
+namespace flamingohollow::testing {
+namespace {
+
+constexpr Time kNow(100'000);
+
+PlacementPlan Plan(const GraphState& state, const Fleet& fleet,
+                   Time since = kNow) {
+  const GraphPlacementOptions options;
+  return PlanPlacement(
+      state, fleet, options, [since](const GraphJob&) { return since; }, kNow);
+}
+
+std::set<std::string> RacksOf(const PlacementPlan& plan, const Fleet& fleet) {
+  std::set<std::string> racks;
+  for (const OpenedAttempt& opened : plan.open_) {
+    racks.insert(fleet.at(opened.worker_).report_.rack_.value());
+  }
+  return racks;
+}
+
+std::set<std::string> JobsOf(const PlacementPlan& plan) {
+  std::set<std::string> jobs;
+  for (const OpenedAttempt& opened : plan.open_) {
+    jobs.insert(opened.attempt_.task_.job_.value());
+  }
+  return jobs;
+}
+
+std::set<std::string> StoppedJobs(const PlacementPlan& plan) {
+  std::set<std::string> jobs;
+  for (const PlacementPlan::Stop& stop : plan.stop_) {
+    jobs.insert(stop.attempt_.task_.job_.value());
+  }
+  return jobs;
+}
+
+TEST_CASE("a gang starts whole or not at all") {
+  GraphState state;
+  Fleet fleet = MakeFleet(1, 2, kNow);
+  Submit(state, 1, {MakeGang(3, 8, Duration(1000), false)}, {});
+  CHECK(Plan(state, fleet).open_.empty());
+  fleet = MakeFleet(1, 3, kNow);
+  CHECK_EQ(Plan(state, fleet).open_.size(), 3);
+}
+
+TEST_CASE("a gang that wants one rack gets the tightest that holds it") {
+  GraphState state;
+  Fleet fleet = MakeFleet(2, 2, kNow);
+  Submit(state, 1, {MakeStep(1, 4, Duration(1000))}, {});
+  RunTask(state, fleet, 1, 0, "w2", kNow);
+  Submit(state, 2, {MakeGang(2, 4, Duration(1000), true)}, {});
+  CHECK_EQ(RacksOf(Plan(state, fleet), fleet), std::set<std::string>{"r1"});
+}
+
+TEST_CASE("small tasks leave whole workers free") {
+  GraphState state;
+  Fleet fleet = MakeFleet(1, 2, kNow);
+  Submit(state, 1, {MakeStep(1, 4, Duration(1000))}, {});
+  RunTask(state, fleet, 1, 0, "w1", kNow);
+  Submit(state, 2, {MakeStep(1, 1, Duration(1000))}, {});
+  const PlacementPlan plan = Plan(state, fleet);
+  REQUIRE_EQ(plan.open_.size(), 1);
+  CHECK_EQ(plan.open_[0].worker_, WorkerId("w1"));
+}
+
+TEST_CASE("no work for workers that drain, are silent or are avoided") {
+  GraphState state;
+  Submit(state, 1, {MakeStep(1, 1, Duration(1000))}, {});
+  Fleet fleet = MakeFleet(1, 1, kNow);
+  FleetWorker& worker = fleet.begin()->second;
+  REQUIRE_EQ(Plan(state, fleet).open_.size(), 1);
+  SUBCASE("draining") { worker.report_.draining_ = true; }
+  SUBCASE("silent") { worker.heard_ = kNow - Duration(10000); }
+  SUBCASE("not answering") { worker.silent_calls_ = kMaxSilentCalls; }
+  SUBCASE("avoided") { worker.avoid_until_ = kNow + Duration(1); }
+  SUBCASE("not looked at yet") { worker.seen_ = false; }
+  SUBCASE("another pool") { worker.report_.pool_ = PoolName("other"); }
+  CHECK(Plan(state, fleet).open_.empty());
+}
+
+TEST_CASE("labels and the limit on one worker are kept") {
+  GraphState state;
+  Fleet fleet = MakeFleet(1, 2, kNow);
+  fleet.at(WorkerId("w1")).report_.labels_ = {"b", "r0"};
+  StepSpec step = MakeStep(4, 1, Duration(1000));
+  step.label_ = "b";
+  step.max_per_worker_ = 2;
+  Submit(state, 1, {step}, {});
+  const PlacementPlan plan = Plan(state, fleet);
+  REQUIRE_EQ(plan.open_.size(), 2);
+  CHECK_EQ(plan.open_[0].worker_, WorkerId("w1"));
+  CHECK_EQ(plan.open_[1].worker_, WorkerId("w1"));
+}
+
+TEST_CASE("a step waits for the steps before it") {
+  GraphState state;
+  Fleet fleet = MakeFleet(1, 2, kNow);
+  StepSpec second = MakeStep(1, 1, Duration(1000));
+  second.after_ = {0};
+  Submit(state, 1, {MakeStep(2, 1, Duration(1000)), second}, {});
+  for (const OpenedAttempt& opened : Plan(state, fleet).open_) {
+    CHECK_EQ(opened.attempt_.task_.step_, StepIndex(0));
+  }
+}
+
+TEST_CASE("urgent work takes room back from what is less urgent") {
+  GraphState state;
+  Fleet fleet = MakeFleet(1, 1, kNow);
+  Submit(state, 1, {MakeStep(1, 8, Duration(5000))}, {});
+  RunTask(state, fleet, 1, 0, "w0", kNow - Duration(2000));
+  Submit(state, 2, {MakeStep(1, 8, Duration(1000))}, {.priority_ = 0});
+  const PlacementPlan plan = Plan(state, fleet);
+  CHECK(plan.open_.empty());
+  CHECK_EQ(StoppedJobs(plan), std::set<std::string>{MakeKey(1).value()});
+}
+
+TEST_CASE("a guarantee takes room back from urgent work beyond its own") {
+  GraphState state;
+  SetGuarantee(state, "owner", 8);
+  Fleet fleet = MakeFleet(1, 1, kNow);
+  Submit(state, 1, {MakeStep(1, 8, Duration(5000))},
+         {.priority_ = 0, .customer_ = "borrower"});
+  RunTask(state, fleet, 1, 0, "w0", kNow - Duration(2000));
+  Submit(state, 2, {MakeStep(1, 8, Duration(1000))},
+         {.priority_ = 0, .customer_ = "owner"});
+  CHECK_EQ(StoppedJobs(Plan(state, fleet)),
+           std::set<std::string>{MakeKey(1).value()});
+}
+
+// Load: the pool is full of long gangs and some lone tasks; an urgent task
+// needs one worker. To stop one member wastes the whole gang's work.
+TEST_CASE("the cheapest work is stopped, a gang counted whole") {
+  GraphState state;
+  Fleet fleet = MakeFleet(1, 4, kNow);
+  Submit(state, 1, {MakeGang(3, 8, Duration(9000), false)}, {});
+  for (int i = 0; i < 3; ++i) {
+    RunTask(state, fleet, 1, i, "w" + std::to_string(i), kNow - Duration(2000));
+  }
+  Submit(state, 2, {MakeStep(1, 8, Duration(9000))}, {});
+  RunTask(state, fleet, 2, 0, "w3", kNow - Duration(3000));
+  Submit(state, 3, {MakeStep(1, 8, Duration(1000))}, {.priority_ = 0});
+  CHECK_EQ(StoppedJobs(Plan(state, fleet)),
+           std::set<std::string>{MakeKey(2).value()});
+}
+
+TEST_CASE("a gang is stopped whole") {
+  GraphState state;
+  Fleet fleet = MakeFleet(1, 2, kNow);
+  Submit(state, 1, {MakeGang(2, 8, Duration(9000), false)}, {});
+  RunTask(state, fleet, 1, 0, "w0", kNow - Duration(2000));
+  RunTask(state, fleet, 1, 1, "w1", kNow - Duration(2000));
+  Submit(state, 2, {MakeStep(1, 8, Duration(1000))}, {.priority_ = 0});
+  CHECK_EQ(Plan(state, fleet).stop_.size(), 2);
+}
+
+// Load: three times what fits. A job that is too late for any credit must not
+// take room from one that can still be on time, whatever their priorities.
+TEST_CASE("jobs that can no longer be in time come last") {
+  GraphState state;
+  Fleet fleet = MakeFleet(1, 1, kNow);
+  Submit(state, 1, {MakeStep(1, 8, Duration(1000))}, {.priority_ = 1});
+  Submit(state, 2, {MakeStep(1, 8, Duration(1000))}, {.priority_ = 2});
+  const GraphPlacementOptions options;
+  const JobSince since = [](const GraphJob& job) {
+    return job.key_ == MakeKey(1) ? kNow - Duration(60'000) : kNow;
+  };
+  const PlacementPlan plan = PlanPlacement(state, fleet, options, since, kNow);
+  CHECK_EQ(JobsOf(plan), std::set<std::string>{MakeKey(2).value()});
+}
+
+// Load: workers were taken away, so that no rack has whole workers left for a
+// gang, while most of the pool is idle.
+TEST_CASE("a gang spreads over racks once it has waited for one") {
+  GraphState state;
+  Fleet fleet = MakeFleet(2, 3, kNow);
+  Submit(state, 1, {MakeStep(2, 1, Duration(9000))}, {});
+  RunTask(state, fleet, 1, 0, "w0", kNow);
+  RunTask(state, fleet, 1, 1, "w3", kNow);
+  Submit(state, 2, {MakeGang(3, 8, Duration(9000), true)}, {});
+  CHECK(Plan(state, fleet, kNow - Duration(500)).open_.empty());
+  CHECK_EQ(Plan(state, fleet, kNow - Duration(2500)).open_.size(), 3);
+}
+
+TEST_CASE("a job is hopeless only when the empty workers can't hold it") {
+  const Fleet fleet = MakeFleet(1, 2, kNow);
+  GraphSpec spec;
+  spec.steps_ = {MakeGang(2, 8, Duration(1000), false)};
+  CHECK(CouldEverRun(spec, PoolName("pool"), fleet));
+  CHECK_FALSE(CouldEverRun(spec, PoolName("other"), fleet));
+  spec.steps_ = {MakeGang(3, 8, Duration(1000), false)};
+  CHECK_FALSE(CouldEverRun(spec, PoolName("pool"), fleet));
+  spec.steps_ = {MakeStep(3, 8, Duration(1000))};
+  CHECK(CouldEverRun(spec, PoolName("pool"), fleet));
+  spec.steps_ = {MakeStep(1, 9, Duration(1000))};
+  CHECK_FALSE(CouldEverRun(spec, PoolName("pool"), fleet));
+}
+
+}  // namespace
+}  // namespace flamingohollow::testing
--- /dev/null
+++ b/flamingohollow/testing/graph_scheduler_test.cc
@@ -0,0 +1,194 @@
+// The scheduler against fake workers: single faults, then random schedules.
+
+#include "flamingohollow/graph_scheduler.h"
+
+#include <doctest/doctest.h>
+
+#include <cstdlib>
+#include <string>
+
+#include "flamingohollow/testing/graph_world.h"
+
+namespace flamingohollow::testing {
+namespace {
+
+std::string Broken(const GraphWorld& world) {
+  std::string all;
+  for (const std::string& rule : world.broken()) all += rule + "; ";
+  return all;
+}
+
+TEST_CASE("a job of two steps runs to its end, each task once") {
+  GraphWorld world({});
+  StepSpec second = MakeStep(3, 1, Duration(500));
+  second.after_ = {0};
+  world.Submit(1, {MakeGang(2, 8, Duration(800), true), second}, {});
+  world.RunFor(Duration(6000));
+  CHECK_EQ(world.JobState(1), GraphJobState::kCompleted);
+  CHECK_EQ(world.starts(), 5);
+  CHECK_EQ(Broken(world), "");
+}
+
+TEST_CASE("a cancelled job stops running") {
+  GraphWorld world({});
+  world.Submit(1, {MakeStep(4, 1, Duration(60'000))}, {});
+  world.RunFor(Duration(3000));
+  REQUIRE_EQ(world.RunningTasks(1), 4);
+  world.Cancel(1);
+  world.RunFor(Duration(600));
+  CHECK_EQ(world.RunningTasks(1), 0);
+}
+
+TEST_CASE("tasks of a crashed worker run again as soon as it reports") {
+  GraphWorld world({.racks_ = 1, .per_rack_ = 1});
+  world.Submit(1, {MakeStep(2, 1, Duration(4000))}, {});
+  world.RunFor(Duration(2500));
+  REQUIRE_EQ(world.RunningTasks(1), 2);
+  world.Crash(0);
+  world.RunFor(Duration(6000));
+  CHECK_EQ(world.JobState(1), GraphJobState::kCompleted);
+  CHECK_EQ(Broken(world), "");
+}
+
+TEST_CASE("tasks of a worker that is cut off run elsewhere after its lease") {
+  GraphWorld world({.racks_ = 1, .per_rack_ = 2});
+  world.Submit(1, {MakeStep(1, 8, Duration(30'000))}, {});
+  world.RunFor(Duration(2500));
+  REQUIRE_EQ(world.RunningTasks(1), 1);
+  world.Cut(0);
+  world.RunFor(Duration(12'000));
+  CHECK_EQ(world.RunningTasks(1), 1);
+  CHECK_EQ(world.starts(), 2);
+  CHECK_EQ(Broken(world), "");
+}
+
+// A start to a worker that can't be reached must not bind the task for as long
+// as a full lease.
+TEST_CASE("a task whose first order is lost runs elsewhere within seconds") {
+  GraphWorld world({.racks_ = 1, .per_rack_ = 2});
+  world.RunFor(Duration(2000));
+  world.Cut(0);
+  world.Submit(1, {MakeStep(1, 8, Duration(1000))}, {});
+  world.RunFor(Duration(6500));
+  CHECK_EQ(world.JobState(1), GraphJobState::kCompleted);
+  CHECK_EQ(Broken(world), "");
+}
+
+// Two jobs, one after the other, while one of two workers is cut off: the
+// second job must not be sent there too.
+TEST_CASE("a worker that left an order unanswered gets no further task") {
+  GraphWorld world({.racks_ = 1, .per_rack_ = 2});
+  world.RunFor(Duration(2000));
+  world.Cut(0);
+  world.Submit(1, {MakeStep(1, 4, Duration(1000))}, {});
+  world.RunFor(Duration(1300));
+  world.Submit(2, {MakeStep(1, 4, Duration(1000))}, {});
+  world.RunFor(Duration(1500));
+  CHECK_EQ(world.JobState(2), GraphJobState::kCompleted);
+}
+
+TEST_CASE("a failing task uses up its attempts and fails the job") {
+  GraphWorld world({.fails_ = 1000});
+  world.Submit(1, {MakeStep(1, 1, Duration(200))}, {.max_attempts_ = 3});
+  world.RunFor(Duration(6000));
+  CHECK_EQ(world.JobState(1), GraphJobState::kFailed);
+  CHECK_EQ(world.starts(), 3);
+}
+
+TEST_CASE("a new leader finds what runs and starts nothing twice") {
+  GraphWorld world({});
+  world.Submit(1, {MakeStep(6, 4, Duration(3000))}, {});
+  world.RunFor(Duration(2500));
+  world.ChangeLeader();
+  world.RunFor(Duration(5000));
+  CHECK_EQ(world.JobState(1), GraphJobState::kCompleted);
+  CHECK_EQ(world.starts(), 6);
+  CHECK_EQ(Broken(world), "");
+}
+
+TEST_CASE("a scheduled job runs once an interval") {
+  GraphWorld world({});
+  GraphState state;
+  SubmitRecord record = MakeSubmit(1, {MakeStep(1, 1, Duration(100))}, {});
+  record.spec_.occurrences_ = 3;
+  record.spec_.first_due_ = Time(1'003'000);
+  record.spec_.interval_ = Duration(1000);
+  ApplyRecord(state, record);
+  CHECK(state.jobs_.at(MakeKey(1)).occurrences_.empty());
+  for (std::uint32_t k = 0; k < 3; ++k) {
+    ApplyRecord(state, DueRecord{{{MakeKey(1), Occurrence(k)}}});
+    // The same occurrence again changes nothing.
+    ApplyRecord(state, DueRecord{{{MakeKey(1), Occurrence(k)}}});
+  }
+  CHECK_EQ(state.jobs_.at(MakeKey(1)).occurrences_.size(), 3);
+}
+
+std::vector<StepSpec> RandomSteps(std::mt19937_64& random) {
+  std::vector<StepSpec> steps;
+  const std::uint64_t count = 1 + random() % 3;
+  for (std::uint64_t i = 0; i < count; ++i) {
+    const auto tasks = static_cast<std::uint32_t>(1 + random() % 4);
+    const auto size = static_cast<std::int64_t>(1U << (random() % 4));
+    const Duration estimate(200 + static_cast<std::int64_t>(random() % 4000));
+    StepSpec step = random() % 2 == 0
+                        ? MakeStep(tasks, size, estimate)
+                        : MakeGang(tasks, size, estimate, random() % 2 == 0);
+    if (i > 0) step.after_ = {static_cast<std::uint32_t>(i - 1)};
+    steps.push_back(step);
+  }
+  return steps;
+}
+
+void Disturb(GraphWorld& world, std::mt19937_64& random) {
+  const int worker = static_cast<int>(random() % world.workers());
+  switch (random() % 8) {
+    case 0:
+      return world.ChangeLeader();
+    case 1:
+      return world.Crash(worker);
+    case 2:
+      return world.Cut(worker);
+    case 3:
+    case 4:
+      return world.Heal(worker);
+    case 5:
+      return world.StartDraining(worker, Duration(3000));
+    case 6:
+      return world.Cancel(1 + random() % 12);
+    default:
+      return;
+  }
+}
+
+std::uint64_t ScheduleCount() {
+  const char* count = std::getenv("FLAMINGOHOLLOW_SCHEDULES");
+  return count == nullptr ? 60 : std::strtoull(count, nullptr, 10);
+}
+
+TEST_CASE("random schedules: nothing runs twice, and all ends once calm") {
+  for (std::uint64_t seed = 1; seed <= ScheduleCount(); ++seed) {
+    CAPTURE(seed);
+    std::mt19937_64 random(seed);
+    GraphWorld world({.seed_ = seed,
+                      .lost_ = static_cast<int>(random() % 60),
+                      .late_ = static_cast<int>(random() % 60),
+                      .answer_lost_ = static_cast<int>(random() % 60),
+                      .fails_ = static_cast<int>(random() % 50)});
+    for (std::uint64_t job = 1; job <= 12; ++job) {
+      const auto priority = static_cast<std::uint32_t>(random() % 3);
+      world.Submit(job, RandomSteps(random),
+                   {.priority_ = priority, .max_attempts_ = 4});
+      world.RunFor(Duration(static_cast<std::int64_t>(random() % 1500)));
+      Disturb(world, random);
+    }
+    world.Calm();
+    for (int i = 0; i < 12 && !world.AllEnded(); ++i) {
+      world.RunFor(Duration(10'000));
+    }
+    CHECK_EQ(Broken(world), "");
+    CHECK(world.AllEnded());
+  }
+}
+
+}  // namespace
+}  // namespace flamingohollow::testing
--- /dev/null
+++ b/flamingohollow/testing/graph_world.cc
@@ -0,0 +1,383 @@
+#include "flamingohollow/testing/graph_world.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace flamingohollow::testing {
+namespace {
+
+constexpr Duration kTick(20);
+constexpr Duration kReportEvery(1500);
+constexpr Duration kOrderTimeout(1000);
+constexpr Duration kSyncTime(8);
+constexpr Duration kStopTime(300);
+// How late an order may still be carried out.
+constexpr int kMaxLateMs = 9000;
+
+}  // namespace
+
+GraphWorld::GraphWorld(const GraphWorldOptions& options)
+    : options_(options), random_(options.seed_) {
+  scheduler_ = MakeScheduler({}, FencingToken(term_), state_, now_, now_);
+  for (int i = 0; i < options.racks_ * options.per_rack_; ++i) {
+    FakeWorker worker;
+    worker.report_ = MakeReport(fmt::format("w{}", i),
+                                fmt::format("r{}", i / options.per_rack_));
+    worker.clock_offset_ = Duration(1000 * i - 500'000);
+    worker.next_report_ = now_;
+    workers_.push_back(std::move(worker));
+  }
+}
+
+bool GraphWorld::Chance(int per_mille) {
+  return static_cast<int>(random_() % 1000) < per_mille;
+}
+
+Duration GraphWorld::Delay() {
+  return Duration(1 + static_cast<std::int64_t>(random_() % 10));
+}
+
+void GraphWorld::At(Time time, std::function<void()> task) {
+  tasks_.emplace(time, std::move(task));
+}
+
+void GraphWorld::Submit(std::uint64_t number, std::vector<StepSpec> steps,
+                        const JobOptions& options) {
+  JobOptions now = options;
+  now.accepted_ = now_;
+  ProposeLater(MakeSubmit(number, std::move(steps), now));
+}
+
+void GraphWorld::Cancel(std::uint64_t number) {
+  ProposeLater(CancelRecord{MakeKey(number), now_});
+}
+
+void GraphWorld::Apply(const GraphRecord& record) {
+  ApplyRecord(state_, record);
+  Feed(RecordApplied{&record});
+}
+
+void GraphWorld::ProposeLater(const GraphRecord& record) {
+  const std::uint64_t term = term_;
+  At(now_ + kSyncTime, [this, record, term] {
+    if (term == term_) Apply(record);
+  });
+}
+
+void GraphWorld::Feed(const SchedulerEvent& event) {
+  Perform(Step(scheduler_, state_, event, now_));
+}
+
+void GraphWorld::Perform(std::vector<SchedulerAction> actions) {
+  for (const SchedulerAction& action : actions) {
+    if (const auto* record = std::get_if<GraphRecord>(&action)) {
+      ProposeLater(*record);
+    } else if (const auto* start = std::get_if<StartOrder>(&action)) {
+      StartResult result{start->target_.worker_, start->target_.life_,
+                         start->attempt_, OrderOutcome::kNoAnswer, ""};
+      Deliver<StartOrder, StartResult>(
+          *start, result,
+          [this, order = *start](FakeWorker& w, StartResult& r) {
+            CarryOut(w, order, r);
+          });
+    } else if (const auto* stop = std::get_if<StopOrder>(&action)) {
+      StopResult result{stop->target_.worker_, stop->target_.life_,
+                        stop->attempt_, OrderOutcome::kNoAnswer};
+      Deliver<StopOrder, StopResult>(
+          *stop, result, [this, order = *stop](FakeWorker& w, StopResult& r) {
+            CarryOut(w, order, r);
+          });
+    } else if (const auto* look = std::get_if<LookOrder>(&action)) {
+      LookResult result;
+      result.worker_ = look->target_.worker_;
+      result.life_ = look->target_.life_;
+      result.number_ = look->number_;
+      Deliver<LookOrder, LookResult>(
+          *look, result, [this, order = *look](FakeWorker& w, LookResult& r) {
+            CarryOut(w, order, r);
+          });
+    }
+  }
+}
+
+template <class Order, class Result>
+void GraphWorld::Deliver(const Order& order, Result result,
+                         std::function<void(FakeWorker&, Result&)> carry_out) {
+  const std::uint64_t term = term_;
+  const auto answer = [this, term](const Result& r, Time at) {
+    At(at, [this, term, r] {
+      if (term == term_) Feed(r);
+    });
+  };
+  const bool lost = Chance(options_.lost_);
+  const bool late = Chance(options_.late_);
+  const Time arrives =
+      late ? now_ + Duration(1500 +
+                             static_cast<std::int64_t>(random_() % kMaxLateMs))
+           : now_ + Delay();
+  if (lost || late) answer(result, now_ + kOrderTimeout);
+  if (lost) return;
+  At(arrives, [this, order, result, carry_out, answer, late]() mutable {
+    FakeWorker* worker = FindFake(order.target_.worker_);
+    if (worker == nullptr || worker->cut_) {
+      if (!late) answer(result, now_ + kOrderTimeout);
+      return;
+    }
+    carry_out(*worker, result);
+    if (late) return;
+    const bool unheard = Chance(options_.answer_lost_);
+    Result heard = result;
+    if (unheard) heard.outcome_ = OrderOutcome::kNoAnswer;
+    answer(heard, now_ + (unheard ? kOrderTimeout : Delay()));
+  });
+}
+
+GraphWorld::FakeWorker* GraphWorld::FindFake(const WorkerId& id) {
+  for (FakeWorker& worker : workers_) {
+    if (worker.report_.id_ == id) return &worker;
+  }
+  return nullptr;
+}
+
+bool GraphWorld::TakesToken(FakeWorker& worker, const OrderTarget& target,
+                            OrderOutcome& outcome) {
+  if (target.life_ != worker.report_.life_) {
+    outcome = OrderOutcome::kOtherLife;
+    return false;
+  }
+  if (target.token_ < worker.token_) {
+    outcome = OrderOutcome::kRefused;
+    return false;
+  }
+  worker.token_ = target.token_;
+  return true;
+}
+
+const StepSpec& GraphWorld::SpecOf(const TaskRef& task) const {
+  return state_.jobs_.at(task.job_).spec_.steps_[task.step_.value()];
+}
+
+void GraphWorld::CheckStart(const FakeWorker& worker, const StartOrder& order) {
+  const TaskRef& task = order.attempt_.task_;
+  ++starts_;
+  for (const FakeWorker& other : workers_) {
+    for (const auto& [attempt, run] : other.runs_) {
+      if (attempt.task_ == task) broken_.insert("a task ran twice at once");
+    }
+  }
+  if (noted_done_.contains(task)) {
+    broken_.insert("a task started after its noted end");
+  }
+  const Resources left = worker.report_.capacity_;
+  Resources used =
+      order.attempt_.attempt_ == AttemptId() ? Resources{} : SpecOf(task).need_;
+  for (const auto& [attempt, run] : worker.runs_) used = used + run.need_;
+  if (!Fits(used, left)) broken_.insert("a worker was filled beyond its size");
+}
+
+void GraphWorld::CarryOut(FakeWorker& worker, const StartOrder& order,
+                          StartResult& result) {
+  if (!TakesToken(worker, order.target_, result.outcome_)) return;
+  const Time until = Time(order.lease_until_ms_) - worker.clock_offset_;
+  worker.lease_until_ = std::max(worker.lease_until_, until);
+  if (worker.runs_.contains(order.attempt_)) {
+    result.outcome_ = OrderOutcome::kDone;
+    return;
+  }
+  const TaskRef& task = order.attempt_.task_;
+  const bool old = order.attempt_.attempt_ <= worker.highest_[task];
+  Resources used = SpecOf(task).need_;
+  for (const auto& [attempt, run] : worker.runs_) used = used + run.need_;
+  const bool late = until <= now_;
+  if (old || late || !Fits(used, worker.report_.capacity_)) {
+    result.outcome_ = OrderOutcome::kRefused;
+    return;
+  }
+  CheckStart(worker, order);
+  worker.runs_[order.attempt_] = {now_ + SpecOf(task).estimate_,
+                                  SpecOf(task).need_};
+  result.outcome_ = OrderOutcome::kDone;
+}
+
+void GraphWorld::CarryOut(FakeWorker& worker, const StopOrder& order,
+                          StopResult& result) {
+  if (!TakesToken(worker, order.target_, result.outcome_)) return;
+  AttemptId& highest = worker.highest_[order.attempt_.task_];
+  highest = std::max(highest, order.attempt_.attempt_);
+  result.outcome_ = OrderOutcome::kDone;
+  if (!worker.runs_.contains(order.attempt_)) return;
+  const WorkerId id = worker.report_.id_;
+  const WorkerLife life = worker.report_.life_;
+  At(now_ + kStopTime, [this, id, life, attempt = order.attempt_] {
+    FakeWorker& target = *FindFake(id);
+    if (target.report_.life_ != life) return;
+    EndRun(target, attempt, AttemptEnd::kStopped);
+  });
+}
+
+void GraphWorld::CarryOut(FakeWorker& worker, const LookOrder& order,
+                          LookResult& result) {
+  if (!TakesToken(worker, order.target_, result.outcome_)) return;
+  result.outcome_ = OrderOutcome::kDone;
+  if (worker.lease_until_ <= now_) worker.lapsed_ = now_;
+  const Time until = Time(order.lease_until_ms_) - worker.clock_offset_;
+  worker.lease_until_ = std::max(worker.lease_until_, until);
+  result.clock_ms_ = (now_ + worker.clock_offset_).ms();
+  std::erase_if(worker.ends_, [this, &worker, &order](const EndRow& row) {
+    if (row.number_ > order.last_end_) return false;
+    // An end that is noted only after the lease ran out does not count: the
+    // leader had to take the task for lost by then.
+    const bool in_time = worker.lapsed_ < worker.ended_.at(row.number_);
+    if (row.end_ == AttemptEnd::kDone && in_time) {
+      noted_done_.insert(row.attempt_.task_);
+    }
+    return true;
+  });
+  result.ends_ = worker.ends_;
+  for (const auto& [attempt, run] : worker.runs_) {
+    result.running_.push_back({attempt, Checkpoint("saved")});
+  }
+}
+
+void GraphWorld::EndRun(FakeWorker& worker, const AttemptRef& attempt,
+                        AttemptEnd end) {
+  const auto found = worker.runs_.find(attempt);
+  if (found == worker.runs_.end()) return;
+  worker.runs_.erase(found);
+  AttemptId& highest = worker.highest_[attempt.task_];
+  highest = std::max(highest, attempt.attempt_);
+  worker.ended_[worker.last_end_ + 1] = now_;
+  worker.ends_.push_back(
+      {++worker.last_end_, attempt, end, Checkpoint("saved")});
+}
+
+// All members that run end `done` together once the last one is due.
+void GraphWorld::EndGang(const AttemptRef& attempt) {
+  const std::uint32_t size = SpecOf(attempt.task_).tasks_;
+  std::vector<std::pair<FakeWorker*, AttemptRef>> members;
+  bool due = true;
+  for (FakeWorker& worker : workers_) {
+    for (const auto& [other, run] : worker.runs_) {
+      const bool same = other.task_.job_ == attempt.task_.job_ &&
+                        other.task_.step_ == attempt.task_.step_ &&
+                        other.attempt_ == attempt.attempt_;
+      if (!same) continue;
+      members.emplace_back(&worker, other);
+      due = due && run.ends_ <= now_;
+    }
+  }
+  if (!due || members.size() < size) return;
+  for (const auto& [worker, member] : members) {
+    EndRun(*worker, member, AttemptEnd::kDone);
+  }
+}
+
+void GraphWorld::StepWorkers() {
+  for (FakeWorker& worker : workers_) {
+    if (!worker.runs_.empty() && worker.lease_until_ <= now_) {
+      while (!worker.runs_.empty()) {
+        EndRun(worker, worker.runs_.begin()->first, AttemptEnd::kLapsed);
+      }
+    }
+    std::vector<AttemptRef> due;
+    for (const auto& [attempt, run] : worker.runs_) {
+      if (run.ends_ <= now_) due.push_back(attempt);
+    }
+    for (const AttemptRef& attempt : due) {
+      if (SpecOf(attempt.task_).gang_) {
+        EndGang(attempt);
+      } else {
+        EndRun(
+            worker, attempt,
+            Chance(options_.fails_) ? AttemptEnd::kFailed : AttemptEnd::kDone);
+      }
+    }
+    if (now_ < worker.next_report_ || worker.cut_) continue;
+    worker.next_report_ = now_ + kReportEvery;
+    ++worker.report_.sequence_;
+    worker.report_.clock_ms_ = (now_ + worker.clock_offset_).ms();
+    Feed(worker.report_);
+  }
+}
+
+void GraphWorld::RunFor(Duration span) {
+  const Time end = now_ + span;
+  while (now_ < end) {
+    now_ = now_ + Duration(1);
+    while (!tasks_.empty() && tasks_.begin()->first <= now_) {
+      const auto task = std::move(tasks_.begin()->second);
+      tasks_.erase(tasks_.begin());
+      task();
+    }
+    StepWorkers();
+    if (now_.ms() % kTick.ms() == 0) Feed(SchedulerTick{now_});
+  }
+}
+
+void GraphWorld::ChangeLeader() {
+  ++term_;
+  scheduler_ = MakeScheduler({}, FencingToken(term_), state_, now_, now_);
+}
+
+void GraphWorld::Restart(FakeWorker& worker) {
+  worker.runs_.clear();
+  worker.highest_.clear();
+  worker.ends_.clear();
+  worker.ended_.clear();
+  worker.last_end_ = 0;
+  worker.token_ = FencingToken();
+  worker.lease_until_ = Time();
+  worker.report_.life_ = WorkerLife(now_.ms());
+  worker.report_.sequence_ = 0;
+  worker.report_.draining_ = false;
+  worker.clock_offset_ = Duration(0) - Duration(now_.ms());
+  worker.next_report_ = now_ + Duration(200);
+}
+
+void GraphWorld::Crash(int worker) { Restart(workers_[worker]); }
+
+void GraphWorld::Cut(int worker) { workers_[worker].cut_ = true; }
+
+void GraphWorld::Heal(int worker) { workers_[worker].cut_ = false; }
+
+void GraphWorld::StartDraining(int worker, Duration remaining) {
+  workers_[worker].report_.draining_ = true;
+  workers_[worker].report_.remaining_ = remaining;
+  workers_[worker].next_report_ = now_;
+}
+
+void GraphWorld::Calm() {
+  options_.lost_ = 0;
+  options_.late_ = 0;
+  options_.answer_lost_ = 0;
+  options_.fails_ = 0;
+  for (FakeWorker& worker : workers_) {
+    worker.cut_ = false;
+    if (worker.report_.draining_) Restart(worker);
+  }
+}
+
+GraphJobState GraphWorld::JobState(std::uint64_t number) const {
+  return state_.jobs_.at(MakeKey(number)).state_;
+}
+
+bool GraphWorld::AllEnded() const {
+  return std::all_of(state_.jobs_.begin(), state_.jobs_.end(),
+                     [](const auto& item) {
+                       return item.second.state_ != GraphJobState::kActive;
+                     });
+}
+
+int GraphWorld::RunningTasks(std::uint64_t number) const {
+  int running = 0;
+  for (const FakeWorker& worker : workers_) {
+    for (const auto& [attempt, run] : worker.runs_) {
+      if (attempt.task_.job_ == MakeKey(number)) ++running;
+    }
+  }
+  return running;
+}
+
+}  // namespace flamingohollow::testing
--- /dev/null
+++ b/flamingohollow/testing/graph_world.h
@@ -0,0 +1,127 @@
+// A leader's scheduler and its workers under a virtual clock, with orders that
+// are lost, late or unanswered, workers that crash, drain and are cut off, and
+// leaders that change. Checks after each step what must always hold.
+
+#ifndef FLAMINGOHOLLOW_TESTING_GRAPH_WORLD_H_
+#define FLAMINGOHOLLOW_TESTING_GRAPH_WORLD_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "flamingohollow/graph_scheduler.h"
+#include "flamingohollow/graph_state.h"
+#include "flamingohollow/testing/graph_fixture.h"
+
+namespace flamingohollow::testing {
+
+struct GraphWorldOptions {
+  std::uint64_t seed_ = 1;
+  int racks_ = 2;
+  int per_rack_ = 3;
+  // Chances in a thousand, for each order.
+  int lost_ = 0;
+  int late_ = 0;
+  int answer_lost_ = 0;
+  // Chances in a thousand that a task's run fails.
+  int fails_ = 0;
+};
+
+class GraphWorld {
+ public:
+  explicit GraphWorld(const GraphWorldOptions& options);
+
+  void Submit(std::uint64_t number, std::vector<StepSpec> steps,
+              const JobOptions& options);
+  void Cancel(std::uint64_t number);
+  void RunFor(Duration span);
+  // What was proposed and not committed yet is lost; a new leader takes over.
+  void ChangeLeader();
+  void Crash(int worker);
+  // No order or report passes until Heal.
+  void Cut(int worker);
+  void Heal(int worker);
+  void StartDraining(int worker, Duration remaining);
+  // No further trouble.
+  void Calm();
+
+  int workers() const { return static_cast<int>(workers_.size()); }
+  const GraphState& state() const { return state_; }
+  GraphJobState JobState(std::uint64_t number) const;
+  bool AllEnded() const;
+  // Each broken rule, once.
+  const std::set<std::string>& broken() const { return broken_; }
+  // Starts that workers carried out.
+  std::uint64_t starts() const { return starts_; }
+  // Attempts of the job that run now.
+  int RunningTasks(std::uint64_t number) const;
+
+ private:
+  struct FakeRun {
+    Time ends_;
+    Resources need_;
+  };
+  struct FakeWorker {
+    PoolWorkerReport report_;
+    // The worker's clock is the world's time plus this.
+    Duration clock_offset_;
+    FencingToken token_;
+    Time lease_until_;
+    std::map<AttemptRef, FakeRun> runs_;
+    std::map<TaskRef, AttemptId> highest_;
+    std::vector<EndRow> ends_;
+    std::uint64_t last_end_ = 0;
+    // When each end happened, by number.
+    std::map<std::uint64_t, Time> ended_;
+    // When a call last found the lease run out.
+    Time lapsed_;
+    bool cut_ = false;
+    Time next_report_;
+  };
+
+  bool Chance(int per_mille);
+  Duration Delay();
+  void At(Time time, std::function<void()> task);
+  void Perform(std::vector<SchedulerAction> actions);
+  void Feed(const SchedulerEvent& event);
+  void ProposeLater(const GraphRecord& record);
+  void Apply(const GraphRecord& record);
+
+  template <class Order, class Result>
+  void Deliver(const Order& order, Result result,
+               std::function<void(FakeWorker&, Result&)> carry_out);
+  FakeWorker* FindFake(const WorkerId& id);
+  bool TakesToken(FakeWorker& worker, const OrderTarget& target,
+                  OrderOutcome& outcome);
+  void CarryOut(FakeWorker& worker, const StartOrder& order,
+                StartResult& result);
+  void CarryOut(FakeWorker& worker, const StopOrder& order, StopResult& result);
+  void CarryOut(FakeWorker& worker, const LookOrder& order, LookResult& result);
+  void EndRun(FakeWorker& worker, const AttemptRef& attempt, AttemptEnd end);
+  void CheckStart(const FakeWorker& worker, const StartOrder& order);
+  void StepWorkers();
+  void EndGang(const AttemptRef& attempt);
+  void Restart(FakeWorker& worker);
+  const StepSpec& SpecOf(const TaskRef& task) const;
+
+  GraphWorldOptions options_;
+  std::mt19937_64 random_;
+  Time now_{1'000'000};
+  GraphState state_;
+  Scheduler scheduler_;
+  std::uint64_t term_ = 1;
+  std::vector<FakeWorker> workers_;
+  std::multimap<Time, std::function<void()>> tasks_;
+  std::set<std::string> broken_;
+  std::uint64_t starts_ = 0;
+  // Tasks whose end `done` is in the log and noted by its worker.
+  std::set<TaskRef> noted_done_;
+};
+
+}  // namespace flamingohollow::testing
+
+#endif  // FLAMINGOHOLLOW_TESTING_GRAPH_WORLD_H_
