Placement: urgent units stop others late and cheaply; gangs hold room

Cause: a priority-0 unit stopped whatever stood on the worker that fitted best, one member of a gang as gladly as a lone task, although stopping one member wastes the whole gang; and it did so at once, although its deadline left time for room to come free. Large gangs starved behind small tasks.

Change: runs that stop together form a group with the work that would be lost; the cheapest set is stopped, and only as late as the deadline or the guarantee allows; up to three units that don't fit hold the room that ends first.

Tests: five in graph_placement_test failed before.

--- a/flamingohollow/graph_placement.cc
+++ b/flamingohollow/graph_placement.cc
@@ -10,6 +10,9 @@
 namespace flamingohollow {
 namespace {
 
+// The job can no longer end in time for any use.
+constexpr int kTooLate = 2;
+
 // A gang, or a lone task, that waits to start.
 struct Unit {
   const GraphJob* job_ = nullptr;
@@ -21,6 +24,8 @@
   // 0 can still be on time, 1 can still be late, 2 neither.
   int lateness_ = 0;
   Time deadline_;
+  // Of what is left of the job, once it runs.
+  Duration remaining_;
   Time since_;
 };
 
@@ -37,14 +42,21 @@
       tasks_;
 };
 
-// A run that may be stopped for a more urgent unit.
-struct Victim {
-  std::size_t room_ = 0;
-  AttemptRef attempt_;
-  const Run* run_ = nullptr;
+// Runs that stop together: a whole gang, or a lone task.
+struct Group {
+  struct Member {
+    std::size_t room_ = 0;
+    AttemptRef attempt_;
+    Resources need_;
+  };
   const GraphJob* job_ = nullptr;
-  // Work that would be lost, in accelerator-milliseconds.
-  std::int64_t cost_ = 0;
+  std::vector<Member> members_;
+  // Work that would be lost, in core-milliseconds.
+  std::int64_t lost_ = 0;
+  // Until it ends by itself, as estimated.
+  std::int64_t remaining_ms_ = 0;
+  // All members run, so it may be stopped.
+  bool running_ = true;
   bool taken_ = false;
 };
 
@@ -57,8 +69,13 @@
   std::map<Rack, std::vector<std::size_t>> racks_;
   // Jobs of priority 0 that are within their customer's guarantee.
   std::set<GraphJobKey> guaranteed_;
-  std::vector<Victim> victims_;
-  bool victims_known_ = false;
+  std::vector<Group> groups_;
+  // Indices of the groups with a member in each room.
+  std::vector<std::vector<std::size_t>> groups_in_;
+  // More than half of the usable workers' capacity is in use.
+  bool busy_ = false;
+  // Units that may still hold room for themselves in this pass.
+  std::size_t reservations_ = 0;
   PlacementPlan plan_;
 };
 
@@ -127,39 +144,73 @@
   }
 }
 
-void CollectVictims(Pass& pass) {
-  if (std::exchange(pass.victims_known_, true)) return;
-  for (std::size_t i = 0; i < pass.rooms_.size(); ++i) {
-    for (const auto& [attempt, run] : pass.rooms_[i].worker_->runs_) {
-      const bool runs = run.phase_ == RunPhase::kRunning && !run.end_proposed_;
-      const GraphJob* job = FindJob(pass.state_, attempt.task_.job_);
-      if (!runs || job == nullptr) continue;
-      const Time kept =
-          std::max(run.checkpoint_at_, run.began_.value_or(Time()));
-      const std::int64_t weight =
-          run.need_.accelerators_ * 8000 + run.need_.millicores_;
-      pass.victims_.push_back({.room_ = i,
-                               .attempt_ = attempt,
-                               .run_ = &run,
-                               .job_ = job,
-                               .cost_ = (pass.now_ - kept).ms() * weight});
+// What a core-millisecond of an accelerator counts for.
+constexpr std::int64_t kCoresPerAccelerator = 8;
+// To stop a group costs as much as this time of its work, besides what is lost:
+// its checkpoint must be taken up again, and its job gets late.
+constexpr std::int64_t kStopCostMs = 1500;
+
+std::int64_t WeightOf(const Resources& need) {
+  return need.accelerators_ * kCoresPerAccelerator + need.millicores_ / 1000;
+}
+
+void AddToGroup(const Pass& pass, Group& group, std::size_t room,
+                const AttemptRef& attempt, const Run& run) {
+  const Time now = pass.now_;
+  const Time began = run.began_.value_or(now);
+  const Time kept = std::max(run.checkpoint_at_, began);
+  const StepSpec& spec = group.job_->spec_.steps_[attempt.task_.step_.value()];
+  const std::int64_t left = (spec.estimate_ - (now - began)).ms();
+  group.members_.push_back({room, attempt, run.need_});
+  group.lost_ += ((now - kept).ms() + kStopCostMs) * WeightOf(run.need_);
+  group.remaining_ms_ =
+      std::max(group.remaining_ms_, std::max<std::int64_t>(left, 0));
+  const bool runs = run.phase_ == RunPhase::kRunning && !run.end_proposed_;
+  group.running_ = group.running_ && runs;
+}
+
+void CollectGroups(Pass& pass) {
+  using GangKey = std::tuple<GraphJobKey, Occurrence, StepIndex>;
+  std::map<GangKey, std::size_t> gangs;
+  pass.groups_in_.resize(pass.rooms_.size());
+  for (std::size_t room = 0; room < pass.rooms_.size(); ++room) {
+    for (const auto& [attempt, run] : pass.rooms_[room].worker_->runs_) {
+      const TaskRef& task = attempt.task_;
+      const GraphJob* job = FindJob(pass.state_, task.job_);
+      if (job == nullptr) continue;
+      std::size_t index = pass.groups_.size();
+      if (job->spec_.steps_[task.step_.value()].gang_) {
+        const GangKey key{task.job_, task.occurrence_, task.step_};
+        index = gangs.emplace(key, index).first->second;
+      }
+      if (index == pass.groups_.size()) {
+        pass.groups_.emplace_back().job_ = job;
+      }
+      AddToGroup(pass, pass.groups_[index], room, attempt, run);
+      std::vector<std::size_t>& here = pass.groups_in_[room];
+      if (here.empty() || here.back() != index) here.push_back(index);
     }
   }
-  std::stable_sort(pass.victims_.begin(), pass.victims_.end(),
-                   [](const Victim& a, const Victim& b) {
-                     if (a.job_->terms_.priority_ != b.job_->terms_.priority_) {
-                       return a.job_->terms_.priority_ >
-                              b.job_->terms_.priority_;
-                     }
-                     return a.cost_ < b.cost_;
-                   });
 }
 
-bool MayStop(const Pass& pass, const Victim& victim, const Unit& unit) {
-  if (victim.taken_) return false;
-  if (victim.job_->terms_.priority_ > 0) return true;
+void MeasureUse(Pass& pass) {
+  Resources used;
+  Resources total;
+  for (const Room& room : pass.rooms_) {
+    if (!room.usable_) continue;
+    used = used + room.worker_->used_;
+    total = total + room.worker_->report_.capacity_;
+  }
+  pass.busy_ = used.accelerators_ * 2 > total.accelerators_ ||
+               used.memory_mb_ * 2 > total.memory_mb_ ||
+               used.millicores_ * 2 > total.millicores_;
+}
+
+bool MayStop(const Pass& pass, const Group& group, const Unit& unit) {
+  if (group.taken_ || !group.running_) return false;
+  if (group.job_->terms_.priority_ > 0) return true;
   return pass.guaranteed_.contains(unit.job_->key_) &&
-         !pass.guaranteed_.contains(victim.job_->key_);
+         !pass.guaranteed_.contains(group.job_->key_);
 }
 
 // Units.
@@ -204,12 +255,13 @@
       Duration(static_cast<std::int64_t>(job.terms_.slack_ *
                                          static_cast<double>(chain.ms()))) +
       job.terms_.objective_;
-  const Time finish = now + RemainingChain(job, occurrence);
+  unit.remaining_ = RemainingChain(job, occurrence);
+  const Time finish = now + unit.remaining_;
   // A job earns less up to three times its objective, and nothing after.
   const Time late = since + allowed * 3;
   unit.since_ = since;
   unit.deadline_ = since + allowed;
-  if (finish > unit.deadline_) unit.lateness_ = finish > late ? 2 : 1;
+  if (finish > unit.deadline_) unit.lateness_ = finish > late ? kTooLate : 1;
 }
 
 void CollectStep(const Unit& base, std::vector<Unit>& units) {
@@ -248,6 +300,7 @@
                 .index_ = StepIndex(i),
                 .tasks_ = {},
                 .deadline_ = {},
+                .remaining_ = {},
                 .since_ = {}};
       SetUrgency(unit, occurrence, since, now);
       CollectStep(unit, units);
@@ -430,35 +483,187 @@
   }
 }
 
-// Stops as many of the chosen rooms' victims as the unit needs there.
-void StopFor(Pass& pass, const Unit& unit,
-             const std::vector<std::size_t>& chosen) {
+// Making room.
+
+// What it costs to have a group gone.
+using GroupCost = std::int64_t (*)(const Group& group);
+
+std::int64_t LostWork(const Group& group) { return group.lost_; }
+std::int64_t WaitForEnd(const Group& group) { return group.remaining_ms_; }
+
+// A way to place a unit once some groups are gone.
+struct Trial {
+  std::vector<std::size_t> chosen_;
+  std::set<std::size_t> groups_;
+  std::int64_t cost_ = 0;
+};
+
+// Where a trial stands.
+struct TrialRooms {
+  // Room that the trial's groups free, less what its tasks take.
+  std::map<std::size_t, Resources> change_;
+  std::map<std::size_t, std::uint32_t> tasks_;
+};
+
+struct RoomOffer {
+  std::size_t room_ = 0;
+  std::vector<std::size_t> groups_;
+  std::int64_t cost_ = 0;
+  Resources left_;
+};
+
+// What the unit may count on in a trial.
+struct TrialRules {
+  GroupCost cost_ = &LostWork;
+  // Only groups that may be stopped for the unit; otherwise all that run.
+  bool stop_ = true;
+};
+
+bool MayCount(const Pass& pass, const Group& group, const Unit& unit,
+              const TrialRules& rules) {
+  return rules.stop_ ? MayStop(pass, group, unit) : !group.taken_;
+}
+
+Resources NeedIn(const Group& group, std::size_t room) {
+  Resources sum;
+  for (const Group::Member& member : group.members_) {
+    if (member.room_ == room) sum = sum + member.need_;
+  }
+  return sum;
+}
+
+// The cheapest groups of the room that make it fit `need`, or nothing.
+std::optional<RoomOffer> OfferRoom(const Pass& pass, const Unit& unit,
+                                   const TrialRules& rules, const Trial& trial,
+                                   const TrialRooms& rooms, std::size_t room,
+                                   const Resources& need) {
+  RoomOffer offer;
+  offer.room_ = room;
+  Resources free = pass.rooms_[room].soon_;
+  const auto change = rooms.change_.find(room);
+  if (change != rooms.change_.end()) free = free + change->second;
+  std::vector<std::size_t> candidates;
+  for (const std::size_t index : pass.groups_in_[room]) {
+    const Group& group = pass.groups_[index];
+    if (trial.groups_.contains(index)) continue;
+    if (MayCount(pass, group, unit, rules)) candidates.push_back(index);
+  }
+  std::sort(
+      candidates.begin(), candidates.end(), [&](std::size_t a, std::size_t b) {
+        return rules.cost_(pass.groups_[a]) < rules.cost_(pass.groups_[b]);
+      });
+  for (const std::size_t index : candidates) {
+    if (Fits(need, free)) break;
+    free = free + NeedIn(pass.groups_[index], room);
+    offer.groups_.push_back(index);
+  }
+  if (!Fits(need, free)) return std::nullopt;
+  // Groups that turned out not to be needed, the dearest first.
+  for (std::size_t i = offer.groups_.size(); i-- > 0;) {
+    const Resources own = NeedIn(pass.groups_[offer.groups_[i]], room);
+    if (!Fits(need, free - own)) continue;
+    free = free - own;
+    offer.groups_.erase(offer.groups_.begin() + static_cast<std::ptrdiff_t>(i));
+  }
+  for (const std::size_t index : offer.groups_) {
+    offer.cost_ += rules.cost_(pass.groups_[index]);
+  }
+  offer.left_ = free - need;
+  return offer;
+}
+
+std::optional<RoomOffer> BestOffer(const Pass& pass, const Unit& unit,
+                                   const TrialRules& rules, const Trial& trial,
+                                   TrialRooms& rooms,
+                                   const std::vector<std::size_t>& among) {
   const Resources need = Need(*unit.spec_);
-  std::map<std::size_t, Resources> wanted;
-  for (const std::size_t room : chosen) wanted[room] = wanted[room] + need;
-  for (const auto& [index, sum] : wanted) {
-    Room& room = pass.rooms_[index];
-    for (Victim& victim : pass.victims_) {
-      if (Fits(sum, room.soon_)) break;
-      if (victim.room_ != index || !MayStop(pass, victim, unit)) continue;
-      victim.taken_ = true;
-      room.soon_ = room.soon_ + victim.run_->need_;
-      pass.plan_.stop_.push_back({room.worker_->report_.id_, victim.attempt_});
+  const std::uint32_t limit = unit.spec_->max_per_worker_;
+  std::optional<RoomOffer> best;
+  for (const std::size_t room : among) {
+    if (!Allowed(pass.rooms_[room], unit)) continue;
+    const std::uint32_t here =
+        TasksHere(pass.rooms_[room], unit) + rooms.tasks_[room];
+    if (limit > 0 && here >= limit) continue;
+    auto offer = OfferRoom(pass, unit, rules, trial, rooms, room, need);
+    if (!offer.has_value()) continue;
+    const auto key = [&](const RoomOffer& o) {
+      return std::tuple(o.cost_,
+                        FitCost(pass.rooms_[o.room_], *unit.spec_, o.left_));
+    };
+    if (!best.has_value() || key(*offer) < key(*best)) best = std::move(offer);
+  }
+  return best;
+}
+
+std::optional<Trial> TryAmong(const Pass& pass, const Unit& unit,
+                              const TrialRules& rules,
+                              const std::vector<std::size_t>& among) {
+  const Resources need = Need(*unit.spec_);
+  Trial trial;
+  TrialRooms rooms;
+  for (std::size_t i = 0; i < unit.tasks_.size(); ++i) {
+    const auto offer = BestOffer(pass, unit, rules, trial, rooms, among);
+    if (!offer.has_value()) return std::nullopt;
+    for (const std::size_t index : offer->groups_) {
+      trial.groups_.insert(index);
+      for (const Group::Member& member : pass.groups_[index].members_) {
+        rooms.change_[member.room_] =
+            rooms.change_[member.room_] + member.need_;
+      }
     }
+    rooms.change_[offer->room_] = rooms.change_[offer->room_] - need;
+    ++rooms.tasks_[offer->room_];
+    trial.chosen_.push_back(offer->room_);
+    trial.cost_ += offer->cost_;
   }
+  return trial;
 }
 
-// Room on each worker once all that may be stopped for the unit is gone.
-std::vector<Resources> ReclaimableRooms(Pass& pass, const Unit& unit) {
-  CollectVictims(pass);
-  std::vector<Resources> rooms;
-  rooms.reserve(pass.rooms_.size());
-  for (const Room& room : pass.rooms_) rooms.push_back(room.soon_);
-  for (const Victim& victim : pass.victims_) {
-    if (!MayStop(pass, victim, unit)) continue;
-    rooms[victim.room_] = rooms[victim.room_] + victim.run_->need_;
+std::optional<Trial> TryUnit(const Pass& pass, const Unit& unit,
+                             const TrialRules& rules, bool spread) {
+  if (!WantsOneRack(unit) || spread) {
+    return TryAmong(pass, unit, rules, AllRooms(pass));
   }
-  return rooms;
+  std::optional<Trial> best;
+  for (const auto& [rack, rooms] : pass.racks_) {
+    auto trial = TryAmong(pass, unit, rules, rooms);
+    if (!trial.has_value()) continue;
+    if (!best.has_value() || trial->cost_ < best->cost_) {
+      best = std::move(trial);
+    }
+  }
+  return best;
+}
+
+void StopGroups(Pass& pass, const Trial& trial) {
+  for (const std::size_t index : trial.groups_) {
+    Group& group = pass.groups_[index];
+    group.taken_ = true;
+    for (const Group::Member& member : group.members_) {
+      Room& room = pass.rooms_[member.room_];
+      room.soon_ = room.soon_ + member.need_;
+      pass.plan_.stop_.push_back({room.worker_->report_.id_, member.attempt_});
+    }
+  }
+}
+
+// From when on others are stopped for the unit: as late as its deadline, or
+// its customer's guarantee, allows, since room may come free by itself.
+Time StopOthersFrom(const Pass& pass, const Unit& unit) {
+  const Time in_time =
+      unit.deadline_ - unit.remaining_ - pass.options_.stop_lead_;
+  const Time from = std::max(in_time, unit.since_);
+  if (!pass.guaranteed_.contains(unit.job_->key_)) return from;
+  return std::min(from, unit.since_ + pass.options_.guarantee_patience_);
+}
+
+// Holds the room that is likely to come free first.
+void Reserve(Pass& pass, const Unit& unit, bool spread) {
+  if (pass.reservations_ == 0) return;
+  --pass.reservations_;
+  const TrialRules rules{.cost_ = &WaitForEnd, .stop_ = false};
+  const auto trial = TryUnit(pass, unit, rules, spread);
+  if (trial.has_value()) Claim(pass, unit, trial->chosen_);
 }
 
 void PlaceUrgent(Pass& pass, const Unit& unit, bool spread) {
@@ -468,14 +673,25 @@
   if (const auto fit = FitUnit(pass, unit, soon, spread)) {
     return Claim(pass, unit, *fit);
   }
-  const std::vector<Resources> rooms = ReclaimableRooms(pass, unit);
-  const RoomView reclaimable = [&rooms](std::size_t room) {
-    return rooms[room];
-  };
-  const auto fit = FitUnit(pass, unit, reclaimable, spread);
-  if (!fit.has_value()) return;
-  StopFor(pass, unit, *fit);
-  Claim(pass, unit, *fit);
+  const bool guaranteed = pass.guaranteed_.contains(unit.job_->key_);
+  const bool worth = guaranteed || unit.lateness_ != kTooLate;
+  if (worth && pass.now_ >= StopOthersFrom(pass, unit)) {
+    if (const auto trial = TryUnit(pass, unit, {}, spread)) {
+      StopGroups(pass, *trial);
+      return Claim(pass, unit, trial->chosen_);
+    }
+  }
+  if (worth) Reserve(pass, unit, spread);
+}
+
+// Whether a gang that wants one rack takes several by now.
+bool MaySpread(const Pass& pass, const Unit& unit) {
+  if (!WantsOneRack(unit)) return false;
+  const Duration waited = pass.now_ - unit.since_;
+  const bool guaranteed = pass.guaranteed_.contains(unit.job_->key_);
+  if (guaranteed && waited > pass.options_.rack_patience_) return true;
+  if (!pass.busy_ && waited > pass.options_.idle_patience_) return true;
+  return !SomeRackCouldHold(pass, unit);
 }
 
 // False when the unit can't start now.
@@ -483,19 +699,19 @@
   const RoomView free = [&pass](std::size_t room) {
     return pass.rooms_[room].free_;
   };
-  const bool guaranteed = pass.guaranteed_.contains(unit.job_->key_);
-  const bool hurried =
-      guaranteed && pass.now_ - unit.since_ > pass.options_.rack_patience_;
-  const bool spread =
-      WantsOneRack(unit) && (hurried || !SomeRackCouldHold(pass, unit));
+  const bool spread = MaySpread(pass, unit);
   if (const auto fit = FitUnit(pass, unit, free, spread)) {
     Open(pass, unit, *fit);
     return true;
   }
-  if (unit.job_->terms_.priority_ != 0) return false;
-  PlaceUrgent(pass, unit, spread);
-  // Room may still be claimed for its equal siblings.
-  return true;
+  if (unit.job_->terms_.priority_ == 0) {
+    PlaceUrgent(pass, unit, spread);
+    // Room may still be claimed for its equal siblings.
+    return true;
+  }
+  const bool gang = unit.tasks_.size() > 1 && unit.lateness_ != kTooLate;
+  if (gang) Reserve(pass, unit, spread);
+  return false;
 }
 
 }  // namespace
@@ -547,11 +763,23 @@
 PlacementPlan PlanPlacement(const GraphState& state, const Fleet& fleet,
                             const GraphPlacementOptions& options,
                             const JobSince& since, Time now) {
-  Pass pass{state, fleet, options, now, {}, {}, {}, {}, false, {}};
+  Pass pass{.state_ = state,
+            .fleet_ = fleet,
+            .options_ = options,
+            .now_ = now,
+            .rooms_ = {},
+            .racks_ = {},
+            .guaranteed_ = {},
+            .groups_ = {},
+            .groups_in_ = {},
+            .reservations_ = options.max_reservations_,
+            .plan_ = {}};
   const std::vector<Unit> units = CollectUnits(pass, since);
   if (units.empty()) return {};
   CollectRooms(pass);
   CollectGuaranteed(pass);
+  CollectGroups(pass);
+  MeasureUse(pass);
   // Equal tasks of a step stand next to each other: where one finds no room,
   // neither do the others.
   const StepRecord* full = nullptr;
--- a/flamingohollow/graph_placement.h
+++ b/flamingohollow/graph_placement.h
@@ -6,15 +6,19 @@
 // many small ones.
 //
 // - Units are whole gangs or lone tasks of steps whose predecessors are done.
-// - Order: priority; then jobs that can still be on time, the earliest
-//   deadline first; then those that can still be late; then the rest.
+// - Order: jobs that can no longer end in time for any use come last; then
+//   priority; then jobs that can still be on time, the earliest deadline first;
+//   then those that can still be late.
 // - Best fit: the worker with the least left over, so that whole workers stay
 //   free for tasks that need them. Gangs that want one rack get one, the
 //   tightest that holds them.
-// - Units of priority 0 may stop others: first those of lower priority, the
-//   least lost work first, and within the customer's guarantee also tasks of
-//   priority 0 of customers who are beyond theirs. Room that is being freed for
-//   such a unit is held for it.
+// - Units of priority 0 may stop others of lower priority, and within the
+//   customer's guarantee also those of priority 0 of customers who are beyond
+//   theirs. They do so only as late as their deadline or the guarantee allows,
+//   where it costs the least work; a gang counts, and stops, whole.
+// - Room that is being freed for such a unit is held for it. A few gangs that
+//   don't fit hold the room that is likely to come free first, so that small
+//   tasks don't keep them out for ever.
 //
 // Cost: O(units x workers).
 
@@ -38,6 +42,15 @@
   // A job of priority 0 within its customer's guarantee gives up on a rack of
   // its own after this long, to begin in time.
   Duration rack_patience_ = Duration(1200);
+  // Any gang gives up on it after this long while most of the pool is idle.
+  Duration idle_patience_ = Duration(2000);
+  // Time that it takes to stop a task and start another in its place.
+  Duration stop_lead_ = Duration(800);
+  // Others are stopped for a job within its guarantee after this long at the
+  // latest.
+  Duration guarantee_patience_ = Duration(1200);
+  // Gangs, and urgent units, that hold room for themselves at one time.
+  std::size_t max_reservations_ = 3;
   // Units looked at in one pass.
   std::size_t max_units_ = 2000;
 };
