Placement: jobs within their guarantee stand before those they may stop

Change: guaranteed jobs first, then the order as it was. Waiting units are looked at again each 100 ms, so that one whose deadline nears is seen.

Ruled out: noise; the same sources gave the same collapse twice.

--- a/flamingohollow/graph_placement.cc
+++ b/flamingohollow/graph_placement.cc
@@ -314,11 +314,17 @@
     if (job.state_ != GraphJobState::kActive) continue;
     CollectJob(job, since(job), pass.now_, units);
   }
+  // Whoever may stop others stands before them, or they would take each other's
+  // room in turn for ever.
+  const auto order = [&pass](const Unit& unit) {
+    const bool guaranteed = pass.guaranteed_.contains(unit.job_->key_);
+    const bool hopeless = unit.lateness_ == kTooLate;
+    return std::tuple(!guaranteed, hopeless, unit.job_->terms_.priority_,
+                      unit.lateness_, unit.deadline_);
+  };
   std::stable_sort(
-      units.begin(), units.end(), [](const Unit& a, const Unit& b) {
-        return std::tuple(a.job_->terms_.priority_, a.lateness_, a.deadline_) <
-               std::tuple(b.job_->terms_.priority_, b.lateness_, b.deadline_);
-      });
+      units.begin(), units.end(),
+      [&order](const Unit& a, const Unit& b) { return order(a) < order(b); });
   if (units.size() > pass.options_.max_units_) {
     units.resize(pass.options_.max_units_);
   }
@@ -774,10 +780,10 @@
             .groups_in_ = {},
             .reservations_ = options.max_reservations_,
             .plan_ = {}};
+  CollectGuaranteed(pass);
   const std::vector<Unit> units = CollectUnits(pass, since);
   if (units.empty()) return {};
   CollectRooms(pass);
-  CollectGuaranteed(pass);
   CollectGroups(pass);
   MeasureUse(pass);
   // Equal tasks of a step stand next to each other: where one finds no room,
--- a/flamingohollow/graph_placement.h
+++ b/flamingohollow/graph_placement.h
@@ -6,9 +6,10 @@
 // many small ones.
 //
 // - Units are whole gangs or lone tasks of steps whose predecessors are done.
-// - Order: jobs that can no longer end in time for any use come last; then
-//   priority; then jobs that can still be on time, the earliest deadline first;
-//   then those that can still be late.
+// - Order: jobs within their customer's guarantee come first; jobs that can no
+//   longer end in time for any use come last; then priority; then jobs that can
+//   still be on time, the earliest deadline first; then those that can still be
+//   late.
 // - Best fit: the worker with the least left over, so that whole workers stay
 //   free for tasks that need them. Gangs that want one rack get one, the
 //   tightest that holds them.
--- a/flamingohollow/graph_scheduler.cc
+++ b/flamingohollow/graph_scheduler.cc
@@ -11,6 +11,9 @@
 // Jobs that a new leader finds count as known for this long at most, whatever
 // the clocks of the leaders say.
 constexpr Duration kMaxInheritedAge = Duration(60000);
+// Waiting jobs become urgent with time; they are looked at again this often
+// even when nothing else changes.
+constexpr Duration kPlacementInterval = Duration(100);
 // A worker that refuses for now is asked again after this long.
 constexpr Duration kNotNowPause = Duration(500);
 
@@ -645,8 +648,12 @@
 }
 
 void PlaceTasks(Context& ctx) {
-  if (!ctx.scheduler_.dirty_ || ctx.scheduler_.opening_ > 0) return;
+  if (ctx.scheduler_.opening_ > 0) return;
+  if (!ctx.scheduler_.dirty_ && ctx.now_ < ctx.scheduler_.next_placement_) {
+    return;
+  }
   ctx.scheduler_.dirty_ = false;
+  ctx.scheduler_.next_placement_ = ctx.now_ + kPlacementInterval;
   const JobSince since = [&ctx](const GraphJob& job) {
     const auto found = ctx.scheduler_.since_.find(job.key_);
     return found == ctx.scheduler_.since_.end() ? ctx.now_ : found->second;
--- a/flamingohollow/graph_scheduler.h
+++ b/flamingohollow/graph_scheduler.h
@@ -174,6 +174,7 @@
   std::uint32_t opening_ = 0;
   // Something changed since the last placement.
   bool dirty_ = true;
+  Time next_placement_;
   std::set<GraphJobKey> due_proposed_;
   std::set<GraphJobKey> forget_proposed_;
   Time wall_;
--- a/flamingohollow/testing/graph_placement_test.cc
+++ b/flamingohollow/testing/graph_placement_test.cc
@@ -206,6 +206,23 @@
   CHECK_EQ(JobsOf(plan), std::set<std::string>{MakeKey(2).value()});
 }
 
+// Load: a guaranteed job has become too late while workers were cut off. The
+// room that is freed for it must not go to those who were stopped.
+TEST_CASE("a late job within its guarantee stands before those it may stop") {
+  GraphState state;
+  SetGuarantee(state, "owner", 8);
+  Fleet fleet = MakeFleet(1, 1, kNow);
+  Submit(state, 1, {MakeStep(1, 8, Duration(1000))}, {.priority_ = 1});
+  Submit(state, 2, {MakeStep(1, 8, Duration(1000))},
+         {.priority_ = 0, .customer_ = "owner"});
+  const GraphPlacementOptions options;
+  const JobSince since = [](const GraphJob& job) {
+    return job.key_ == MakeKey(2) ? kNow - Duration(60'000) : kNow;
+  };
+  const PlacementPlan plan = PlanPlacement(state, fleet, options, since, kNow);
+  CHECK_EQ(JobsOf(plan), std::set<std::string>{MakeKey(2).value()});
+}
+
 // Load: workers were taken away, so that no rack has whole workers left for a
 // gang, while most of the pool is idle.
 TEST_CASE("a gang spreads over racks once it has waited for one") {
