--- a/flamingohollow/testing/graph_scheduler_test.cc
+++ b/flamingohollow/testing/graph_scheduler_test.cc
@@ -128,7 +128,7 @@
   const std::uint64_t count = 1 + random() % 3;
   for (std::uint64_t i = 0; i < count; ++i) {
     const auto tasks = static_cast<std::uint32_t>(1 + random() % 4);
-    const auto size = static_cast<std::int64_t>(1U << (random() % 4));
+    const auto size = std::int64_t{1} << (random() % 4);
     const Duration estimate(200 + static_cast<std::int64_t>(random() % 4000));
     StepSpec step = random() % 2 == 0
                         ? MakeStep(tasks, size, estimate)
--- /dev/null
+++ b/flamingohollow/testing/graph_state_test.cc
@@ -0,0 +1,185 @@
+// The catalog and the replicated state of graph jobs.
+
+#include "flamingohollow/graph_state.h"
+
+#include <doctest/doctest.h>
+
+#include "flamingohollow/catalog.h"
+#include "flamingohollow/graph_service.h"
+#include "flamingohollow/testing/graph_fixture.h"
+#include "util/pack.h"
+
+namespace flamingohollow::testing {
+namespace {
+
+Catalog MakeCatalog(std::uint64_t version) {
+  Catalog catalog;
+  catalog.version_ = CatalogVersion(version);
+  catalog.text_ = "text " + std::to_string(version);
+  catalog.pools_ = {{PoolName("pool"), true}};
+  QueueRow queue;
+  queue.name_ = QueueName("short");
+  queue.host_ = "h.example";
+  queue.path_prefix_ = "/a/";
+  queue.pool_ = PoolName("pool");
+  queue.timeout_ = Duration(1000);
+  catalog.queues_.push_back(queue);
+  queue.name_ = QueueName("long");
+  queue.path_prefix_ = "/a/b/";
+  catalog.queues_.push_back(queue);
+  catalog.customers_ = {{CustomerId("acme"), {"key-1", "key-2"}, 8},
+                        {CustomerId("globex"), {"key-3"}, 0}};
+  return catalog;
+}
+
+TEST_CASE("the longest prefix of the host names the queue") {
+  const Catalog catalog = MakeCatalog(1);
+  CHECK_EQ(FindQueue(catalog, "h.example", "/a/1")->name_, QueueName("short"));
+  CHECK_EQ(FindQueue(catalog, "h.example", "/a/b/1")->name_, QueueName("long"));
+  CHECK_EQ(FindQueue(catalog, "h.example", "/b/1"), nullptr);
+  CHECK_EQ(FindQueue(catalog, "other", "/a/1"), nullptr);
+  CHECK_EQ(FindCustomerByKey(catalog, "key-2")->name_, CustomerId("acme"));
+  CHECK_EQ(FindCustomerByKey(catalog, ""), nullptr);
+  CHECK_EQ(FindCustomerByKey(catalog, "key"), nullptr);
+  CHECK_EQ(GuaranteeOf(catalog, CustomerId("acme")), 8);
+  CHECK_EQ(GuaranteeOf(catalog, CustomerId("none")), 0);
+}
+
+TEST_CASE("each mistake of a catalog is found") {
+  Catalog catalog = MakeCatalog(1);
+  CHECK_FALSE(FindCatalogMistake(catalog).has_value());
+  SUBCASE("no version") { catalog.version_ = CatalogVersion(); }
+  SUBCASE("unknown pool") { catalog.queues_[0].pool_ = PoolName("other"); }
+  SUBCASE("the same place twice") { catalog.queues_[0].path_prefix_ = "/a/b/"; }
+  SUBCASE("no time-out") { catalog.queues_[1].timeout_ = Duration(0); }
+  SUBCASE("a shared key") { catalog.customers_[1].keys_ = {"key-1"}; }
+  CHECK(FindCatalogMistake(catalog).has_value());
+}
+
+TEST_CASE("the highest version stays in force, with its own text") {
+  GraphState state;
+  ApplyRecord(state, CatalogRecord{MakeCatalog(5)});
+  Catalog other = MakeCatalog(5);
+  other.text_ = "other content";
+  ApplyRecord(state, CatalogRecord{other});
+  ApplyRecord(state, CatalogRecord{MakeCatalog(4)});
+  CHECK_EQ(state.catalog_.text_, "text 5");
+  ApplyRecord(state, CatalogRecord{MakeCatalog(9)});
+  CHECK_EQ(state.catalog_.version_, CatalogVersion(9));
+}
+
+AttemptRef Attempt(std::uint32_t step, std::uint32_t index,
+                   std::uint32_t attempt) {
+  return {{MakeKey(1), Occurrence(), StepIndex(step), TaskIndex(index)},
+          AttemptId(attempt)};
+}
+
+void Open(GraphState& state, const AttemptRef& attempt) {
+  ApplyRecord(state, OpenRecord{{{attempt, WorkerId("w"), WorkerLife(1)}}});
+}
+
+void End(GraphState& state, const AttemptRef& attempt, AttemptEnd end) {
+  EndRecord record;
+  record.attempts_ = {{attempt, end, Checkpoint()}};
+  ApplyRecord(state, record);
+}
+
+TEST_CASE("a submission that comes again is one job") {
+  GraphState state;
+  Submit(state, 1, {MakeStep(1, 1, Duration(1))}, {});
+  Open(state, Attempt(0, 0, 1));
+  Submit(state, 1, {MakeStep(5, 1, Duration(1))}, {});
+  CHECK_EQ(state.jobs_.size(), 1);
+  CHECK_EQ(FindJob(state, MakeKey(1))->spec_.steps_[0].tasks_, 1);
+  CHECK_EQ(JobStateName(*FindJob(state, MakeKey(1))), "running");
+}
+
+TEST_CASE("one member's end completes a gang") {
+  GraphState state;
+  Submit(state, 1, {MakeGang(3, 1, Duration(1), false)}, {});
+  for (std::uint32_t i = 0; i < 3; ++i) Open(state, Attempt(0, i, 1));
+  End(state, Attempt(0, 1, 1), AttemptEnd::kDone);
+  CHECK_EQ(JobStateName(*FindJob(state, MakeKey(1))), "completed");
+}
+
+TEST_CASE("a gang's failure counts once, and the limit ends the job") {
+  GraphState state;
+  Submit(state, 1, {MakeGang(2, 1, Duration(1), false)}, {.max_attempts_ = 2});
+  for (std::uint32_t attempt = 1; attempt <= 2; ++attempt) {
+    CHECK_EQ(FindJob(state, MakeKey(1))->state_, GraphJobState::kActive);
+    Open(state, Attempt(0, 0, attempt));
+    Open(state, Attempt(0, 1, attempt));
+    End(state, Attempt(0, 0, attempt), AttemptEnd::kFailed);
+    End(state, Attempt(0, 1, attempt), AttemptEnd::kFailed);
+  }
+  CHECK_EQ(FindJob(state, MakeKey(1))->state_, GraphJobState::kFailed);
+}
+
+TEST_CASE("ends of attempts that are not open change nothing") {
+  GraphState state;
+  Submit(state, 1, {MakeStep(1, 1, Duration(1))}, {});
+  End(state, Attempt(0, 0, 1), AttemptEnd::kDone);
+  Open(state, Attempt(0, 0, 2));
+  End(state, Attempt(0, 0, 1), AttemptEnd::kDone);
+  CHECK(IsOpen(state, Attempt(0, 0, 2)));
+  // An attempt that is not higher than the last is no new one.
+  End(state, Attempt(0, 0, 2), AttemptEnd::kStopped);
+  Open(state, Attempt(0, 0, 2));
+  CHECK_FALSE(IsOpen(state, Attempt(0, 0, 2)));
+}
+
+TEST_CASE("a cancelled job stays cancelled") {
+  GraphState state;
+  Submit(state, 1, {MakeStep(1, 1, Duration(1))}, {});
+  Open(state, Attempt(0, 0, 1));
+  ApplyRecord(state, CancelRecord{MakeKey(1), Time(5)});
+  End(state, Attempt(0, 0, 1), AttemptEnd::kDone);
+  CHECK_EQ(JobStateName(*FindJob(state, MakeKey(1))), "cancelled");
+  Open(state, Attempt(0, 0, 2));
+  CHECK_FALSE(IsOpen(state, Attempt(0, 0, 2)));
+}
+
+TEST_CASE("only ended jobs are forgotten") {
+  GraphState state;
+  Submit(state, 1, {MakeStep(1, 1, Duration(1))}, {});
+  ApplyRecord(state, ForgetRecord{{MakeKey(1)}});
+  CHECK_EQ(state.jobs_.size(), 1);
+  ApplyRecord(state, CancelRecord{MakeKey(1), Time(5)});
+  ApplyRecord(state, ForgetRecord{{MakeKey(1)}});
+  CHECK(state.jobs_.empty());
+}
+
+TEST_CASE("the state survives a snapshot, and nothing else is taken for one") {
+  GraphState state;
+  ApplyRecord(state, CatalogRecord{MakeCatalog(5)});
+  Submit(state, 1, {MakeGang(2, 8, Duration(1), true)}, {});
+  Open(state, Attempt(0, 0, 1));
+  const std::string bytes = Pack(state);
+  const auto copy = Unpack<GraphState>(bytes);
+  REQUIRE(copy.has_value());
+  CHECK_EQ(Pack(*copy), bytes);
+  CHECK_EQ(copy->catalog_.text_, "text 5");
+  CHECK(IsOpen(*copy, Attempt(0, 0, 1)));
+  for (std::size_t size = 0; size < bytes.size(); size += 7) {
+    CHECK_FALSE(Unpack<GraphState>(bytes.substr(0, size)).has_value());
+  }
+}
+
+TEST_CASE("each mistake of a job is found") {
+  GraphSpec spec;
+  CHECK(FindSpecMistake(spec).has_value());
+  spec.steps_ = {MakeStep(1, 1, Duration(1)), MakeStep(1, 1, Duration(1))};
+  CHECK_FALSE(FindSpecMistake(spec).has_value());
+  SUBCASE("no tasks") { spec.steps_[0].tasks_ = 0; }
+  SUBCASE("too many tasks") { spec.steps_[0].tasks_ = kMaxTasksPerJob + 1; }
+  SUBCASE("an unknown step") { spec.steps_[0].after_ = {2}; }
+  SUBCASE("a ring") {
+    spec.steps_[0].after_ = {1};
+    spec.steps_[1].after_ = {0};
+  }
+  SUBCASE("after itself") { spec.steps_[1].after_ = {1}; }
+  CHECK(FindSpecMistake(spec).has_value());
+}
+
+}  // namespace
+}  // namespace flamingohollow::testing
--- a/flamingohollow/testing/graph_world.cc
+++ b/flamingohollow/testing/graph_world.cc
@@ -70,7 +70,7 @@
   Perform(Step(scheduler_, state_, event, now_));
 }
 
-void GraphWorld::Perform(std::vector<SchedulerAction> actions) {
+void GraphWorld::Perform(const std::vector<SchedulerAction>& actions) {
   for (const SchedulerAction& action : actions) {
     if (const auto* record = std::get_if<GraphRecord>(&action)) {
       ProposeLater(*record);
--- a/flamingohollow/testing/graph_world.h
+++ b/flamingohollow/testing/graph_world.h
@@ -86,7 +86,7 @@
   bool Chance(int per_mille);
   Duration Delay();
   void At(Time time, std::function<void()> task);
-  void Perform(std::vector<SchedulerAction> actions);
+  void Perform(const std::vector<SchedulerAction>& actions);
   void Feed(const SchedulerEvent& event);
   void ProposeLater(const GraphRecord& record);
   void Apply(const GraphRecord& record);
--- /dev/null
+++ b/flamingohollow/testing/membership_plan_test.cc
@@ -0,0 +1,132 @@
+// Which nodes vote, and whom nodes ask.
+
+#include "flamingohollow/membership_plan.h"
+
+#include <doctest/doctest.h>
+
+#include <string>
+
+#include "flamingohollow/control_finder.h"
+
+namespace flamingohollow {
+namespace {
+
+constexpr Time kNow(100'000);
+constexpr Time kLedSince(10'000);
+const NodeName kLeader("n1");
+
+struct Group {
+  std::vector<PlannedMember> members_;
+  std::map<NodeName, ControlNode> nodes_;
+
+  void Member(const std::string& name, Time heard) {
+    members_.push_back({NodeName(name), false});
+    nodes_[NodeName(name)] = {name + ":1", heard};
+  }
+  void Standby(const std::string& name, Time heard) {
+    nodes_[NodeName(name)] = {name + ":1", heard};
+  }
+  std::optional<MembershipChange> Plan(std::size_t wanted) const {
+    return PlanMembership(members_, nodes_, kLeader, wanted, kLedSince, kNow);
+  }
+};
+
+Group ThreeMembers(Time third_heard) {
+  Group group;
+  group.Member("n1", kNow);
+  group.Member("n2", kNow);
+  group.Member("n3", third_heard);
+  return group;
+}
+
+TEST_CASE("a group with voters missing takes in who stands by") {
+  Group group = ThreeMembers(kNow);
+  CHECK_FALSE(group.Plan(5).has_value());
+  group.Standby("n4", kNow);
+  CHECK_EQ(group.Plan(5)->add_, NodeName("n4"));
+  CHECK_FALSE(group.Plan(3).has_value());
+}
+
+TEST_CASE("a node that went silent does not stand by") {
+  Group group = ThreeMembers(kNow);
+  group.Standby("n4", kNow - kStandbyFresh - Duration(1));
+  CHECK_FALSE(group.Plan(5).has_value());
+}
+
+TEST_CASE("a silent voter is replaced, its successor first") {
+  const Time long_ago = kNow - kReplaceVoterAfter - Duration(1);
+  Group group = ThreeMembers(long_ago);
+  CHECK_FALSE(group.Plan(3).has_value());
+  group.Standby("n4", kNow);
+  CHECK_EQ(group.Plan(3)->add_, NodeName("n4"));
+  group.members_.push_back({NodeName("n4"), true});
+  // Not before the successor votes.
+  CHECK_FALSE(group.Plan(3).has_value());
+  group.members_.back().learner_ = false;
+  CHECK_EQ(group.Plan(3)->remove_, NodeName("n3"));
+}
+
+TEST_CASE("a voter that is silent for a while only is kept") {
+  Group group = ThreeMembers(kNow - Duration(8000));
+  group.Standby("n4", kNow);
+  CHECK_FALSE(group.Plan(3).has_value());
+}
+
+TEST_CASE("a new leader gives every voter time to be heard") {
+  Group group;
+  group.Member("n1", kNow);
+  group.members_.push_back({NodeName("n2"), false});
+  group.Standby("n4", kNow);
+  const auto plan = PlanMembership(group.members_, group.nodes_, kLeader, 2,
+                                   kNow - Duration(1000), kNow);
+  CHECK_FALSE(plan.has_value());
+}
+
+GraphReply Answer(std::uint64_t term) {
+  GraphReply reply;
+  reply.outcome_ = GraphOutcome::kOk;
+  reply.term_ = Term(term);
+  return reply;
+}
+
+GraphReply Elsewhere(const std::string& leader) {
+  GraphReply reply;
+  reply.outcome_ = GraphOutcome::kNotLeader;
+  reply.leader_address_ = leader;
+  return reply;
+}
+
+TEST_CASE("seeds in turn, then the leader that one of them names") {
+  ControlFinder finder;
+  finder.seeds_ = {"a", "b"};
+  CHECK_EQ(NextAddress(finder), "a");
+  CHECK_EQ(NextAddress(finder), "b");
+  CHECK_FALSE(TakeReply(finder, "b", Elsewhere("c"), kNow));
+  CHECK_EQ(NextAddress(finder), "c");
+  CHECK_EQ(NextAddress(finder), "c");
+  TakeSilence(finder, "c");
+  CHECK_EQ(NextAddress(finder), "a");
+}
+
+TEST_CASE("an answer of an older leader is no answer") {
+  ControlFinder finder;
+  finder.seeds_ = {"a", "b"};
+  GraphReply newer = Answer(5);
+  newer.leader_address_ = "b";
+  CHECK(TakeReply(finder, "b", newer, kNow));
+  CHECK_FALSE(TakeReply(finder, "a", Answer(4), kNow));
+  CHECK(TakeReply(finder, "a", Answer(5), kNow));
+}
+
+TEST_CASE("a detour is another node than the one that failed") {
+  ControlFinder finder;
+  finder.seeds_ = {"a", "b"};
+  finder.members_ = {"a", "c"};
+  for (int i = 0; i < 5; ++i) CHECK_NE(NextDetour(finder, "a"), "a");
+  finder.seeds_ = {"a"};
+  finder.members_.clear();
+  CHECK_EQ(NextDetour(finder, "a"), "");
+}
+
+}  // namespace
+}  // namespace flamingohollow
