--- a/app/flamingohollow.cc
+++ b/app/flamingohollow.cc
@@ -19,6 +19,7 @@
 #include <cstdio>
 #include <cstdlib>
 #include <fstream>
+#include <iostream>
 #include <iterator>
 #include <map>
 #include <optional>
@@ -28,6 +29,7 @@
 #include <variant>
 #include <vector>
 
+#include "flamingohollow/explain.h"
 #include "flamingohollow/table_csv.h"
 #include "flamingohollow/table_json.h"
 #include "flamingohollow/tool_client.h"
@@ -50,6 +52,8 @@
 ABSL_FLAG(std::string, format, "text", "table show: text or csv");
 ABSL_FLAG(std::uint64_t, base_version, 0,
           "table apply: the version the change is based on; 0 for the present");
+ABSL_FLAG(std::vector<std::string>, logs, {},
+          "explain: log files, FILE,FILE; standard input when empty");
 ABSL_FLAG(bool, dry_run, false, "table apply: check, change nothing");
 ABSL_FLAG(std::string, customer, "", "submit: whose job it is");
 ABSL_FLAG(std::uint32_t, accelerators, 0, "submit: how many, together");
@@ -103,6 +107,8 @@
     "  jobs                    all jobs\n"
     "  workers                 all workers\n"
     "  status                  leader, voters, entries, guarantees\n"
+    "  explain ID              the story of a job or request from log lines\n"
+    "                          (--logs)\n"
     "  voter add NAME ADDRESS  adds a control process to the voters\n"
     "  voter remove NAME       removes one\n";
 
@@ -427,6 +433,29 @@
   int (*run_)(const Words& arguments);
 };
 
+std::vector<LogLine> ReadLogLines(std::istream& in) {
+  std::vector<LogLine> lines;
+  std::string text;
+  while (std::getline(in, text)) {
+    if (auto line = ParseLogLine(text)) lines.push_back(std::move(*line));
+  }
+  return lines;
+}
+
+int ExplainId(const std::string& id) {
+  std::vector<LogLine> lines;
+  const std::vector<std::string> files = absl::GetFlag(FLAGS_logs);
+  if (files.empty()) lines = ReadLogLines(std::cin);
+  for (const std::string& path : files) {
+    std::ifstream file(path);
+    if (!file) return Usage(fmt::format("{} can't be read", path));
+    for (LogLine& line : ReadLogLines(file)) lines.push_back(std::move(line));
+  }
+  const Story story = Explain(lines, id);
+  fmt::print("{}", PrintStory(story));
+  return story.lines_.empty() ? kDefiniteNo : kDone;
+}
+
 const std::vector<CommandEntry>& Commands() {
   static const std::vector<CommandEntry> commands = {
       {{"init"},
@@ -455,6 +484,9 @@
       {{"jobs"}, {}, [](const Words&) { return Get("/v1/jobs"); }},
       {{"workers"}, {}, [](const Words&) { return Get("/v1/workers"); }},
       {{"status"}, {}, [](const Words&) { return Get("/v1/status"); }},
+      {{"explain"},
+       {"ID"},
+       [](const Words& arguments) { return ExplainId(arguments[0]); }},
       {{"voter", "add"},
        {"NAME", "ADDRESS"},
        [](const Words& arguments) {
--- a/flamingohollow/graph_control.cc
+++ b/flamingohollow/graph_control.cc
@@ -71,13 +71,14 @@
 }  // namespace
 
 struct GraphControl::Impl {
-  Impl(const GraphSettings& settings, IoThreads& threads, SendOrder send)
+  Impl(const GraphSettings& settings, IoThreads& threads, SendOrder send,
+       Metrics& metrics)
       : settings_(settings),
         threads_(threads),
         own_address_(InternalAddress(settings)),
         tick_timer_(threads.Loop(0)),
         service_(MakeOptions(settings), {&MonotonicNow, &WallNow},
-                 std::move(send)),
+                 std::move(send), metrics),
         peers_(
             own_address_,
             [this](const std::string& address, std::string body,
@@ -273,8 +274,10 @@
 GraphControl::~GraphControl() = default;
 
 leaf::result<std::unique_ptr<GraphControl>> GraphControl::Create(
-    const GraphSettings& settings, IoThreads& threads, SendOrder send) {
-  auto impl = std::make_unique<Impl>(settings, threads, std::move(send));
+    const GraphSettings& settings, IoThreads& threads, SendOrder send,
+    Metrics& metrics) {
+  auto impl =
+      std::make_unique<Impl>(settings, threads, std::move(send), metrics);
   Impl* raw = impl.get();
   impl->may_found_ = MayFound(settings);
   // The first seed goes first; the others only if it does not succeed.
@@ -288,7 +291,7 @@
       leaf::try_handle_some(
           [&] {
             return RpcNode::Create(
-                raw->own_address_,
+                raw->settings_.internal_listen_,
                 [raw](RpcKind kind, std::string body, RpcResponder respond) {
                   raw->Receive(kind, std::move(body), std::move(respond));
                 });
@@ -333,10 +336,6 @@
 
 GraphRelay& GraphControl::relay() { return *impl_->relay_; }
 
-const GraphCounters& GraphControl::counters() const {
-  return impl_->service_.counters();
-}
-
 void GraphControl::SetSeeds(const GraphSettings& settings) {
   impl_->threads_.Post(0, [impl = impl_.get(), settings] {
     impl->relay_->SetSeeds(SeedAddresses(settings));
--- a/flamingohollow/graph_control.h
+++ b/flamingohollow/graph_control.h
@@ -24,10 +24,11 @@
 
 class GraphControl {
  public:
-  // Lives on loop 0 of `threads`, which must outlive it. Orders to workers
-  // leave through `send`. Fails with ControlError.
+  // Lives on loop 0 of `threads`, which must outlive it, as must `metrics`.
+  // Orders to workers leave through `send`. Fails with ControlError.
   static boost::leaf::result<std::unique_ptr<GraphControl>> Create(
-      const GraphSettings& settings, IoThreads& threads, SendOrder send);
+      const GraphSettings& settings, IoThreads& threads, SendOrder send,
+      Metrics& metrics);
   ~GraphControl();
   GraphControl(const GraphControl&) = delete;
   GraphControl& operator=(const GraphControl&) = delete;
@@ -36,7 +37,7 @@
   void Start();
   // Loop 0 only. Reaches the leader wherever it is.
   GraphRelay& relay();
-  const GraphCounters& counters() const;
+
   // New seeds from changed settings. Any thread.
   void SetSeeds(const GraphSettings& settings);
   // Hands leadership over and answers what is in flight; returns when done or
--- a/flamingohollow/graph_scheduler.cc
+++ b/flamingohollow/graph_scheduler.cc
@@ -130,9 +130,9 @@
   if (stopping || run.end_proposed_) return;
   // Its start has not left yet; decided again once its record is in the log.
   if (run.phase_ == RunPhase::kProposed) return;
-  LogEvent("stop", {{"attempt", Describe(attempt)},
-                    {"worker", worker.report_.id_.value()},
-                    {"why", why}});
+  LogEvent("stop_attempt", {{"attempt", Describe(attempt)},
+                            {"worker", worker.report_.id_.value()},
+                            {"why", why}});
   const bool start_out =
       run.phase_ == RunPhase::kStarting && run.order_in_flight_;
   run.unclear_start_ = run.unclear_start_ || start_out;
@@ -364,9 +364,9 @@
     seen.insert(row.attempt_);
     Run* run = FindRun(worker, row.attempt_);
     if (run == nullptr) {
-      LogEvent("stop", {{"attempt", Describe(row.attempt_)},
-                        {"worker", result.worker_.value()},
-                        {"why", "no open attempt"}});
+      LogEvent("stop_attempt", {{"attempt", Describe(row.attempt_)},
+                                {"worker", result.worker_.value()},
+                                {"why", "no open attempt"}});
       ctx.actions_.emplace_back(StopOrder{TargetOf(ctx, worker), row.attempt_});
       continue;
     }
--- a/flamingohollow/graph_service.cc
+++ b/flamingohollow/graph_service.cc
@@ -52,10 +52,11 @@
 }
 
 GraphService::GraphService(GraphServiceOptions options, GraphClocks clocks,
-                           SendOrder send)
+                           SendOrder send, Metrics& metrics)
     : options_(std::move(options)),
       clocks_(std::move(clocks)),
-      send_(std::move(send)) {}
+      send_(std::move(send)),
+      metrics_(metrics) {}
 
 bool GraphService::Leads() const {
   return leadership_ != nullptr && replica_->HasQuorum(Now());
@@ -161,7 +162,7 @@
     return respond(Reply(GraphOutcome::kInvalid, *mistake));
   }
   if (auto refusal = RefuseSubmit(*call.spec_, *access.queue_)) {
-    Count("jobs_refused");
+    Count("jobs_refused_total");
     LogEvent("refuse", {{"job", key.value()}, {"why", refusal->text_}});
     return respond(*refusal);
   }
@@ -175,7 +176,7 @@
       .spec_ = *call.spec_,
       .accepted_ = clocks_.wall_()};
   ProposeFor(record, respond, [this, key, name = queue.name_] {
-    Count("jobs_accepted");
+    Count("jobs_accepted_total");
     LogEvent("accept", {{"job", key.value()},
                         {"queue", name.value()},
                         {"catalog", state_.catalog_.version_.value()}});
@@ -211,7 +212,7 @@
     return respond(Reply(GraphOutcome::kOk, "ended"));
   }
   ProposeFor(CancelRecord{key, clocks_.wall_()}, respond, [this, key] {
-    Count("jobs_cancelled");
+    Count("jobs_cancelled_total");
     LogEvent("cancel", {{"job", key.value()}});
     return Reply(GraphOutcome::kOk, "cancelled");
   });
@@ -248,7 +249,7 @@
 void GraphService::HandlePutCatalog(const GraphCall& call,
                                     const Responder& respond) {
   if (auto mistake = FindCatalogMistake(call.catalog_)) {
-    Count("catalogs_invalid");
+    Count("catalogs_invalid_total");
     LogEvent("catalog_invalid",
              {{"version", call.catalog_.version_.value()}, {"why", *mistake}});
     return respond(Reply(GraphOutcome::kInvalid, *mistake));
@@ -258,7 +259,7 @@
   }
   const CatalogVersion version = call.catalog_.version_;
   ProposeFor(CatalogRecord{call.catalog_}, respond, [this, version] {
-    Count("catalogs_accepted");
+    Count("catalogs_accepted_total");
     LogEvent("catalog", {{"version", version.value()}});
     return Reply(GraphOutcome::kOk);
   });
@@ -323,9 +324,11 @@
                               const Responder& respond,
                               std::function<GraphReply()> reply) {
   ++proposals_;
-  replica_->Propose(Pack(record), [this, respond, reply = std::move(reply)](
-                                      const ProposeResult& result) {
+  replica_->Propose(Pack(record), [this, respond, reply = std::move(reply),
+                                   start = Now()](const ProposeResult& result) {
     --proposals_;
+    metrics_.Observe("commit_ms", static_cast<double>((Now() - start).ms()),
+                     Now());
     switch (result.outcome_) {
       case ProposeOutcome::kCommitted:
         return respond(reply());
@@ -357,14 +360,57 @@
                                   std::string_view command) {
   const auto record = Unpack<GraphRecord>(command);
   if (!record.has_value()) {
-    Count("records_unreadable");
+    Count("records_unreadable_total");
     LogEvent("record_unreadable", {{"bytes", command.size()}});
     return;
   }
   ApplyRecord(state_, *record);
+  if (leadership_ != nullptr) MeasureRecord(*record);
   Feed(RecordApplied{&*record});
 }
 
+// Counted where the record was proposed, so that a sum over the nodes counts
+// each once.
+void GraphService::MeasureRecord(const GraphRecord& record) {
+  Count("log_records_total");
+  if (const auto* open = std::get_if<OpenRecord>(&record)) {
+    metrics_.Count("attempts_opened_total", {},
+                   static_cast<double>(open->attempts_.size()));
+  }
+  if (const auto* ends = std::get_if<EndRecord>(&record)) {
+    for (const EndedAttempt& ended : ends->attempts_) {
+      metrics_.Count("attempts_ended_total",
+                     {{"end", std::string(AttemptEndName(ended.end_))}});
+    }
+  }
+}
+
+void GraphService::MeasureState() {
+  std::size_t waiting = 0;
+  std::size_t running = 0;
+  for (const auto& [key, job] : state_.jobs_) {
+    if (job.state_ != GraphJobState::kActive) continue;
+    ++(job.begun_ ? running : waiting);
+  }
+  std::size_t usable = 0;
+  std::size_t runs = 0;
+  for (const auto& [id, worker] : leadership_->scheduler_.fleet_) {
+    runs += worker.runs_.size();
+    if (TakesTasks(worker, options_.scheduler_.placement_.report_interval_,
+                   Now())) {
+      ++usable;
+    }
+  }
+  metrics_.SetGauge("jobs_waiting", static_cast<double>(waiting));
+  metrics_.SetGauge("jobs_running", static_cast<double>(running));
+  metrics_.SetGauge("workers_usable", static_cast<double>(usable));
+  metrics_.SetGauge("attempts_open", static_cast<double>(runs));
+  metrics_.SetGauge("catalog_version",
+                    static_cast<double>(state_.catalog_.version_.value()));
+  metrics_.SetCount("log_lines_dropped_total",
+                    static_cast<double>(DroppedLogLines()));
+}
+
 std::string GraphService::EncodeSnapshot() { return Pack(state_); }
 
 bool GraphService::RestoreSnapshot(std::string_view snapshot) {
@@ -378,7 +424,7 @@
   LogEvent("leader", {{"term", term.value()},
                       {"catalog", state_.catalog_.version_.value()},
                       {"jobs", state_.jobs_.size()}});
-  Count("leaderships");
+  Count("leaderships_total");
   leadership_ = std::make_unique<Leadership>();
   leadership_->term_ = term;
   leadership_->since_ = Now();
@@ -430,6 +476,7 @@
   if (leadership_ == nullptr || Now() < leadership_->next_upkeep_) return;
   leadership_->next_upkeep_ = Now() + kUpkeepInterval;
   PlanMembers();
+  MeasureState();
 }
 
 }  // namespace flamingohollow
--- a/flamingohollow/graph_service.h
+++ b/flamingohollow/graph_service.h
@@ -26,6 +26,7 @@
 #include "flamingohollow/graph_scheduler.h"
 #include "flamingohollow/graph_state.h"
 #include "flamingohollow/membership_plan.h"
+#include "flamingohollow/metrics.h"
 #include "flamingohollow/replica.h"
 #include "util/clock.h"
 
@@ -61,14 +62,13 @@
   std::function<Time()> wall_;
 };
 
-// Since the start, for the metrics page.
-using GraphCounters = std::map<std::string, std::uint64_t>;
-
 class GraphService final : public ReplicaOwner {
  public:
   using Responder = std::function<void(const GraphReply&)>;
 
-  GraphService(GraphServiceOptions options, GraphClocks clocks, SendOrder send);
+  // `metrics` must outlive this object.
+  GraphService(GraphServiceOptions options, GraphClocks clocks, SendOrder send,
+               Metrics& metrics);
   GraphService(const GraphService&) = delete;
   GraphService& operator=(const GraphService&) = delete;
 
@@ -81,7 +81,7 @@
   void Tick();
   // No caller's record is on its way into the log.
   bool Idle() const { return proposals_ == 0; }
-  const GraphCounters& counters() const { return counters_; }
+
   const GraphState& state() const { return state_; }
 
   // ReplicaOwner.
@@ -102,7 +102,7 @@
   };
 
   Time Now() const { return clocks_.monotonic_(); }
-  void Count(const std::string& name) { ++counters_[name]; }
+  void Count(const std::string& name) { metrics_.Count(name); }
   bool Leads() const;
   GraphReply Reply(GraphOutcome outcome, std::string text = "") const;
   GraphReply NotNow(std::string text, Duration retry_after) const;
@@ -137,6 +137,8 @@
   void Run(std::vector<SchedulerAction> actions);
   void ProposeForScheduler(GraphRecord record);
   void SendToWorker(const WorkerOrder& order);
+  void MeasureRecord(const GraphRecord& record);
+  void MeasureState();
   void PlanMembers();
 
   GraphServiceOptions options_;
@@ -147,7 +149,7 @@
   // Set exactly while this node leads.
   std::unique_ptr<Leadership> leadership_;
   std::size_t proposals_ = 0;
-  GraphCounters counters_;
+  Metrics& metrics_;
 };
 
 // Bounds on a caller's job; nothing when it is well formed.
--- a/flamingohollow/graph_settings.cc
+++ b/flamingohollow/graph_settings.cc
@@ -118,6 +118,10 @@
   reader.ReadAddress("http", settings.http_, true);
   reader.ReadAddress("readiness", settings.readiness_, !control);
   reader.ReadAddress("metrics", settings.metrics_, false);
+  reader.ReadAddress("internal_listen", settings.internal_listen_, false);
+  if (settings.internal_listen_.empty()) {
+    settings.internal_listen_ = InternalAddress(settings);
+  }
   reader.Read("data_folder", settings.data_folder_, "a path");
   reader.Read("first_start", settings.first_start_, "true or false");
   reader.Read("tolerated_losses", settings.tolerated_losses_, "0 to 3");
--- a/flamingohollow/graph_settings.h
+++ b/flamingohollow/graph_settings.h
@@ -26,6 +26,9 @@
   FailureDomain failure_domain_;
   // Our own processes speak to each other at this port, on every VM.
   std::uint16_t internal_port_ = 0;
+  // "IP:PORT" to listen at for them; empty for `address_` and
+  // `internal_port_`. Differs where a forwarder stands in between.
+  std::string internal_listen_;
   // "IP:PORT" of some control nodes; only the IP numbers are used.
   std::vector<std::string> seeds_;
   // "IP:PORT" for callers (entry) or for workers and the operator (control).
