Scheduler: a worker that restarts under its id may carry out its old orders

A start that was on its way when the worker crashed began in its next life, while the leader had already taken the attempt for lost and started it elsewhere: two runs of one task.

Change: attempts of a restarted worker are stopped in its new life, and are over once a look shows nothing of them; starts without an answer are stopped there again for 24 s. Lists of another life no longer end the attempts at once.

--- a/flamingohollow/fleet.h
+++ b/flamingohollow/fleet.h
@@ -108,6 +108,9 @@
   bool seen_ = false;
   // Calls in a row that had no answer.
   std::uint32_t silent_calls_ = 0;
+  // Starts that had no answer, and when they were sent: for kLateOrderBound
+  // they may still be carried out, also by a later life.
+  std::map<AttemptRef, Time> late_starts_;
   // Tasks in a row that failed here; no new work before `avoid_until_`.
   std::uint32_t failures_ = 0;
   Time avoid_until_;
@@ -122,6 +125,9 @@
 inline constexpr Duration kReportInterval = Duration(1500);
 // A worker that missed this many reports gets no new work.
 inline constexpr std::int64_t kMissedReports = 3;
+// An order without an answer is carried out within this, or never: twice the
+// longest delay that was seen of the worker protocol's transport.
+inline constexpr Duration kLateOrderBound = Duration(24000);
 // Calls in a row without an answer after which a worker gets no new work until
 // it answers again.
 inline constexpr std::uint32_t kMaxSilentCalls = 1;
--- a/flamingohollow/graph_scheduler.cc
+++ b/flamingohollow/graph_scheduler.cc
@@ -195,6 +195,39 @@
          found->second.report_.life_ > report.life_;
 }
 
+// The worker restarted. All that ran there is over, but a start order that was
+// still under way names only the id, which the worker has kept, so the new life
+// may carry it out. Each attempt is therefore stopped there, and over once a
+// look shows nothing of it.
+void BeginLife(Context& ctx, FleetWorker& worker,
+               const PoolWorkerReport& report) {
+  LogEvent("worker_restarted", {{"worker", report.id_.value()},
+                                {"life", report.life_.value()},
+                                {"runs", worker.runs_.size()}});
+  FleetWorker fresh;
+  fresh.runs_ = std::move(worker.runs_);
+  fresh.used_ = worker.used_;
+  // A late start may bring a whole lease with it.
+  fresh.lease_over_ = ctx.now_ + Stretch(ctx.scheduler_.options_.lease_) +
+                      ctx.scheduler_.options_.resend_;
+  for (auto& [attempt, run] : fresh.runs_) {
+    if (run.end_proposed_ || run.phase_ == RunPhase::kProposed) continue;
+    SetPhase(ctx, run, RunPhase::kStopping);
+    run.order_in_flight_ = false;
+    run.since_ = ctx.now_ - ctx.scheduler_.options_.resend_;
+  }
+  fresh.late_starts_ = std::move(worker.late_starts_);
+  worker = std::move(fresh);
+  worker.report_ = report;
+  std::erase_if(worker.late_starts_, [&ctx](const auto& start) {
+    return ctx.now_ - start.second > kLateOrderBound;
+  });
+  for (const auto& [attempt, sent] : worker.late_starts_) {
+    if (worker.runs_.contains(attempt)) continue;
+    ctx.actions_.emplace_back(StopOrder{TargetOf(ctx, worker), attempt});
+  }
+}
+
 void On(Context& ctx, const PoolWorkerReport& report) {
   if (IsSuperseded(ctx, report)) return;
   FleetWorker& worker = ctx.scheduler_.fleet_[report.id_];
@@ -205,14 +238,7 @@
       report.sequence_ <= worker.report_.sequence_) {
     return;
   }
-  if (known && !same_life) {
-    LoseRuns(ctx, worker, "it restarted");
-    // The runs' ends still find them here; the rest begins anew.
-    FleetWorker fresh;
-    fresh.runs_ = std::move(worker.runs_);
-    fresh.used_ = worker.used_;
-    worker = std::move(fresh);
-  }
+  if (known && !same_life) BeginLife(ctx, worker, report);
   if (!worker.reported_ || worker.report_.draining_ != report.draining_) {
     ctx.scheduler_.dirty_ = true;
     LogEvent("worker", {{"worker", report.id_.value()},
@@ -252,18 +278,23 @@
   worker.silent_calls_ = 0;
 }
 
-void LoseLife(Context& ctx, FleetWorker& worker) {
+// Whether the answer says that this life of the worker is over.
+bool TakeEndOfLife(Context& ctx, FleetWorker& worker, OrderOutcome outcome) {
+  if (outcome == OrderOutcome::kOtherWorker) {
+    worker.reported_ = false;
+    LoseRuns(ctx, worker, "another worker answered at its address");
+    return true;
+  }
+  if (outcome != OrderOutcome::kOtherLife) return false;
   worker.reported_ = false;
-  LoseRuns(ctx, worker, "another process answered at its address");
+  return true;
 }
 
 void On(Context& ctx, const StartResult& result) {
   FleetWorker* worker = FindLife(ctx, result.worker_, result.life_);
   if (worker == nullptr) return;
   NoteAnswer(ctx, *worker, result.outcome_);
-  if (result.outcome_ == OrderOutcome::kOtherLife) {
-    return LoseLife(ctx, *worker);
-  }
+  if (TakeEndOfLife(ctx, *worker, result.outcome_)) return;
   Run* run = FindRun(*worker, result.attempt_);
   if (run == nullptr || run->phase_ != RunPhase::kStarting) return;
   run->order_in_flight_ = false;
@@ -287,7 +318,9 @@
                          AttemptEnd::kNeverBegan);
     case OrderOutcome::kNoAnswer:
       run->unclear_start_ = true;
+      worker->late_starts_[result.attempt_] = run->since_;
       return;
+    case OrderOutcome::kOtherWorker:
     case OrderOutcome::kOtherLife:
       return;
   }
@@ -297,9 +330,7 @@
   FleetWorker* worker = FindLife(ctx, result.worker_, result.life_);
   if (worker == nullptr) return;
   NoteAnswer(ctx, *worker, result.outcome_);
-  if (result.outcome_ == OrderOutcome::kOtherLife) {
-    return LoseLife(ctx, *worker);
-  }
+  if (TakeEndOfLife(ctx, *worker, result.outcome_)) return;
   Run* run = FindRun(*worker, result.attempt_);
   if (run == nullptr || run->phase_ != RunPhase::kStopping) return;
   run->order_in_flight_ = false;
@@ -387,6 +418,7 @@
 void TakeMissing(Context& ctx, FleetWorker& worker, const LookResult& result,
                  const std::set<AttemptRef>& seen) {
   std::vector<AttemptRef> missing;
+  std::vector<AttemptRef> lost;
   for (const auto& [attempt, run] : worker.runs_) {
     if (run.end_proposed_ || seen.contains(attempt)) continue;
     const bool decided = (run.phase_ == RunPhase::kRunning ||
@@ -394,9 +426,11 @@
                          result.number_ >= run.decisive_look_;
     // The token of this look shuts out the earlier leader's late orders.
     const bool shut_out = run.phase_ == RunPhase::kRecovering;
-    if (decided || shut_out) missing.push_back(attempt);
+    if (!decided && !shut_out) continue;
+    (run.began_.has_value() ? lost : missing).push_back(attempt);
   }
   ProposeEnds(ctx, worker, missing, AttemptEnd::kNeverBegan);
+  ProposeEnds(ctx, worker, lost, AttemptEnd::kLost);
 }
 
 void On(Context& ctx, const LookResult& result) {
@@ -404,9 +438,7 @@
   if (worker == nullptr) return;
   worker->look_in_flight_ = false;
   NoteAnswer(ctx, *worker, result.outcome_);
-  if (result.outcome_ == OrderOutcome::kOtherLife) {
-    return LoseLife(ctx, *worker);
-  }
+  if (TakeEndOfLife(ctx, *worker, result.outcome_)) return;
   if (result.outcome_ != OrderOutcome::kDone) {
     worker->next_look_ = ctx.now_ + ctx.scheduler_.options_.resend_;
     return;
--- a/flamingohollow/graph_scheduler.h
+++ b/flamingohollow/graph_scheduler.h
@@ -95,7 +95,9 @@
   kRefused,
   // The worker did nothing now; the same order may work later.
   kNotNow,
-  // Another life of the worker answered.
+  // Another worker answered at the address: this one is gone.
+  kOtherWorker,
+  // A later life of the worker answered; its report is still to come.
   kOtherLife,
   // Unknown whether it was or will be carried out.
   kNoAnswer,
--- a/flamingohollow/testing/graph_world.cc
+++ b/flamingohollow/testing/graph_world.cc
@@ -125,6 +125,9 @@
       if (!late) answer(result, now_ + kOrderTimeout);
       return;
     }
+    // What a process had taken in and not carried out yet dies with it; only
+    // an order still on its way reaches the next life.
+    if (late && order.target_.life_ != worker->report_.life_) return;
     carry_out(*worker, result);
     if (late) return;
     const bool unheard = Chance(options_.answer_lost_);
@@ -143,10 +146,8 @@
 
 bool GraphWorld::TakesToken(FakeWorker& worker, const OrderTarget& target,
                             OrderOutcome& outcome) {
-  if (target.life_ != worker.report_.life_) {
-    outcome = OrderOutcome::kOtherLife;
-    return false;
-  }
+  // Orders name the worker by its id, which it keeps when it restarts: its next
+  // life carries them out.
   if (target.token_ < worker.token_) {
     outcome = OrderOutcome::kRefused;
     return false;
@@ -220,6 +221,11 @@
 void GraphWorld::CarryOut(FakeWorker& worker, const LookOrder& order,
                           LookResult& result) {
   if (!TakesToken(worker, order.target_, result.outcome_)) return;
+  if (order.target_.life_ != worker.report_.life_) {
+    // The lists name the life that they are of.
+    result.outcome_ = OrderOutcome::kOtherLife;
+    return;
+  }
   result.outcome_ = OrderOutcome::kDone;
   if (worker.lease_until_ <= now_) worker.lapsed_ = now_;
   const Time until = Time(order.lease_until_ms_) - worker.clock_offset_;
--- a/flamingohollow/testing/membership_plan_test.cc
+++ b/flamingohollow/testing/membership_plan_test.cc
@@ -112,7 +112,7 @@
   ControlFinder finder;
   finder.seeds_ = {"a", "b"};
   GraphReply newer = Answer(5);
-  newer.leader_address_ = "b";
+  newer.leader_address_ = std::string("b");
   CHECK(TakeReply(finder, "b", newer, kNow));
   CHECK_FALSE(TakeReply(finder, "a", Answer(4), kNow));
   CHECK(TakeReply(finder, "a", Answer(5), kNow));
