Log: one line for tasks that start together; detail is dropped first

Change: placements are told once a step and attempt; lines for single tasks are bounded to 350 a second, so that 150 are left for decisions on requests.

--- a/flamingohollow/explain.cc
+++ b/flamingohollow/explain.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "util/json_fields.h"
+#include "util/text.h"
 
 namespace flamingohollow {
 namespace {
@@ -50,9 +51,11 @@
 std::string AttemptStory(const std::vector<LogLine>& lines) {
   std::map<std::string, int> ends;
   std::map<std::string, int> stops;
-  int placed = 0;
+  std::uint64_t placed = 0;
   for (const LogLine& line : lines) {
-    if (line.event_ == "place") ++placed;
+    if (line.event_ == "place") {
+      placed += ParseUnsigned(FieldOf(line, "tasks")).value_or(1);
+    }
     if (line.event_ == "attempt_end") ++ends[FieldOf(line, "end")];
     if (line.event_ == "stop_attempt") ++stops[FieldOf(line, "why")];
   }
@@ -144,8 +147,10 @@
   for (const LogLine& line : lines) {
     if (!Names(line, id)) continue;
     own.push_back(line);
-    if (const std::string worker = FieldOf(line, "worker"); !worker.empty()) {
-      workers.insert(worker);
+    for (const char* name : {"worker", "workers"}) {
+      for (std::string& worker : SplitText(FieldOf(line, name), ',')) {
+        workers.insert(std::move(worker));
+      }
     }
   }
   const auto earlier = [](const LogLine& a, const LogLine& b) {
--- a/flamingohollow/graph_scheduler.cc
+++ b/flamingohollow/graph_scheduler.cc
@@ -71,9 +71,9 @@
     if (run->phase_ == RunPhase::kProposed) continue;
     run->end_proposed_ = true;
     record.attempts_.push_back({attempt, end, run->checkpoint_});
-    LogEvent("attempt_end", {{"attempt", Describe(attempt)},
-                             {"worker", worker.report_.id_.value()},
-                             {"end", AttemptEndName(end)}});
+    LogDetail("attempt_end", {{"attempt", Describe(attempt)},
+                              {"worker", worker.report_.id_.value()},
+                              {"end", AttemptEndName(end)}});
   }
   if (!record.attempts_.empty()) Propose(ctx, std::move(record));
 }
@@ -130,9 +130,9 @@
   if (stopping || run.end_proposed_) return;
   // Its start has not left yet; decided again once its record is in the log.
   if (run.phase_ == RunPhase::kProposed) return;
-  LogEvent("stop_attempt", {{"attempt", Describe(attempt)},
-                            {"worker", worker.report_.id_.value()},
-                            {"why", why}});
+  LogDetail("stop_attempt", {{"attempt", Describe(attempt)},
+                             {"worker", worker.report_.id_.value()},
+                             {"why", why}});
   const bool start_out =
       run.phase_ == RunPhase::kStarting && run.order_in_flight_;
   run.unclear_start_ = run.unclear_start_ || start_out;
@@ -305,9 +305,9 @@
       return SetPhase(ctx, *run, RunPhase::kRunning);
     case OrderOutcome::kRefused:
     case OrderOutcome::kNotNow:
-      LogEvent("start_refused", {{"attempt", Describe(result.attempt_)},
-                                 {"worker", result.worker_.value()},
-                                 {"reason", result.reason_}});
+      LogDetail("start_refused", {{"attempt", Describe(result.attempt_)},
+                                  {"worker", result.worker_.value()},
+                                  {"reason", result.reason_}});
       worker->avoid_until_ = ctx.now_ + kNotNowPause;
       // An earlier order of this start may still be under way.
       if (run->unclear_start_) {
@@ -374,9 +374,9 @@
     const Checkpoint checkpoint =
         row.checkpoint_ != Checkpoint() ? row.checkpoint_ : run->checkpoint_;
     record.attempts_.push_back({row.attempt_, row.end_, checkpoint});
-    LogEvent("attempt_end", {{"attempt", Describe(row.attempt_)},
-                             {"worker", result.worker_.value()},
-                             {"end", AttemptEndName(row.end_)}});
+    LogDetail("attempt_end", {{"attempt", Describe(row.attempt_)},
+                              {"worker", result.worker_.value()},
+                              {"end", AttemptEndName(row.end_)}});
   }
   if (record.last_end_ == 0) return;
   if (record.attempts_.empty()) {
@@ -395,9 +395,9 @@
     seen.insert(row.attempt_);
     Run* run = FindRun(worker, row.attempt_);
     if (run == nullptr) {
-      LogEvent("stop_attempt", {{"attempt", Describe(row.attempt_)},
-                                {"worker", result.worker_.value()},
-                                {"why", "no open attempt"}});
+      LogDetail("stop_attempt", {{"attempt", Describe(row.attempt_)},
+                                 {"worker", result.worker_.value()},
+                                 {"why", "no open attempt"}});
       ctx.actions_.emplace_back(StopOrder{TargetOf(ctx, worker), row.attempt_});
       continue;
     }
@@ -657,6 +657,30 @@
   if (!record.keys_.empty()) Propose(ctx, std::move(record));
 }
 
+bool SameStart(const AttemptRef& a, const AttemptRef& b) {
+  return a.task_.job_ == b.task_.job_ &&
+         a.task_.occurrence_ == b.task_.occurrence_ &&
+         a.task_.step_ == b.task_.step_ && a.attempt_ == b.attempt_;
+}
+
+// One line for the tasks of a step that start together.
+void LogPlaced(const std::vector<OpenedAttempt>& attempts) {
+  for (std::size_t begin = 0; begin < attempts.size();) {
+    std::size_t end = begin;
+    std::string workers;
+    while (end < attempts.size() &&
+           SameStart(attempts[begin].attempt_, attempts[end].attempt_)) {
+      if (!workers.empty()) workers += ',';
+      workers += attempts[end].worker_.value();
+      ++end;
+    }
+    LogDetail("place", {{"attempt", Describe(attempts[begin].attempt_)},
+                        {"tasks", end - begin},
+                        {"workers", workers}});
+    begin = end;
+  }
+}
+
 void StartPlanned(Context& ctx, const PlacementPlan& plan) {
   if (plan.open_.empty()) return;
   OpenRecord record;
@@ -672,9 +696,8 @@
     run.since_ = ctx.now_;
     AddRun(*worker, opened.attempt_, std::move(run));
     record.attempts_.push_back(opened);
-    LogEvent("place", {{"attempt", Describe(opened.attempt_)},
-                       {"worker", opened.worker_.value()}});
   }
+  LogPlaced(record.attempts_);
   ++ctx.scheduler_.opening_;
   Propose(ctx, std::move(record));
 }
--- a/flamingohollow/testing/event_log_test.cc
+++ b/flamingohollow/testing/event_log_test.cc
@@ -72,6 +72,22 @@
   CHECK_GE(DroppedLogLines() - before, kMaxLogLinesPerSecond);
 }
 
+TEST_CASE("details leave room for what decides a request") {
+  // The bounds count by the second; other tests may have used this one up.
+  const std::int64_t second = WallNow().ms() / 1000;
+  while (WallNow().ms() / 1000 == second) usleep(1000);
+  std::string text;
+  {
+    CapturedOutput output;
+    for (std::uint32_t i = 0; i < 2 * kMaxLogLinesPerSecond; ++i) {
+      LogDetail("place", {{"job", i}});
+    }
+    LogEvent("accept", {{"job", "1f"}});
+    text = output.Read();
+  }
+  CHECK_NE(text.find("event=accept job=1f dropped_before="), std::string::npos);
+}
+
 TEST_CASE("a reader that stands still does not stop the process") {
   const std::uint64_t before = DroppedLogLines();
   const Time start = MonotonicNow();
--- a/util/event_log.cc
+++ b/util/event_log.cc
@@ -63,7 +63,10 @@
   if (flags >= 0) fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
 }
 
-void LogEvent(std::string_view event, std::initializer_list<LogField> fields) {
+namespace {
+
+void WriteEvent(std::string_view event, std::initializer_list<LogField> fields,
+                std::uint32_t limit) {
   EventLog& log = Log();
   const std::lock_guard<std::mutex> lock(log.mutex_);
   if (!log.on_) return;
@@ -72,11 +75,12 @@
     log.second_ = now.ms() / 1000;
     log.lines_ = 0;
   }
-  if (++log.lines_ > kMaxLogLinesPerSecond) {
+  if (log.lines_ >= limit) {
     ++log.dropped_;
     ++log.untold_;
     return;
   }
+  ++log.lines_;
   std::string line =
       fmt::format("ts={} process={} event={}", now.ms(), log.process_, event);
   for (const LogField& field : fields) {
@@ -95,6 +99,16 @@
   ++log.untold_;
 }
 
+}  // namespace
+
+void LogEvent(std::string_view event, std::initializer_list<LogField> fields) {
+  WriteEvent(event, fields, kMaxLogLinesPerSecond);
+}
+
+void LogDetail(std::string_view event, std::initializer_list<LogField> fields) {
+  WriteEvent(event, fields, kMaxDetailLinesPerSecond);
+}
+
 std::uint64_t DroppedLogLines() {
   EventLog& log = Log();
   const std::lock_guard<std::mutex> lock(log.mutex_);
--- a/util/event_log.h
+++ b/util/event_log.h
@@ -22,6 +22,8 @@
 
 // Bounds the bytes and the processor time that a busy process spends on lines.
 inline constexpr std::uint32_t kMaxLogLinesPerSecond = 500;
+// Of these, lines of detail; the rest is kept for what decides a request.
+inline constexpr std::uint32_t kMaxDetailLinesPerSecond = 350;
 
 struct LogField {
   template <class Value>
@@ -34,6 +36,8 @@
 
 // Thread-safe.
 void LogEvent(std::string_view event, std::initializer_list<LogField> fields);
+// For events that come once for each task; the first to be dropped.
+void LogDetail(std::string_view event, std::initializer_list<LogField> fields);
 
 // Lines dropped since the start.
 std::uint64_t DroppedLogLines();
