Placement: one unit for eight workers holds room; cheaper first checks

Change: reservations grow with the pool, between 3 and 16. Fitting counts first how many tasks each room takes, and gives up before it tries; racks are tried only up to the best cost found.

--- a/flamingohollow/graph_placement.cc
+++ b/flamingohollow/graph_placement.cc
@@ -1,6 +1,7 @@
 #include "flamingohollow/graph_placement.h"
 
 #include <algorithm>
+#include <limits>
 #include <map>
 #include <optional>
 #include <set>
@@ -356,36 +357,80 @@
   return {away, left.accelerators_, left.memory_mb_};
 }
 
+// How many tasks of this need fit into `free`, at most `limit`.
+std::uint64_t CountFits(const Resources& need, const Resources& free,
+                        std::uint64_t limit) {
+  if (!Fits(need, free)) return 0;
+  const auto times = [&limit](std::int64_t one, std::int64_t all) {
+    if (one > 0) {
+      limit = std::min(limit, static_cast<std::uint64_t>(all / one));
+    }
+  };
+  times(need.millicores_, free.millicores_);
+  times(need.memory_mb_, free.memory_mb_);
+  times(need.accelerators_, free.accelerators_);
+  return limit;
+}
+
+// Tasks of the unit's step that the room may take beside those it has.
+std::uint64_t TasksAllowed(const Room& room, const Unit& unit) {
+  const std::uint32_t limit = unit.spec_->max_per_worker_;
+  if (limit == 0) return unit.tasks_.size();
+  const std::uint32_t here = TasksHere(room, unit);
+  return here >= limit ? 0 : limit - here;
+}
+
+// A room where tasks of a unit still fit.
+struct Candidate {
+  std::size_t room_ = 0;
+  Resources free_;
+  std::uint64_t fits_ = 0;
+};
+
+std::vector<Candidate> FindCandidates(const Pass& pass, const Unit& unit,
+                                      const std::vector<std::size_t>& rooms,
+                                      const RoomView& view) {
+  const Resources need = Need(*unit.spec_);
+  std::vector<Candidate> candidates;
+  for (const std::size_t index : rooms) {
+    const Room& room = pass.rooms_[index];
+    if (!Allowed(room, unit)) continue;
+    const Resources free = view(index);
+    const std::uint64_t fits = CountFits(need, free, TasksAllowed(room, unit));
+    if (fits > 0) candidates.push_back({index, free, fits});
+  }
+  return candidates;
+}
+
+std::uint64_t SumFits(const std::vector<Candidate>& candidates) {
+  std::uint64_t sum = 0;
+  for (const Candidate& candidate : candidates) sum += candidate.fits_;
+  return sum;
+}
+
 // Puts the unit's tasks one by one where they fit best among `rooms`; one room
 // a task, or nothing when not all fit.
 std::optional<std::vector<std::size_t>> FitAmong(
     const Pass& pass, const Unit& unit, const std::vector<std::size_t>& rooms,
     const RoomView& view) {
+  std::vector<Candidate> candidates = FindCandidates(pass, unit, rooms, view);
+  if (SumFits(candidates) < unit.tasks_.size()) return std::nullopt;
   const Resources need = Need(*unit.spec_);
-  std::map<std::size_t, Resources> left;
-  std::map<std::size_t, std::uint32_t> here;
-  for (const std::size_t room : rooms) {
-    if (!Allowed(pass.rooms_[room], unit)) continue;
-    left[room] = view(room);
-    here[room] = TasksHere(pass.rooms_[room], unit);
-  }
-  const std::uint32_t limit = unit.spec_->max_per_worker_;
   std::vector<std::size_t> chosen;
   for (std::size_t i = 0; i < unit.tasks_.size(); ++i) {
-    std::optional<std::size_t> best;
-    for (const auto& [room, free] : left) {
-      if (!Fits(need, free)) continue;
-      if (limit > 0 && here[room] >= limit) continue;
-      if (!best.has_value() ||
-          FitCost(pass.rooms_[room], *unit.spec_, free - need) <
-              FitCost(pass.rooms_[*best], *unit.spec_, left[*best] - need)) {
-        best = room;
-      }
+    Candidate* best = nullptr;
+    std::tuple<bool, std::int64_t, std::int64_t> best_cost;
+    for (Candidate& candidate : candidates) {
+      if (candidate.fits_ == 0) continue;
+      const auto cost = FitCost(pass.rooms_[candidate.room_], *unit.spec_,
+                                candidate.free_ - need);
+      if (best != nullptr && best_cost <= cost) continue;
+      best = &candidate;
+      best_cost = cost;
     }
-    if (!best.has_value()) return std::nullopt;
-    left[*best] = left[*best] - need;
-    ++here[*best];
-    chosen.push_back(*best);
+    best->free_ = best->free_ - need;
+    --best->fits_;
+    chosen.push_back(best->room_);
   }
   return chosen;
 }
@@ -427,12 +472,20 @@
   return best;
 }
 
-// Whether some rack could hold the unit if it were empty.
-bool SomeRackCouldHold(const Pass& pass, const Unit& unit) {
+// Whether the rooms could hold the unit if they were empty.
+bool CouldHold(const Pass& pass, const Unit& unit,
+               const std::vector<std::size_t>& rooms) {
   const RoomView whole = [&pass](std::size_t room) {
     return pass.rooms_[room].worker_->report_.capacity_;
   };
-  return FitOneRack(pass, unit, whole).has_value();
+  return SumFits(FindCandidates(pass, unit, rooms, whole)) >=
+         unit.tasks_.size();
+}
+
+bool SomeRackCouldHold(const Pass& pass, const Unit& unit) {
+  return std::any_of(
+      pass.racks_.begin(), pass.racks_.end(),
+      [&](const auto& rack) { return CouldHold(pass, unit, rack.second); });
 }
 
 std::optional<std::vector<std::size_t>> FitUnit(const Pass& pass,
@@ -548,6 +601,10 @@
   Resources free = pass.rooms_[room].soon_;
   const auto change = rooms.change_.find(room);
   if (change != rooms.change_.end()) free = free + change->second;
+  if (Fits(need, free)) {
+    offer.left_ = free - need;
+    return offer;
+  }
   std::vector<std::size_t> candidates;
   for (const std::size_t index : pass.groups_in_[room]) {
     const Group& group = pass.groups_[index];
@@ -601,9 +658,13 @@
   return best;
 }
 
+constexpr std::int64_t kNoCostLimit = std::numeric_limits<std::int64_t>::max();
+
+// Nothing when not all tasks fit, or only at `limit` or more.
 std::optional<Trial> TryAmong(const Pass& pass, const Unit& unit,
                               const TrialRules& rules,
-                              const std::vector<std::size_t>& among) {
+                              const std::vector<std::size_t>& among,
+                              std::int64_t limit) {
   const Resources need = Need(*unit.spec_);
   Trial trial;
   TrialRooms rooms;
@@ -621,6 +682,7 @@
     ++rooms.tasks_[offer->room_];
     trial.chosen_.push_back(offer->room_);
     trial.cost_ += offer->cost_;
+    if (trial.cost_ >= limit) return std::nullopt;
   }
   return trial;
 }
@@ -628,15 +690,16 @@
 std::optional<Trial> TryUnit(const Pass& pass, const Unit& unit,
                              const TrialRules& rules, bool spread) {
   if (!WantsOneRack(unit) || spread) {
-    return TryAmong(pass, unit, rules, AllRooms(pass));
+    return TryAmong(pass, unit, rules, AllRooms(pass), kNoCostLimit);
   }
   std::optional<Trial> best;
+  std::int64_t limit = kNoCostLimit;
   for (const auto& [rack, rooms] : pass.racks_) {
-    auto trial = TryAmong(pass, unit, rules, rooms);
+    if (!CouldHold(pass, unit, rooms)) continue;
+    auto trial = TryAmong(pass, unit, rules, rooms, limit);
     if (!trial.has_value()) continue;
-    if (!best.has_value() || trial->cost_ < best->cost_) {
-      best = std::move(trial);
-    }
+    limit = trial->cost_;
+    best = std::move(trial);
   }
   return best;
 }
@@ -779,7 +842,7 @@
             .guaranteed_ = {},
             .groups_ = {},
             .groups_in_ = {},
-            .reservations_ = options.max_reservations_,
+            .reservations_ = 0,
             .plan_ = {}};
   CollectGuaranteed(pass);
   const std::vector<Unit> units = CollectUnits(pass, since);
@@ -787,6 +850,9 @@
   CollectRooms(pass);
   CollectGroups(pass);
   MeasureUse(pass);
+  pass.reservations_ =
+      std::clamp(pass.rooms_.size() / options.workers_per_reservation_,
+                 options.min_reservations_, options.max_reservations_);
   // Equal tasks of a step stand next to each other: where one finds no room,
   // neither do the others.
   const StepRecord* full = nullptr;
--- a/flamingohollow/graph_placement.h
+++ b/flamingohollow/graph_placement.h
@@ -50,8 +50,12 @@
   // Others are stopped for a job within its guarantee after this long at the
   // latest.
   Duration guarantee_patience_ = Duration(900);
-  // Gangs, and urgent units, that hold room for themselves at one time.
-  std::size_t max_reservations_ = 3;
+  // Gangs, and urgent units, that hold room for themselves at one time: one for
+  // so many workers. With more, small tasks starve; with fewer, large gangs do.
+  std::size_t workers_per_reservation_ = 8;
+  std::size_t min_reservations_ = 3;
+  // Bounds the time of a pass.
+  std::size_t max_reservations_ = 16;
   // Units looked at in one pass.
   std::size_t max_units_ = 2000;
 };
