--- a/flamingohollow/graph_placement.cc
+++ b/flamingohollow/graph_placement.cc
@@ -71,8 +71,10 @@
   // Jobs of priority 0 that are within their customer's guarantee.
   std::set<GraphJobKey> guaranteed_;
   std::vector<Group> groups_;
-  // Indices of the groups with a member in each room.
-  std::vector<std::vector<std::size_t>> groups_in_;
+  // Indices of the groups with a member in each room, the least lost work
+  // first, and the earliest end first.
+  std::vector<std::vector<std::size_t>> by_loss_;
+  std::vector<std::vector<std::size_t>> by_end_;
   // More than half of the usable workers' capacity is in use.
   bool busy_ = false;
   // Units that may still hold room for themselves in this pass.
@@ -170,10 +172,24 @@
   group.running_ = group.running_ && runs;
 }
 
+void SortGroups(Pass& pass) {
+  pass.by_end_ = pass.by_loss_;
+  for (std::vector<std::size_t>& here : pass.by_loss_) {
+    std::sort(here.begin(), here.end(), [&pass](std::size_t a, std::size_t b) {
+      return pass.groups_[a].lost_ < pass.groups_[b].lost_;
+    });
+  }
+  for (std::vector<std::size_t>& here : pass.by_end_) {
+    std::sort(here.begin(), here.end(), [&pass](std::size_t a, std::size_t b) {
+      return pass.groups_[a].remaining_ms_ < pass.groups_[b].remaining_ms_;
+    });
+  }
+}
+
 void CollectGroups(Pass& pass) {
   using GangKey = std::tuple<GraphJobKey, Occurrence, StepIndex>;
   std::map<GangKey, std::size_t> gangs;
-  pass.groups_in_.resize(pass.rooms_.size());
+  pass.by_loss_.resize(pass.rooms_.size());
   for (std::size_t room = 0; room < pass.rooms_.size(); ++room) {
     for (const auto& [attempt, run] : pass.rooms_[room].worker_->runs_) {
       const TaskRef& task = attempt.task_;
@@ -188,10 +204,11 @@
         pass.groups_.emplace_back().job_ = job;
       }
       AddToGroup(pass, pass.groups_[index], room, attempt, run);
-      std::vector<std::size_t>& here = pass.groups_in_[room];
+      std::vector<std::size_t>& here = pass.by_loss_[room];
       if (here.empty() || here.back() != index) here.push_back(index);
     }
   }
+  SortGroups(pass);
 }
 
 void MeasureUse(Pass& pass) {
@@ -605,19 +622,13 @@
     offer.left_ = free - need;
     return offer;
   }
-  std::vector<std::size_t> candidates;
-  for (const std::size_t index : pass.groups_in_[room]) {
+  const auto& groups = rules.stop_ ? pass.by_loss_[room] : pass.by_end_[room];
+  for (const std::size_t index : groups) {
+    if (Fits(need, free)) break;
     const Group& group = pass.groups_[index];
     if (trial.groups_.contains(index)) continue;
-    if (MayCount(pass, group, unit, rules)) candidates.push_back(index);
-  }
-  std::sort(
-      candidates.begin(), candidates.end(), [&](std::size_t a, std::size_t b) {
-        return rules.cost_(pass.groups_[a]) < rules.cost_(pass.groups_[b]);
-      });
-  for (const std::size_t index : candidates) {
-    if (Fits(need, free)) break;
-    free = free + NeedIn(pass.groups_[index], room);
+    if (!MayCount(pass, group, unit, rules)) continue;
+    free = free + NeedIn(group, room);
     offer.groups_.push_back(index);
   }
   if (!Fits(need, free)) return std::nullopt;
@@ -644,9 +655,10 @@
   std::optional<RoomOffer> best;
   for (const std::size_t room : among) {
     if (!Allowed(pass.rooms_[room], unit)) continue;
-    const std::uint32_t here =
-        TasksHere(pass.rooms_[room], unit) + rooms.tasks_[room];
-    if (limit > 0 && here >= limit) continue;
+    const bool full =
+        limit > 0 &&
+        TasksHere(pass.rooms_[room], unit) + rooms.tasks_[room] >= limit;
+    if (full) continue;
     auto offer = OfferRoom(pass, unit, rules, trial, rooms, room, need);
     if (!offer.has_value()) continue;
     const auto key = [&](const RoomOffer& o) {
@@ -841,7 +853,8 @@
             .racks_ = {},
             .guaranteed_ = {},
             .groups_ = {},
-            .groups_in_ = {},
+            .by_loss_ = {},
+            .by_end_ = {},
             .reservations_ = 0,
             .plan_ = {}};
   CollectGuaranteed(pass);
--- a/flamingohollow/graph_placement.h
+++ b/flamingohollow/graph_placement.h
@@ -55,7 +55,7 @@
   std::size_t workers_per_reservation_ = 8;
   std::size_t min_reservations_ = 3;
   // Bounds the time of a pass.
-  std::size_t max_reservations_ = 16;
+  std::size_t max_reservations_ = 8;
   // Units looked at in one pass.
   std::size_t max_units_ = 2000;
 };
--- a/flamingohollow/graph_scheduler.cc
+++ b/flamingohollow/graph_scheduler.cc
@@ -14,6 +14,9 @@
 // Waiting jobs become urgent with time; they are looked at again this often
 // even when nothing else changes.
 constexpr Duration kPlacementInterval = Duration(100);
+// Passes of placement are a millisecond apart for each so many workers: a pass
+// at 350 workers takes some ms of a core, and leaders may have half a core.
+constexpr std::int64_t kWorkersPerPauseMs = 5;
 // A worker that refuses for now is asked again after this long.
 constexpr Duration kNotNowPause = Duration(500);
 
@@ -707,6 +710,12 @@
   if (!ctx.scheduler_.dirty_ && ctx.now_ < ctx.scheduler_.next_placement_) {
     return;
   }
+  // A pass takes longer the larger the pool is; so much of the time stays for
+  // everything else.
+  const Duration pause(static_cast<std::int64_t>(ctx.scheduler_.fleet_.size()) /
+                       kWorkersPerPauseMs);
+  if (ctx.now_ - ctx.scheduler_.last_placement_ < pause) return;
+  ctx.scheduler_.last_placement_ = ctx.now_;
   ctx.scheduler_.dirty_ = false;
   ctx.scheduler_.next_placement_ = ctx.now_ + kPlacementInterval;
   const JobSince since = [&ctx](const GraphJob& job) {
--- a/flamingohollow/graph_scheduler.h
+++ b/flamingohollow/graph_scheduler.h
@@ -177,6 +177,7 @@
   // Something changed since the last placement.
   bool dirty_ = true;
   Time next_placement_;
+  Time last_placement_;
   std::set<GraphJobKey> due_proposed_;
   std::set<GraphJobKey> forget_proposed_;
   Time wall_;
