--- /dev/null
+++ b/flamingohollow/graph_placement_units.cc
@@ -0,0 +1,148 @@
+// Which gangs and tasks wait, how urgent each is, and their order.
+
+#include <algorithm>
+#include <functional>
+#include <utility>
+
+#include "flamingohollow/graph_placement_pass.h"
+
+namespace flamingohollow::graph_placement_internal {
+namespace {
+
+// The longest chain of steps, each as long as `length` says. Steps may follow
+// each other in any order of their indices.
+Duration FindLongestChain(
+    const GraphSpec& spec,
+    const std::function<Duration(std::size_t step)>& length) {
+  std::vector<Duration> until(spec.steps_.size());
+  Duration longest;
+  for (std::size_t round = 0; round < spec.steps_.size(); ++round) {
+    bool changed = false;
+    for (std::size_t i = 0; i < spec.steps_.size(); ++i) {
+      Duration before;
+      for (const std::uint32_t step : spec.steps_[i].after_) {
+        before = std::max(before, until[step]);
+      }
+      const Duration end = before + length(i);
+      changed = changed || until[i] != end;
+      until[i] = end;
+      longest = std::max(longest, end);
+    }
+    if (!changed) break;
+  }
+  return longest;
+}
+
+bool PredecessorsDone(const OccurrenceRecord& occurrence,
+                      const StepSpec& spec) {
+  return std::all_of(spec.after_.begin(), spec.after_.end(),
+                     [&occurrence](std::uint32_t step) {
+                       return IsDone(occurrence.steps_[step]);
+                     });
+}
+
+// What is left of the longest chain, as if the present steps began now.
+Duration RemainingChain(const GraphJob& job,
+                        const OccurrenceRecord& occurrence) {
+  return FindLongestChain(job.spec_, [&](std::size_t step) {
+    return IsDone(occurrence.steps_[step]) ? Duration()
+                                           : job.spec_.steps_[step].estimate_;
+  });
+}
+
+void SetUrgency(Unit& unit, const OccurrenceRecord& occurrence, Time since,
+                Time now) {
+  const GraphJob& job = *unit.job_;
+  const Duration chain = LongestChain(job.spec_);
+  const Duration allowed =
+      Duration(static_cast<std::int64_t>(job.terms_.slack_ *
+                                         static_cast<double>(chain.ms()))) +
+      job.terms_.objective_;
+  unit.remaining_ = RemainingChain(job, occurrence);
+  const Time finish = now + unit.remaining_;
+  // A job earns less up to three times its objective, and nothing after.
+  const Time late = since + allowed * 3;
+  unit.since_ = since;
+  unit.deadline_ = since + allowed;
+  if (finish > unit.deadline_) unit.lateness_ = finish > late ? kTooLate : 1;
+}
+
+void CollectStep(const Unit& base, std::vector<Unit>& units) {
+  const StepRecord& step = *base.step_;
+  if (base.spec_->gang_) {
+    if (step.open_ > 0) return;
+    Unit unit = base;
+    for (std::uint32_t i = 0; i < step.tasks_.size(); ++i) {
+      unit.tasks_.emplace_back(i);
+    }
+    units.push_back(std::move(unit));
+    return;
+  }
+  for (std::uint32_t i = 0; i < step.tasks_.size(); ++i) {
+    if (step.tasks_[i].open_ || step.tasks_[i].done_) continue;
+    Unit unit = base;
+    unit.tasks_.emplace_back(i);
+    units.push_back(std::move(unit));
+  }
+}
+
+void CollectJob(const GraphJob& job, Time since, Time now,
+                std::vector<Unit>& units) {
+  for (const auto& [number, occurrence] : job.occurrences_) {
+    for (std::uint32_t i = 0; i < occurrence.steps_.size(); ++i) {
+      const StepRecord& step = occurrence.steps_[i];
+      const StepSpec& spec = job.spec_.steps_[i];
+      const bool waits = !IsDone(step) &&
+                         step.open_ + step.done_ < step.tasks_.size() &&
+                         PredecessorsDone(occurrence, spec);
+      if (!waits) continue;
+      Unit unit{.job_ = &job,
+                .spec_ = &spec,
+                .step_ = &step,
+                .occurrence_ = number,
+                .index_ = StepIndex(i),
+                .tasks_ = {},
+                .deadline_ = {},
+                .remaining_ = {},
+                .since_ = {}};
+      SetUrgency(unit, occurrence, since, now);
+      CollectStep(unit, units);
+    }
+  }
+}
+
+}  // namespace
+
+std::vector<Unit> CollectUnits(const Pass& pass, const JobSince& since) {
+  std::vector<Unit> units;
+  for (const auto& [key, job] : pass.state_.jobs_) {
+    if (job.state_ != GraphJobState::kActive) continue;
+    CollectJob(job, since(job), pass.now_, units);
+  }
+  // Whoever may stop others stands before them, or they would take each other's
+  // room in turn for ever.
+  const auto order = [&pass](const Unit& unit) {
+    const bool guaranteed = pass.guaranteed_.contains(unit.job_->key_);
+    const bool hopeless = unit.lateness_ == kTooLate;
+    return std::tuple(!guaranteed, hopeless, unit.job_->terms_.priority_,
+                      unit.lateness_, unit.deadline_);
+  };
+  std::stable_sort(
+      units.begin(), units.end(),
+      [&order](const Unit& a, const Unit& b) { return order(a) < order(b); });
+  if (units.size() > pass.options_.max_units_) {
+    units.resize(pass.options_.max_units_);
+  }
+  return units;
+}
+
+}  // namespace flamingohollow::graph_placement_internal
+
+namespace flamingohollow {
+
+Duration LongestChain(const GraphSpec& spec) {
+  return graph_placement_internal::FindLongestChain(
+      spec, [&spec](std::size_t step) { return spec.steps_[step].estimate_; });
+}
+
+}  // namespace flamingohollow
