Scheduler: a restarted worker is told by its clock, and silent ones note no ends

Change: an answer from a clock that went back is another life's, and nothing is sent until that has reported; after an unanswered call, looks let the worker forget nothing until one was answered.

--- a/flamingohollow/graph_scheduler.cc
+++ b/flamingohollow/graph_scheduler.cc
@@ -19,6 +19,8 @@
 constexpr std::int64_t kWorkersPerPauseMs = 5;
 // A worker that refuses for now is asked again after this long.
 constexpr Duration kNotNowPause = Duration(500);
+// Answers of one worker may overtake each other by about the time of a call.
+constexpr Duration kOvertaken = Duration(1500);
 
 struct Context {
   Scheduler& scheduler_;
@@ -148,7 +150,9 @@
   LookOrder order;
   order.target_ = TargetOf(ctx, worker);
   order.number_ = ++worker.looks_;
-  order.last_end_ = worker.logged_end_;
+  // While the worker is silent it may be restarting, and its next life would
+  // forget ends of its own up to that number.
+  if (worker.silent_calls_ == 0) order.last_end_ = worker.logged_end_;
   order.wait_ = options.look_wait_;
   // Without a task that surely runs a worker needs no lease; with one it takes
   // longer until a task that gets lost on the way there is known to be over.
@@ -281,6 +285,15 @@
   worker.silent_calls_ = 0;
 }
 
+// An order names its worker by an id that a later life has too; a clock that
+// went back tells that such a one answered.
+OrderOutcome WithClock(const FleetWorker& worker, OrderOutcome outcome,
+                       std::int64_t clock_ms) {
+  const bool back = clock_ms > 0 && worker.clock_at_ != Time() &&
+                    clock_ms + kOvertaken.ms() < worker.clock_ms_;
+  return back ? OrderOutcome::kOtherLife : outcome;
+}
+
 // Whether the answer says that this life of the worker is over.
 bool TakeEndOfLife(Context& ctx, FleetWorker& worker, OrderOutcome outcome) {
   if (outcome == OrderOutcome::kOtherWorker) {
@@ -297,7 +310,9 @@
   FleetWorker* worker = FindLife(ctx, result.worker_, result.life_);
   if (worker == nullptr) return;
   NoteAnswer(ctx, *worker, result.outcome_);
-  if (TakeEndOfLife(ctx, *worker, result.outcome_)) return;
+  const OrderOutcome outcome =
+      WithClock(*worker, result.outcome_, result.clock_ms_);
+  if (TakeEndOfLife(ctx, *worker, outcome)) return;
   Run* run = FindRun(*worker, result.attempt_);
   if (run == nullptr || run->phase_ != RunPhase::kStarting) return;
   run->order_in_flight_ = false;
@@ -333,7 +348,9 @@
   FleetWorker* worker = FindLife(ctx, result.worker_, result.life_);
   if (worker == nullptr) return;
   NoteAnswer(ctx, *worker, result.outcome_);
-  if (TakeEndOfLife(ctx, *worker, result.outcome_)) return;
+  const OrderOutcome outcome =
+      WithClock(*worker, result.outcome_, result.clock_ms_);
+  if (TakeEndOfLife(ctx, *worker, outcome)) return;
   Run* run = FindRun(*worker, result.attempt_);
   if (run == nullptr || run->phase_ != RunPhase::kStopping) return;
   run->order_in_flight_ = false;
@@ -440,6 +457,7 @@
   FleetWorker* worker = FindLife(ctx, result.worker_, result.life_);
   if (worker == nullptr) return;
   worker->look_in_flight_ = false;
+  const std::uint32_t silent_before = worker->silent_calls_;
   NoteAnswer(ctx, *worker, result.outcome_);
   if (TakeEndOfLife(ctx, *worker, result.outcome_)) return;
   if (result.outcome_ != OrderOutcome::kDone) {
@@ -451,7 +469,9 @@
   if (!worker->seen_) ctx.scheduler_.dirty_ = true;
   worker->seen_ = true;
   worker->next_look_ = ctx.now_;
-  worker->told_end_ = std::max(worker->told_end_, worker->logged_end_);
+  if (silent_before == 0) {
+    worker->told_end_ = std::max(worker->told_end_, worker->logged_end_);
+  }
   std::set<AttemptRef> seen;
   for (const EndRow& row : result.ends_) seen.insert(row.attempt_);
   TakeRunning(ctx, *worker, result, seen);
--- a/flamingohollow/graph_scheduler.h
+++ b/flamingohollow/graph_scheduler.h
@@ -108,6 +108,8 @@
   WorkerLife life_;
   AttemptRef attempt_;
   OrderOutcome outcome_ = OrderOutcome::kNoAnswer;
+  // The worker's clock; 0 when it did not say.
+  std::int64_t clock_ms_ = 0;
   // The worker's own word for a refusal, for the log line.
   std::string reason_;
 };
@@ -117,6 +119,8 @@
   WorkerLife life_;
   AttemptRef attempt_;
   OrderOutcome outcome_ = OrderOutcome::kNoAnswer;
+  // The worker's clock; 0 when it did not say.
+  std::int64_t clock_ms_ = 0;
 };
 
 struct RunningRow {
--- a/flamingohollow/testing/graph_scheduler_test.cc
+++ b/flamingohollow/testing/graph_scheduler_test.cc
@@ -5,6 +5,7 @@
 #include <doctest/doctest.h>
 
 #include <cstdlib>
+#include <optional>
 #include <string>
 
 #include "flamingohollow/testing/graph_world.h"
@@ -123,6 +124,111 @@
   CHECK_EQ(state.jobs_.at(MakeKey(1)).occurrences_.size(), 3);
 }
 
+// A scheduler with one worker, driven order by order.
+struct OneWorker {
+  GraphState state_;
+  Scheduler scheduler_;
+  Time now_{1'000'000};
+
+  OneWorker() {
+    scheduler_ = MakeScheduler({}, FencingToken(1), {}, now_, now_);
+  }
+
+  std::vector<SchedulerAction> Feed(const SchedulerEvent& event) {
+    now_ = now_ + Duration(20);
+    return Step(scheduler_, state_, event, now_);
+  }
+  std::vector<SchedulerAction> Apply(const GraphRecord& record) {
+    ApplyRecord(state_, record);
+    return Feed(RecordApplied{&record});
+  }
+  void Report(std::int64_t life, std::int64_t clock) {
+    PoolWorkerReport report = MakeReport("w", "r");
+    report.life_ = WorkerLife(life);
+    report.clock_ms_ = clock;
+    Feed(report);
+  }
+  // The order of this kind that the next ticks bring.
+  template <class Order>
+  std::optional<Order> Next(int ticks = 40) {
+    for (int i = 0; i < ticks; ++i) {
+      for (const SchedulerAction& action : Feed(SchedulerTick{now_})) {
+        if (const auto* order = std::get_if<Order>(&action)) return *order;
+        const auto* record = std::get_if<GraphRecord>(&action);
+        if (record == nullptr) continue;
+        for (const SchedulerAction& more : Apply(*record)) {
+          if (const auto* order = std::get_if<Order>(&more)) return *order;
+        }
+      }
+    }
+    return std::nullopt;
+  }
+  void Answer(const LookOrder& order, OrderOutcome outcome, std::int64_t clock,
+              std::vector<EndRow> ends = {}) {
+    LookResult result;
+    result.worker_ = WorkerId("w");
+    result.life_ = order.target_.life_;
+    result.number_ = order.number_;
+    result.outcome_ = outcome;
+    result.clock_ms_ = clock;
+    result.ends_ = std::move(ends);
+    for (const SchedulerAction& action : Feed(result)) {
+      if (const auto* record = std::get_if<GraphRecord>(&action)) {
+        Apply(*record);
+      }
+    }
+  }
+  // Runs one task to its end, the worker's first.
+  void RunOneTask() {
+    Report(1, 900'000);
+    Answer(*Next<LookOrder>(), OrderOutcome::kDone, 900'100);
+    Apply(MakeSubmit(1, {MakeStep(1, 1, Duration(500))}, {}));
+    const auto start = Next<StartOrder>();
+    Feed(StartResult{WorkerId("w"), WorkerLife(1), start->attempt_,
+                     OrderOutcome::kDone, 900'200, ""});
+    Answer(*Next<LookOrder>(), OrderOutcome::kDone, 900'700,
+           {{1, start->attempt_, AttemptEnd::kDone, Checkpoint()}});
+  }
+};
+
+TEST_CASE("ends are noted once they are in the log") {
+  OneWorker world;
+  world.RunOneTask();
+  CHECK_EQ(world.Next<LookOrder>()->last_end_, 1);
+}
+
+// The worker may have restarted: a later life would forget ends of its own.
+TEST_CASE("after an unanswered call no ends are noted until one is answered") {
+  OneWorker world;
+  world.RunOneTask();
+  const auto look = world.Next<LookOrder>();
+  world.Answer(*look, OrderOutcome::kNoAnswer, 0);
+  const auto again = world.Next<LookOrder>();
+  CHECK_EQ(again->last_end_, 0);
+  world.Answer(*again, OrderOutcome::kDone, 901'000);
+  CHECK_EQ(world.Next<LookOrder>()->last_end_, 1);
+}
+
+TEST_CASE("an answer from a clock that went back is another life's") {
+  OneWorker world;
+  world.RunOneTask();
+  world.Answer(*world.Next<LookOrder>(), OrderOutcome::kDone, 901'000);
+  world.Apply(MakeSubmit(2, {MakeStep(1, 1, Duration(500))}, {}));
+  const auto start = world.Next<StartOrder>();
+  world.Feed(StartResult{WorkerId("w"), WorkerLife(1), start->attempt_,
+                         OrderOutcome::kDone, 150, ""});
+  CHECK_FALSE(world.Next<LookOrder>(10).has_value());
+  world.Report(2, 400);
+  const auto look = world.Next<LookOrder>();
+  REQUIRE(look.has_value());
+  CHECK_EQ(look->target_.life_, WorkerLife(2));
+  CHECK_EQ(look->last_end_, 0);
+  // The task did run there, and its end counts.
+  world.Answer(*look, OrderOutcome::kDone, 900,
+               {{1, start->attempt_, AttemptEnd::kDone, Checkpoint()}});
+  CHECK_EQ(world.state_.jobs_.at(MakeKey(2)).state_, GraphJobState::kCompleted);
+}
+
 std::vector<StepSpec> RandomSteps(std::mt19937_64& random) {
   std::vector<StepSpec> steps;
   const std::uint64_t count = 1 + random() % 3;
--- a/flamingohollow/testing/graph_world.cc
+++ b/flamingohollow/testing/graph_world.cc
@@ -75,8 +75,12 @@
     if (const auto* record = std::get_if<GraphRecord>(&action)) {
       ProposeLater(*record);
     } else if (const auto* start = std::get_if<StartOrder>(&action)) {
-      StartResult result{start->target_.worker_, start->target_.life_,
-                         start->attempt_, OrderOutcome::kNoAnswer, ""};
+      StartResult result{start->target_.worker_,
+                         start->target_.life_,
+                         start->attempt_,
+                         OrderOutcome::kNoAnswer,
+                         0,
+                         ""};
       Deliver<StartOrder, StartResult>(
           *start, result,
           [this, order = *start](FakeWorker& w, StartResult& r) {
@@ -84,7 +88,7 @@
           });
     } else if (const auto* stop = std::get_if<StopOrder>(&action)) {
       StopResult result{stop->target_.worker_, stop->target_.life_,
-                        stop->attempt_, OrderOutcome::kNoAnswer};
+                        stop->attempt_, OrderOutcome::kNoAnswer, 0};
       Deliver<StopOrder, StopResult>(
           *stop, result, [this, order = *stop](FakeWorker& w, StopResult& r) {
             CarryOut(w, order, r);
@@ -180,7 +184,9 @@
 
 void GraphWorld::CarryOut(FakeWorker& worker, const StartOrder& order,
                           StartResult& result) {
+  result.clock_ms_ = (now_ + worker.clock_offset_).ms();
   if (!TakesToken(worker, order.target_, result.outcome_)) return;
+  if (worker.lease_until_ <= now_) worker.lapsed_ = now_;
   const Time until = Time(order.lease_until_ms_) - worker.clock_offset_;
   worker.lease_until_ = std::max(worker.lease_until_, until);
   if (worker.runs_.contains(order.attempt_)) {
@@ -204,6 +210,7 @@
 
 void GraphWorld::CarryOut(FakeWorker& worker, const StopOrder& order,
                           StopResult& result) {
+  result.clock_ms_ = (now_ + worker.clock_offset_).ms();
   if (!TakesToken(worker, order.target_, result.outcome_)) return;
   AttemptId& highest = worker.highest_[order.attempt_.task_];
   highest = std::max(highest, order.attempt_.attempt_);
@@ -221,16 +228,10 @@
 void GraphWorld::CarryOut(FakeWorker& worker, const LookOrder& order,
                           LookResult& result) {
   if (!TakesToken(worker, order.target_, result.outcome_)) return;
-  if (order.target_.life_ != worker.report_.life_) {
-    // The lists name the life that they are of.
-    result.outcome_ = OrderOutcome::kOtherLife;
-    return;
-  }
-  result.outcome_ = OrderOutcome::kDone;
   if (worker.lease_until_ <= now_) worker.lapsed_ = now_;
   const Time until = Time(order.lease_until_ms_) - worker.clock_offset_;
   worker.lease_until_ = std::max(worker.lease_until_, until);
-  result.clock_ms_ = (now_ + worker.clock_offset_).ms();
+  // A later life forgets its own ends up to that number.
   std::erase_if(worker.ends_, [this, &worker, &order](const EndRow& row) {
     if (row.number_ > order.last_end_) return false;
     // An end that is noted only after the lease ran out does not count: the
@@ -241,6 +242,13 @@
     }
     return true;
   });
+  if (order.target_.life_ != worker.report_.life_) {
+    // The lists name the life that they are of.
+    result.outcome_ = OrderOutcome::kOtherLife;
+    return;
+  }
+  result.outcome_ = OrderOutcome::kDone;
+  result.clock_ms_ = (now_ + worker.clock_offset_).ms();
   result.ends_ = worker.ends_;
   for (const auto& [attempt, run] : worker.runs_) {
     result.running_.push_back({attempt, Checkpoint("saved")});
