--- a/flamingohollow/catalog.cc
+++ b/flamingohollow/catalog.cc
@@ -1,3 +1,5 @@
+// Checks of the whole document, and lookups in it.
+
 #include "flamingohollow/catalog.h"
 
 #include <fmt/format.h>
--- a/flamingohollow/control_finder.cc
+++ b/flamingohollow/control_finder.cc
@@ -1,3 +1,5 @@
+// Keeps the list of control nodes and who leads.
+
 #include "flamingohollow/control_finder.h"
 
 #include <algorithm>
--- a/flamingohollow/control_process.cc
+++ b/flamingohollow/control_process.cc
@@ -14,12 +14,6 @@
 namespace flamingohollow {
 namespace {
 
-// Between voters. A heartbeat and its answer are 657 bytes on the wire; an idle
-// leader's cost is mostly these. Two may be lost without an election.
-constexpr Duration kHeartbeat = Duration(250);
-constexpr Duration kElectionMin = Duration(750);
-constexpr Duration kElectionMax = Duration(1250);
-
 ControlOptions MakeControlOptions(const Settings& settings) {
   ControlOptions options;
   options.name_ = settings.name_;
@@ -44,7 +38,7 @@
   for (const ControlVoter& voter : control.voters_) {
     options.founders_.push_back({voter.name_, voter.address_});
   }
-  options.raft_.heartbeat_ = kHeartbeat;
+  options.raft_.heartbeat_ = kVoterHeartbeat;
   options.raft_.election_min_ = kElectionMin;
   options.raft_.election_max_ = kElectionMax;
   std::random_device device;
--- a/flamingohollow/explain.cc
+++ b/flamingohollow/explain.cc
@@ -1,3 +1,5 @@
+// Reads log lines and picks those that tell a request's story.
+
 #include "flamingohollow/explain.h"
 
 #include <fmt/format.h>
--- a/flamingohollow/fleet.cc
+++ b/flamingohollow/fleet.cc
@@ -1,3 +1,5 @@
+// What runs on a worker, its clock and its lease.
+
 #include "flamingohollow/fleet.h"
 
 #include <algorithm>
--- a/flamingohollow/graph_control.cc
+++ b/flamingohollow/graph_control.cc
@@ -1,3 +1,5 @@
+// Joins replica, service, relay and RPC on one event loop.
+
 #include "flamingohollow/graph_control.h"
 
 #include <algorithm>
@@ -36,10 +38,7 @@
 constexpr Duration kPassOnTimeout = Duration(500);
 // Messages handed over and not yet handled; more are turned away.
 constexpr std::size_t kMaxQueuedMessages = 8192;
-// Between voters, as in control_process.cc.
-constexpr Duration kHeartbeat = Duration(250);
-constexpr Duration kElectionMin = Duration(750);
-constexpr Duration kElectionMax = Duration(1250);
+
 constexpr std::chrono::milliseconds kStopPoll(10);
 // Exit code after an error of the disk.
 constexpr int kDiskFailed = 1;
@@ -147,7 +146,7 @@
   for (const std::string& seed : SeedAddresses(settings_)) {
     options.founders_.push_back({NodeName(HostOf(seed)), seed});
   }
-  options.raft_.heartbeat_ = kHeartbeat;
+  options.raft_.heartbeat_ = kVoterHeartbeat;
   options.raft_.election_min_ = kElectionMin;
   options.raft_.election_max_ = kElectionMax;
   std::random_device device;
--- a/flamingohollow/graph_entry.cc
+++ b/flamingohollow/graph_entry.cc
@@ -1,3 +1,5 @@
+// Asks for the leader now and then, which makes the entry ready.
+
 #include "flamingohollow/graph_entry.h"
 
 #include <boost/asio/io_context.hpp>
--- a/flamingohollow/graph_relay.cc
+++ b/flamingohollow/graph_relay.cc
@@ -1,3 +1,5 @@
+// One call: tries, detours and pauses until its time is up.
+
 #include "flamingohollow/graph_relay.h"
 
 #include <algorithm>
--- a/flamingohollow/graph_scheduler.cc
+++ b/flamingohollow/graph_scheduler.cc
@@ -1,3 +1,6 @@
+// Handlers for each event, in the order: ends, orders, reports, results,
+// records, time.
+
 #include "flamingohollow/graph_scheduler.h"
 
 #include <algorithm>
--- a/flamingohollow/graph_service.cc
+++ b/flamingohollow/graph_service.cc
@@ -1,3 +1,5 @@
+// Answers calls as the leader, and carries the scheduler's actions out.
+
 #include "flamingohollow/graph_service.h"
 
 #include <algorithm>
--- a/flamingohollow/graph_settings.cc
+++ b/flamingohollow/graph_settings.cc
@@ -1,3 +1,5 @@
+// Reads the YAML map key by key, gathering every mistake.
+
 #include "flamingohollow/graph_settings.h"
 
 #include <fmt/format.h>
--- a/flamingohollow/graph_state.cc
+++ b/flamingohollow/graph_state.cc
@@ -1,3 +1,5 @@
+// Takes committed records in, one function for each kind.
+
 #include "flamingohollow/graph_state.h"
 
 #include <algorithm>
--- a/flamingohollow/membership_plan.cc
+++ b/flamingohollow/membership_plan.cc
@@ -1,3 +1,5 @@
+// One change of membership at a time, from what the leader has heard.
+
 #include "flamingohollow/membership_plan.h"
 
 #include <algorithm>
--- a/flamingohollow/replica_factory.h
+++ b/flamingohollow/replica_factory.h
@@ -40,6 +40,12 @@
   std::string message_;
 };
 
+// Between voters. A heartbeat and its answer are 657 bytes on the wire; an idle
+// leader's cost is mostly these. Two may be lost without an election.
+inline constexpr Duration kVoterHeartbeat = Duration(250);
+inline constexpr Duration kElectionMin = Duration(750);
+inline constexpr Duration kElectionMax = Duration(1250);
+
 // Sends one message to the voter at `address`. It may be lost, delayed,
 // repeated or overtaken by another.
 using PeerSender =
--- a/flamingohollow/testing/graph_fixture.cc
+++ b/flamingohollow/testing/graph_fixture.cc
@@ -1,3 +1,5 @@
+// Builders for tests of graph jobs.
+
 #include "flamingohollow/testing/graph_fixture.h"
 
 #include <fmt/format.h>
--- a/flamingohollow/testing/graph_scheduler_test.cc
+++ b/flamingohollow/testing/graph_scheduler_test.cc
@@ -5,6 +5,7 @@
 #include <doctest/doctest.h>
 
 #include <cstdlib>
+#include <iterator>
 #include <optional>
 #include <string>
 
@@ -271,8 +272,19 @@
   return count == nullptr ? 60 : std::strtoull(count, nullptr, 10);
 }
 
+// Seeds that once failed: 8, 11 and 44 by a start that reached a worker's next
+// life, 83, 410 and 506 by a late one, 703 and 920 by a check that was too
+// strict.
+constexpr std::uint64_t kRegressionSeeds[] = {8,   11,  44,  83,
+                                              410, 506, 703, 920};
+
 TEST_CASE("random schedules: nothing runs twice, and all ends once calm") {
+  std::vector<std::uint64_t> seeds(std::begin(kRegressionSeeds),
+                                   std::end(kRegressionSeeds));
   for (std::uint64_t seed = 1; seed <= ScheduleCount(); ++seed) {
+    seeds.push_back(seed);
+  }
+  for (const std::uint64_t seed : seeds) {
     CAPTURE(seed);
     std::mt19937_64 random(seed);
     GraphWorld world({.seed_ = seed,
--- a/flamingohollow/testing/graph_world.cc
+++ b/flamingohollow/testing/graph_world.cc
@@ -1,3 +1,5 @@
+// The model of workers and of the way to them.
+
 #include "flamingohollow/testing/graph_world.h"
 
 #include <fmt/format.h>
--- a/util/event_log.cc
+++ b/util/event_log.cc
@@ -1,3 +1,5 @@
+// Bounds lines by the second and writes each in one piece.
+
 #include "util/event_log.h"
 
 #include <fcntl.h>
