--- a/flamingohollow/testing/explain_test.cc
+++ b/flamingohollow/testing/explain_test.cc
@@ -33,17 +33,22 @@
   CHECK_FALSE(ParseLogLine("ts=5 process=a").has_value());
 }
 
+const std::string kLostEnd =
+    "ts=40 process=c event=attempt_end attempt=J.0.0.0#1 worker=w "
+    "end=lost dropped_before=3";
+const std::string kLostWorker =
+    "ts=30 process=c event=worker_lost worker=w life=1 runs=1 "
+    "why=\"its lease is over\"";
+const std::string kOtherWorker =
+    "ts=31 process=c event=worker_lost worker=other life=1 runs=1 "
+    "why=\"it left\"";
+
 TEST_CASE("a job that lost its worker") {
   const Story story = Explain(
       Parse(
-          {"ts=40 process=c event=attempt_end attempt=J.0.0.0#1 worker=w "
-           "end=lost dropped_before=3",
-           "ts=10 process=c event=accept job=J queue=q catalog=1",
+          {kLostEnd, "ts=10 process=c event=accept job=J queue=q catalog=1",
            "ts=20 process=c event=place attempt=J.0.0.0#1 tasks=1 workers=u,w",
-           "ts=30 process=c event=worker_lost worker=w life=1 runs=1 "
-           "why=\"its lease is over\"",
-           "ts=31 process=c event=worker_lost worker=other life=1 runs=1 "
-           "why=\"it left\"",
+           kLostWorker, kOtherWorker,
            "ts=50 process=c event=place attempt=J.0.0.0#2 worker=v",
            "ts=45 process=d event=leader term=4 catalog=1 jobs=3"}),
       "J");
