Model of workers: an end copies its attempt before it erases the run

Cause: the address sanitizer found the test's model reading the key of a map entry that it had just erased.

--- a/flamingohollow/testing/graph_world.cc
+++ b/flamingohollow/testing/graph_world.cc
@@ -261,12 +261,13 @@
                         AttemptEnd end) {
   const auto found = worker.runs_.find(attempt);
   if (found == worker.runs_.end()) return;
+  // `attempt` may be the key that is erased.
+  const AttemptRef ended = found->first;
   worker.runs_.erase(found);
-  AttemptId& highest = worker.highest_[attempt.task_];
-  highest = std::max(highest, attempt.attempt_);
+  AttemptId& highest = worker.highest_[ended.task_];
+  highest = std::max(highest, ended.attempt_);
   worker.ended_[worker.last_end_ + 1] = now_;
-  worker.ends_.push_back(
-      {++worker.last_end_, attempt, end, Checkpoint("saved")});
+  worker.ends_.push_back({++worker.last_end_, ended, end, Checkpoint("saved")});
 }
 
 // All members that run end `done` together once the last one is due.
