Scheduler: answers to starts and stops are taken in one place

Cause: both handlers began with the same ten lines: whose answer it is, whether that life is over, whether the attempt still waits for it. Change: TakeOrderAnswer serves both; no behaviour changes.

--- a/flamingohollow/graph_scheduler.cc
+++ b/flamingohollow/graph_scheduler.cc
@@ -309,16 +309,32 @@
   return true;
 }
 
-void On(Context& ctx, const StartResult& result) {
+struct AnsweredRun {
+  FleetWorker* worker_ = nullptr;
+  // Null when the answer changes nothing about the attempt any more.
+  Run* run_ = nullptr;
+};
+
+// What a start and a stop have in common: whose answer it is, and whether the
+// attempt still waits for it in `phase`.
+template <class Result>
+AnsweredRun TakeOrderAnswer(Context& ctx, const Result& result,
+                            RunPhase phase) {
   FleetWorker* worker = FindLife(ctx, result.worker_, result.life_);
-  if (worker == nullptr) return;
+  if (worker == nullptr) return {};
   NoteAnswer(ctx, *worker, result.outcome_);
   const OrderOutcome outcome =
       WithClock(*worker, result.outcome_, result.clock_ms_);
-  if (TakeEndOfLife(ctx, *worker, outcome)) return;
+  if (TakeEndOfLife(ctx, *worker, outcome)) return {};
   Run* run = FindRun(*worker, result.attempt_);
-  if (run == nullptr || run->phase_ != RunPhase::kStarting) return;
+  if (run == nullptr || run->phase_ != phase) return {};
   run->order_in_flight_ = false;
+  return {worker, run};
+}
+
+void On(Context& ctx, const StartResult& result) {
+  const auto [worker, run] = TakeOrderAnswer(ctx, result, RunPhase::kStarting);
+  if (run == nullptr) return;
   switch (result.outcome_) {
     case OrderOutcome::kDone:
       run->began_ = ctx.now_;
@@ -348,15 +364,8 @@
 }
 
 void On(Context& ctx, const StopResult& result) {
-  FleetWorker* worker = FindLife(ctx, result.worker_, result.life_);
-  if (worker == nullptr) return;
-  NoteAnswer(ctx, *worker, result.outcome_);
-  const OrderOutcome outcome =
-      WithClock(*worker, result.outcome_, result.clock_ms_);
-  if (TakeEndOfLife(ctx, *worker, outcome)) return;
-  Run* run = FindRun(*worker, result.attempt_);
-  if (run == nullptr || run->phase_ != RunPhase::kStopping) return;
-  run->order_in_flight_ = false;
+  const auto [worker, run] = TakeOrderAnswer(ctx, result, RunPhase::kStopping);
+  if (run == nullptr) return;
   if (result.outcome_ != OrderOutcome::kDone &&
       result.outcome_ != OrderOutcome::kRefused) {
     return;
