A new leader looks at the workers before they report again

Cause: after a change of leader nothing was known of a worker until its next report, up to 1.5 s later and later still where the node it reports to was gone; what ended meanwhile was noted, and room used again, only then.

Change: what a worker says of itself is in the log before it is acknowledged (WorkerRecord), so a new leader knows where each worker is and which ones drain. It looks at all at once; the first look leaves the lease as it is, since only its answer tells the worker's clock. A worker that is silent for 60 s is forgotten. The holder of an ended attempt is found by the log's record of it instead of by a search through the fleet.

--- a/flamingohollow/fleet.h
+++ b/flamingohollow/fleet.h
@@ -1,7 +1,7 @@
 // What the leader knows of the workers, and what runs on each.
 //
-// Soft state: a new leader rebuilds it from the workers' reports, from the open
-// attempts of the log, and from looking at each worker once. A look asks a
+// Soft state: a new leader rebuilds it from the log, which lists the workers
+// and the open attempts, and from looking at each worker once. A look asks a
 // worker what runs there and what has ended, and renews its one lease.
 
 #ifndef FLAMINGOHOLLOW_FLEET_H_
@@ -37,6 +37,8 @@
   // Its own steady clock as it sent this.
   std::int64_t clock_ms_ = 0;
 
+  friend bool operator==(const PoolWorkerReport&,
+                         const PoolWorkerReport&) = default;
   template <class Archive>
   void serialize(Archive& archive) {
     archive(id_, life_, sequence_, pool_, address_, failure_domain_, rack_,
@@ -82,7 +84,7 @@
 
 struct FleetWorker {
   PoolWorkerReport report_;
-  // False while only the log speaks of it.
+  // False while nothing but its attempts is known.
   bool reported_ = false;
   Time heard_;
   // The worker's clock showed at least `clock_ms_` at `clock_at_`.
--- a/flamingohollow/graph_records.h
+++ b/flamingohollow/graph_records.h
@@ -15,6 +15,7 @@
 #include <vector>
 
 #include "flamingohollow/catalog.h"
+#include "flamingohollow/fleet.h"
 #include "flamingohollow/graph_types.h"
 
 namespace flamingohollow {
@@ -144,9 +145,23 @@
   }
 };
 
+// A worker as it described itself, or workers that are gone. What a worker
+// says of itself is acknowledged once it is in the log, so a new leader knows
+// where each worker is, and which ones are about to leave.
+struct WorkerRecord {
+  std::vector<PoolWorkerReport> reports_;
+  std::vector<WorkerId> gone_;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(reports_, gone_);
+  }
+};
+
+// New kinds go to the end: the position names the kind in the log.
 using GraphRecord =
     std::variant<CatalogRecord, SubmitRecord, CancelRecord, OpenRecord,
-                 EndRecord, DueRecord, ForgetRecord>;
+                 EndRecord, DueRecord, ForgetRecord, WorkerRecord>;
 
 }  // namespace flamingohollow
 
--- a/flamingohollow/graph_scheduler.cc
+++ b/flamingohollow/graph_scheduler.cc
@@ -20,6 +20,9 @@
 // Passes of placement are a millisecond apart for each so many workers: a pass
 // at 350 workers takes some ms of a core, and leaders may have half a core.
 constexpr std::int64_t kWorkersPerPauseMs = 5;
+// A worker that has been silent for this long, several times as long as cuts
+// last, is taken for gone for good.
+constexpr Duration kForgetWorkerAfter = Duration(60000);
 // A worker that refuses for now is asked again after this long.
 constexpr Duration kNotNowPause = Duration(500);
 // Answers of one worker may overtake each other by about the time of a call.
@@ -164,7 +167,8 @@
     runs = runs || run.phase_ == RunPhase::kRunning ||
            run.phase_ == RunPhase::kRecovering;
   }
-  if (runs) {
+  // A lease ends on the worker's clock, which the first answer tells.
+  if (runs && worker.clock_at_ != Time()) {
     order.lease_until_ms_ = GrantLease(worker, options.lease_, ctx.now_);
   }
   bool settled = worker.seen_;
@@ -257,6 +261,8 @@
                         {"draining", report.draining_}});
   }
   const bool first = !worker.reported_;
+  // Again with each report until it is in the log.
+  if (!IsListed(ctx.state_, report)) Propose(ctx, WorkerRecord{{report}, {}});
   worker.report_ = report;
   worker.reported_ = true;
   worker.heard_ = ctx.now_;
@@ -274,6 +280,7 @@
   if (!worker.report_.draining_) return;
   worker.reported_ = false;
   LoseRuns(ctx, worker, "it left");
+  Propose(ctx, WorkerRecord{{}, {left.id_}});
   if (worker.runs_.empty()) ctx.scheduler_.fleet_.erase(found);
 }
 
@@ -517,13 +524,33 @@
   }
 }
 
+// The worker that the attempt runs on; null when none does.
+FleetWorker* FindHolder(const Context& ctx, const AttemptRef& attempt) {
+  const TaskRef& task = attempt.task_;
+  const GraphJob* job = FindJob(ctx.state_, task.job_);
+  const StepRecord* step =
+      job == nullptr ? nullptr : FindStep(*job, task.occurrence_, task.step_);
+  if (step != nullptr) {
+    const auto found =
+        ctx.scheduler_.fleet_.find(step->tasks_[task.index_.value()].worker_);
+    if (found != ctx.scheduler_.fleet_.end() &&
+        found->second.runs_.contains(attempt)) {
+      return &found->second;
+    }
+  }
+  // The state no longer holds the occurrence, or a newer attempt.
+  for (auto& [id, worker] : ctx.scheduler_.fleet_) {
+    if (worker.runs_.contains(attempt)) return &worker;
+  }
+  return nullptr;
+}
+
 void OnApplied(Context& ctx, const EndRecord& record) {
   for (const EndedAttempt& ended : record.attempts_) {
-    for (auto& [id, worker] : ctx.scheduler_.fleet_) {
-      const Run* run = FindRun(worker, ended.attempt_);
-      if (run != nullptr && run->end_proposed_) {
-        RemoveRun(worker, ended.attempt_);
-      }
+    FleetWorker* holder = FindHolder(ctx, ended.attempt_);
+    if (holder == nullptr) continue;
+    if (FindRun(*holder, ended.attempt_)->end_proposed_) {
+      RemoveRun(*holder, ended.attempt_);
     }
   }
   FleetWorker* worker = FindLife(ctx, record.worker_, record.life_);
@@ -552,6 +579,7 @@
 
 void OnApplied(Context& /*ctx*/, const CatalogRecord& /*record*/) {}
 void OnApplied(Context& /*ctx*/, const CancelRecord& /*record*/) {}
+void OnApplied(Context& /*ctx*/, const WorkerRecord& /*record*/) {}
 
 void On(Context& ctx, const RecordApplied& applied) {
   ctx.scheduler_.dirty_ = true;
@@ -571,10 +599,9 @@
 
 void OnLost(Context& ctx, const EndRecord& record) {
   for (const EndedAttempt& ended : record.attempts_) {
-    for (auto& [id, worker] : ctx.scheduler_.fleet_) {
-      Run* run = FindRun(worker, ended.attempt_);
-      if (run != nullptr) run->end_proposed_ = false;
-    }
+    FleetWorker* holder = FindHolder(ctx, ended.attempt_);
+    if (holder == nullptr) continue;
+    FindRun(*holder, ended.attempt_)->end_proposed_ = false;
   }
   FleetWorker* worker = FindLife(ctx, record.worker_, record.life_);
   if (worker != nullptr) worker->ends_proposed_ = false;
@@ -692,6 +719,21 @@
   if (!record.keys_.empty()) Propose(ctx, std::move(record));
 }
 
+// Workers that are gone without a word leave the fleet and the log's list.
+void ForgetWorkers(Context& ctx) {
+  WorkerRecord record;
+  for (const auto& [id, worker] : ctx.scheduler_.fleet_) {
+    const bool silent = ctx.now_ - worker.heard_ > kForgetWorkerAfter;
+    if (!silent || !worker.runs_.empty()) continue;
+    LogEvent("worker_forgotten",
+             {{"worker", id.value()}, {"life", worker.report_.life_.value()}});
+    record.gone_.push_back(id);
+  }
+  if (record.gone_.empty()) return;
+  for (const WorkerId& id : record.gone_) ctx.scheduler_.fleet_.erase(id);
+  Propose(ctx, std::move(record));
+}
+
 bool SameStart(const AttemptRef& a, const AttemptRef& b) {
   return a.task_.job_ == b.task_.job_ &&
          a.task_.occurrence_ == b.task_.occurrence_ &&
@@ -772,9 +814,22 @@
   for (auto& [id, worker] : ctx.scheduler_.fleet_) TickWorker(ctx, worker);
   ProposeDue(ctx);
   ProposeForget(ctx);
+  ForgetWorkers(ctx);
   PlaceTasks(ctx);
 }
 
+// Workers that the log lists can be looked at before they report again. They
+// get new tasks only once they have answered.
+void RecoverWorkers(Scheduler& scheduler, const GraphState& state, Time now) {
+  for (const auto& [id, report] : state.workers_) {
+    FleetWorker& worker = scheduler.fleet_[id];
+    worker.report_ = report;
+    worker.reported_ = true;
+    worker.heard_ = now;
+    scheduler.addresses_[report.address_] = id;
+  }
+}
+
 void RecoverRuns(Scheduler& scheduler, const GraphJob& job, Time now) {
   for (const auto& [number, occurrence] : job.occurrences_) {
     for (std::uint32_t i = 0; i < occurrence.steps_.size(); ++i) {
@@ -813,6 +868,7 @@
   scheduler.options_ = options;
   scheduler.token_ = token;
   scheduler.wall_ = wall;
+  RecoverWorkers(scheduler, state, now);
   for (const auto& [key, job] : state.jobs_) {
     const Duration age =
         std::clamp(wall - job.accepted_, Duration(0), kMaxInheritedAge);
--- a/flamingohollow/graph_service.cc
+++ b/flamingohollow/graph_service.cc
@@ -237,7 +237,36 @@
 void GraphService::HandleReport(const GraphCall& call,
                                 const Responder& respond) {
   Feed(call.report_);
-  respond(Reply(GraphOutcome::kOk));
+  if (leadership_ == nullptr) return respond(NotLeader());
+  if (IsReportKept(call.report_)) return respond(Reply(GraphOutcome::kOk));
+  if (leadership_->reports_.size() >= kMaxWaitingReports) {
+    return respond(NotNow("too many reports at once", kNotNowRetryAfter));
+  }
+  leadership_->reports_.push_back({call.report_, respond, Now()});
+}
+
+bool GraphService::IsReportKept(const PoolWorkerReport& report) const {
+  const Fleet& fleet = leadership_->scheduler_.fleet_;
+  const auto found = fleet.find(report.id_);
+  if (found == fleet.end() || found->second.report_.life_ != report.life_) {
+    return true;
+  }
+  return !found->second.reported_ || IsListed(state_, found->second.report_);
+}
+
+void GraphService::AnswerReports() {
+  std::vector<WaitingReport> waiting = std::move(leadership_->reports_);
+  leadership_->reports_.clear();
+  for (WaitingReport& report : waiting) {
+    if (IsReportKept(report.report_)) {
+      report.respond_(Reply(GraphOutcome::kOk));
+    } else if (Now() - report.since_ > kReportTimeout) {
+      report.respond_(
+          NotNow("the report is not in the log yet", kNotNowRetryAfter));
+    } else {
+      leadership_->reports_.push_back(std::move(report));
+    }
+  }
 }
 
 void GraphService::HandleLeave(const GraphCall& call,
@@ -369,6 +398,8 @@
   ApplyRecord(state_, *record);
   if (leadership_ != nullptr) MeasureRecord(*record);
   Feed(RecordApplied{&*record});
+  const bool listed = std::holds_alternative<WorkerRecord>(*record);
+  if (listed && leadership_ != nullptr) AnswerReports();
 }
 
 // Counted where the record was proposed, so that a sum over the nodes counts
@@ -437,7 +468,10 @@
 
 void GraphService::LeadershipLost() {
   LogEvent("leader_lost", {{"term", leadership_->term_.value()}});
-  leadership_.reset();
+  const std::unique_ptr<Leadership> ended = std::move(leadership_);
+  for (const WaitingReport& report : ended->reports_) {
+    report.respond_(NotLeader());
+  }
 }
 
 // The scheduler.
@@ -477,6 +511,7 @@
   Feed(SchedulerTick{clocks_.wall_()});
   if (leadership_ == nullptr || Now() < leadership_->next_upkeep_) return;
   leadership_->next_upkeep_ = Now() + kUpkeepInterval;
+  AnswerReports();
   PlanMembers();
   MeasureState();
 }
--- a/flamingohollow/graph_service.h
+++ b/flamingohollow/graph_service.h
@@ -41,6 +41,10 @@
 // After taking over, a leader waits this long for the workers' reports before
 // it calls a job hopeless.
 inline constexpr Duration kSettleTime = Duration(4000);
+// A worker reports to another node when it has no answer by then.
+inline constexpr Duration kReportTimeout = Duration(1000);
+// Bounds the memory of reports that wait for the log.
+inline constexpr std::size_t kMaxWaitingReports = 4096;
 // Seldom needed work, such as membership, is looked at this often.
 inline constexpr Duration kUpkeepInterval = Duration(200);
 
@@ -92,6 +96,11 @@
   void LeadershipLost() override;
 
  private:
+  struct WaitingReport {
+    PoolWorkerReport report_;
+    Responder respond_;
+    Time since_;
+  };
   struct Leadership {
     Term term_;
     Time since_;
@@ -99,6 +108,8 @@
     std::map<NodeName, ControlNode> nodes_;
     bool changing_members_ = false;
     Time next_upkeep_;
+    // Reports whose content is on its way into the log.
+    std::vector<WaitingReport> reports_;
   };
 
   Time Now() const { return clocks_.monotonic_(); }
@@ -113,6 +124,9 @@
   void HandleCancel(const GraphCall& call, const Responder& respond);
   void HandleReport(const GraphCall& call, const Responder& respond);
   void HandleLeave(const GraphCall& call, const Responder& respond);
+  // What the worker last said of itself is in the log, or no longer matters.
+  bool IsReportKept(const PoolWorkerReport& report) const;
+  void AnswerReports();
   void HandlePutCatalog(const GraphCall& call, const Responder& respond);
   void HandleReadCatalog(const Responder& respond);
   void HandleAnnounce(const GraphCall& call, const Responder& respond);
--- a/flamingohollow/graph_state.cc
+++ b/flamingohollow/graph_state.cc
@@ -181,6 +181,21 @@
   }
 }
 
+void Apply(GraphState& state, const WorkerRecord& record) {
+  for (const PoolWorkerReport& report : record.reports_) {
+    const auto known = state.workers_.find(report.id_);
+    const bool stale = known != state.workers_.end() &&
+                       std::pair(known->second.life_, known->second.sequence_) >
+                           std::pair(report.life_, report.sequence_);
+    if (stale) continue;
+    std::erase_if(state.workers_, [&report](const auto& item) {
+      return item.second.address_ == report.address_;
+    });
+    state.workers_[report.id_] = report;
+  }
+  for (const WorkerId& id : record.gone_) state.workers_.erase(id);
+}
+
 }  // namespace
 
 std::uint32_t OccurrencesOf(const GraphSpec& spec) {
@@ -196,6 +211,16 @@
   return found == state.jobs_.end() ? nullptr : &found->second;
 }
 
+bool IsListed(const GraphState& state, const PoolWorkerReport& report) {
+  const auto found = state.workers_.find(report.id_);
+  if (found == state.workers_.end()) return false;
+  PoolWorkerReport listed = found->second;
+  listed.sequence_ = report.sequence_;
+  listed.clock_ms_ = report.clock_ms_;
+  listed.remaining_ = report.remaining_;
+  return listed == report;
+}
+
 const StepRecord* FindStep(const GraphJob& job, Occurrence occurrence,
                            StepIndex step) {
   const auto found = job.occurrences_.find(occurrence);
--- a/flamingohollow/graph_state.h
+++ b/flamingohollow/graph_state.h
@@ -106,10 +106,12 @@
 struct GraphState {
   Catalog catalog_;
   std::map<GraphJobKey, GraphJob> jobs_;
+  // As they last described themselves; one an address.
+  std::map<WorkerId, PoolWorkerReport> workers_;
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(catalog_, jobs_);
+    archive(catalog_, jobs_, workers_);
   }
 };
 
@@ -120,6 +122,8 @@
 void ApplyRecord(GraphState& state, const GraphRecord& record);
 
 const GraphJob* FindJob(const GraphState& state, const GraphJobKey& key);
+// The state holds what the report says, all but its time and number.
+bool IsListed(const GraphState& state, const PoolWorkerReport& report);
 // Null when the task's occurrence is not due, is finished, or never was.
 const StepRecord* FindStep(const GraphJob& job, Occurrence occurrence,
                            StepIndex step);
--- a/flamingohollow/testing/graph_scheduler_test.cc
+++ b/flamingohollow/testing/graph_scheduler_test.cc
@@ -108,6 +108,59 @@
   CHECK_EQ(Broken(world), "");
 }
 
+// Workers report every 1.5 s: too late for what ends meanwhile.
+TEST_CASE("a new leader notes ends before the workers report again") {
+  GraphWorld world({.racks_ = 1, .per_rack_ = 4});
+  world.RunFor(Duration(1510));
+  world.Submit(1, {MakeStep(4, 8, Duration(300))}, {});
+  world.RunFor(Duration(250));
+  REQUIRE_EQ(world.RunningTasks(1), 4);
+  world.ChangeLeader();
+  world.RunFor(Duration(400));
+  CHECK_EQ(world.JobState(1), GraphJobState::kCompleted);
+  CHECK_EQ(Broken(world), "");
+}
+
+TEST_CASE("a new leader starts nothing on a worker that drains") {
+  GraphWorld world({.racks_ = 1, .per_rack_ = 1});
+  world.RunFor(Duration(1510));
+  world.StartDraining(0, Duration(4000));
+  world.RunFor(Duration(50));
+  world.ChangeLeader();
+  world.Submit(1, {MakeStep(1, 1, Duration(300))}, {});
+  world.RunFor(Duration(1000));
+  CHECK_EQ(world.starts(), 0);
+}
+
+// Its lease ends on the worker's clock, which the log does not tell.
+TEST_CASE("a new leader's first look leaves the lease as it is") {
+  GraphState state;
+  ApplyRecord(state, WorkerRecord{{MakeReport("w", "r")}, {}});
+  Submit(state, 1, {MakeStep(1, 1, Duration(5000))}, {});
+  const AttemptRef attempt{{MakeKey(1), {}, {}, {}}, AttemptId(1)};
+  ApplyRecord(state, OpenRecord{{{attempt, WorkerId("w"), WorkerLife(1)}}});
+  const Time now(50'000'000);
+  Scheduler scheduler = MakeScheduler({}, FencingToken(2), state, now, now);
+  const auto actions = Step(scheduler, state, SchedulerTick{now}, now);
+  REQUIRE_EQ(actions.size(), 1);
+  const auto* look = std::get_if<LookOrder>(&actions[0]);
+  REQUIRE_NE(look, nullptr);
+  CHECK_EQ(look->lease_until_ms_, 0);
+  CHECK_EQ(look->target_.address_, MakeReport("w", "r").address_);
+}
+
+TEST_CASE("a worker that is silent for long is forgotten") {
+  GraphWorld world({.racks_ = 1, .per_rack_ = 2});
+  world.RunFor(Duration(1510));
+  REQUIRE_EQ(world.state().workers_.size(), 2);
+  world.Cut(0);
+  world.RunFor(Duration(62'000));
+  CHECK_EQ(world.state().workers_.size(), 1);
+  world.Heal(0);
+  world.RunFor(Duration(2000));
+  CHECK_EQ(world.state().workers_.size(), 2);
+}
+
 TEST_CASE("a scheduled job runs once an interval") {
   GraphWorld world({});
   GraphState state;
--- a/flamingohollow/testing/graph_world.cc
+++ b/flamingohollow/testing/graph_world.cc
@@ -5,6 +5,8 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <charconv>
+#include <cmath>
 #include <utility>
 
 namespace flamingohollow::testing {
@@ -17,12 +19,36 @@
 constexpr Duration kStopTime(300);
 // How late an order may still be carried out.
 constexpr int kMaxLateMs = 9000;
+// A task saves its work this often, and takes a while to take it up again.
+constexpr Duration kSaveEvery(2000);
+constexpr Duration kRestoreTime(600);
+constexpr double kRemoteFactor = 3;
+constexpr std::int64_t kCoresPerAccelerator = 8;
+
+// A checkpoint of the model is the work that it holds, in ms.
+Checkpoint Save(Duration done) {
+  return done > Duration(0) ? Checkpoint(std::to_string(done.ms()))
+                            : Checkpoint();
+}
+
+Duration Restore(const Checkpoint& checkpoint) {
+  const std::string& text = checkpoint.value();
+  std::int64_t ms = 0;
+  std::from_chars(text.data(), text.data() + text.size(), ms);
+  return Duration(ms);
+}
+
+Duration Scale(Duration span, double times) {
+  return Duration(
+      std::llround(static_cast<double>(span.ms()) * std::max(times, 0.0)));
+}
 
 }  // namespace
 
 GraphWorld::GraphWorld(const GraphWorldOptions& options)
     : options_(options), random_(options.seed_) {
-  scheduler_ = MakeScheduler({}, FencingToken(term_), state_, now_, now_);
+  scheduler_ = MakeScheduler(options_.scheduler_, FencingToken(term_), state_,
+                             now_, now_);
   for (int i = 0; i < options.racks_ * options.per_rack_; ++i) {
     FakeWorker worker;
     worker.report_ = MakeReport(fmt::format("w{}", i),
@@ -52,6 +78,27 @@
   ProposeLater(MakeSubmit(number, std::move(steps), now));
 }
 
+void GraphWorld::Submit(const SubmitRecord& record, RealWork work) {
+  work_[record.key_] = std::move(work);
+  SubmitRecord now = record;
+  now.accepted_ = now_;
+  ProposeLater(now);
+}
+
+void GraphWorld::SetGuarantee(const std::string& customer,
+                              std::int64_t accelerators) {
+  testing::SetGuarantee(state_, customer, accelerators);
+}
+
+void GraphWorld::SlowDown(int worker, double times) {
+  FakeWorker& slow = workers_[worker];
+  for (auto& [attempt, run] : slow.runs_) {
+    Advance(attempt, run);
+    run.slowness_ *= times / slow.slowness_;
+  }
+  slow.slowness_ = times;
+}
+
 void GraphWorld::Cancel(std::uint64_t number) {
   ProposeLater(CancelRecord{MakeKey(number), now_});
 }
@@ -166,6 +213,68 @@
   return state_.jobs_.at(task.job_).spec_.steps_[task.step_.value()];
 }
 
+Duration GraphWorld::WorkOf(const TaskRef& task) const {
+  const StepSpec& spec = SpecOf(task);
+  const auto found = work_.find(task.job_);
+  if (found == work_.end()) return spec.estimate_;
+  const std::vector<Duration>& step = found->second[task.step_.value()];
+  // The members of a gang end together.
+  return spec.gang_ ? *std::max_element(step.begin(), step.end())
+                    : step[task.index_.value()];
+}
+
+Time GraphWorld::EndOf(const FakeRun& run) const {
+  return run.since_ + Scale(run.work_ - run.done_, run.slowness_);
+}
+
+void GraphWorld::Advance(const AttemptRef& attempt, FakeRun& run) const {
+  if (!run.working_ || now_ < run.since_) return;
+  run.done_ = std::min(run.work_,
+                       run.done_ + Scale(now_ - run.since_, 1 / run.slowness_));
+  run.since_ = now_;
+  if (!SpecOf(attempt.task_).checkpoints_) return;
+  while (run.done_ - run.saved_ >= kSaveEvery) {
+    run.saved_ = run.saved_ + kSaveEvery;
+  }
+}
+
+// A lone task works at once; a gang once all of its members are there, at the
+// pace of the slowest.
+void GraphWorld::BeginWork(FakeWorker& worker, const AttemptRef& attempt) {
+  const StepSpec& spec = SpecOf(attempt.task_);
+  std::vector<std::pair<FakeWorker*, FakeRun*>> members;
+  if (spec.gang_) {
+    for (FakeWorker& other : workers_) {
+      for (auto& [member, run] : other.runs_) {
+        const bool same = member.task_.job_ == attempt.task_.job_ &&
+                          member.task_.step_ == attempt.task_.step_ &&
+                          member.attempt_ == attempt.attempt_;
+        if (same) members.emplace_back(&other, &run);
+      }
+    }
+    if (members.size() < spec.tasks_) return;
+  } else {
+    members.emplace_back(&worker, &worker.runs_.at(attempt));
+  }
+  double slowness = 1;
+  bool remote = false;
+  for (const auto& [host, run] : members) {
+    slowness = std::max(slowness, host->slowness_);
+    const Rack& rack = host->report_.rack_;
+    const bool away = spec.data_rack_ != Rack() && rack != spec.data_rack_;
+    const bool apart =
+        spec.same_rack_ && rack != members.front().first->report_.rack_;
+    remote = remote || away || apart;
+  }
+  if (remote) slowness *= kRemoteFactor;
+  for (const auto& [host, run] : members) {
+    run->slowness_ = slowness;
+    run->working_ = true;
+    run->since_ = now_;
+    if (run->done_ > Duration(0)) run->since_ = now_ + kRestoreTime;
+  }
+}
+
 void GraphWorld::CheckStart(const FakeWorker& worker, const StartOrder& order) {
   const TaskRef& task = order.attempt_.task_;
   ++starts_;
@@ -205,8 +314,14 @@
     return;
   }
   CheckStart(worker, order);
-  worker.runs_[order.attempt_] = {now_ + SpecOf(task).estimate_,
-                                  SpecOf(task).need_};
+  FakeRun run;
+  run.need_ = SpecOf(task).need_;
+  run.work_ = WorkOf(task);
+  run.done_ = std::min(Restore(order.checkpoint_), run.work_);
+  run.saved_ = run.done_;
+  run.began_ = now_;
+  worker.runs_.emplace(order.attempt_, run);
+  BeginWork(worker, order.attempt_);
   result.outcome_ = OrderOutcome::kDone;
 }
 
@@ -252,8 +367,9 @@
   result.outcome_ = OrderOutcome::kDone;
   result.clock_ms_ = (now_ + worker.clock_offset_).ms();
   result.ends_ = worker.ends_;
-  for (const auto& [attempt, run] : worker.runs_) {
-    result.running_.push_back({attempt, Checkpoint("saved")});
+  for (auto& [attempt, run] : worker.runs_) {
+    Advance(attempt, run);
+    result.running_.push_back({attempt, Save(run.saved_)});
   }
 }
 
@@ -263,11 +379,21 @@
   if (found == worker.runs_.end()) return;
   // `attempt` may be the key that is erased.
   const AttemptRef ended = found->first;
+  FakeRun& run = found->second;
+  Advance(ended, run);
+  const bool saves = SpecOf(ended.task_).checkpoints_;
+  if (end == AttemptEnd::kStopped && saves) run.saved_ = run.done_;
+  if (end != AttemptEnd::kDone) {
+    const std::int64_t cores = run.need_.millicores_ / 1000 +
+                               run.need_.accelerators_ * kCoresPerAccelerator;
+    wasted_ += (run.done_ - run.saved_).ms() * cores;
+  }
+  const Checkpoint checkpoint = Save(run.saved_);
   worker.runs_.erase(found);
   AttemptId& highest = worker.highest_[ended.task_];
   highest = std::max(highest, ended.attempt_);
   worker.ended_[worker.last_end_ + 1] = now_;
-  worker.ends_.push_back({++worker.last_end_, ended, end, Checkpoint("saved")});
+  worker.ends_.push_back({++worker.last_end_, ended, end, checkpoint});
 }
 
 // All members that run end `done` together once the last one is due.
@@ -282,7 +408,7 @@
                         other.attempt_ == attempt.attempt_;
       if (!same) continue;
       members.emplace_back(&worker, other);
-      due = due && run.ends_ <= now_;
+      due = due && run.working_ && EndOf(run) <= now_;
     }
   }
   if (!due || members.size() < size) return;
@@ -300,7 +426,7 @@
     }
     std::vector<AttemptRef> due;
     for (const auto& [attempt, run] : worker.runs_) {
-      if (run.ends_ <= now_) due.push_back(attempt);
+      if (run.working_ && EndOf(run) <= now_) due.push_back(attempt);
     }
     for (const AttemptRef& attempt : due) {
       if (SpecOf(attempt.task_).gang_) {
@@ -335,7 +461,8 @@
 
 void GraphWorld::ChangeLeader() {
   ++term_;
-  scheduler_ = MakeScheduler({}, FencingToken(term_), state_, now_, now_);
+  scheduler_ = MakeScheduler(options_.scheduler_, FencingToken(term_), state_,
+                             now_, now_);
 }
 
 void GraphWorld::Restart(FakeWorker& worker) {
--- a/flamingohollow/testing/graph_world.h
+++ b/flamingohollow/testing/graph_world.h
@@ -23,6 +23,7 @@
   std::uint64_t seed_ = 1;
   int racks_ = 2;
   int per_rack_ = 3;
+  SchedulerOptions scheduler_ = {};
   // Chances in a thousand, for each order.
   int lost_ = 0;
   int late_ = 0;
@@ -31,12 +32,20 @@
   int fails_ = 0;
 };
 
+// What a job's tasks really take, by step and task, whatever the caller
+// declared.
+using RealWork = std::vector<std::vector<Duration>>;
+
 class GraphWorld {
  public:
   explicit GraphWorld(const GraphWorldOptions& options);
 
   void Submit(std::uint64_t number, std::vector<StepSpec> steps,
               const JobOptions& options);
+  void Submit(const SubmitRecord& record, RealWork work);
+  void SetGuarantee(const std::string& customer, std::int64_t accelerators);
+  // From now on its tasks take this many times as long.
+  void SlowDown(int worker, double times);
   void Cancel(std::uint64_t number);
   void RunFor(Duration span);
   // What was proposed and not committed yet is lost; a new leader takes over.
@@ -59,11 +68,26 @@
   std::uint64_t starts() const { return starts_; }
   // Attempts of the job that run now.
   int RunningTasks(std::uint64_t number) const;
+  Time now() const { return now_; }
+  // Work that ran and is neither saved nor done, in core-milliseconds; an
+  // accelerator counts as 8 cores.
+  std::int64_t wasted() const { return wasted_; }
 
  private:
   struct FakeRun {
-    Time ends_;
     Resources need_;
+    // What it takes on a sound worker near its data, and what is done of it.
+    Duration work_;
+    Duration done_;
+    // Of `done_`, what the newest checkpoint holds.
+    Duration saved_;
+    // Takes so many times as long here.
+    double slowness_ = 1;
+    // Working, for a gang once all members are there, since `since_`.
+    bool working_ = false;
+    Time since_;
+    // When it began, for the resources that it holds.
+    Time began_;
   };
   struct FakeWorker {
     PoolWorkerReport report_;
@@ -80,6 +104,7 @@
     // When a call last found the lease run out.
     Time lapsed_;
     bool cut_ = false;
+    double slowness_ = 1;
     Time next_report_;
   };
 
@@ -102,6 +127,11 @@
   void CarryOut(FakeWorker& worker, const StopOrder& order, StopResult& result);
   void CarryOut(FakeWorker& worker, const LookOrder& order, LookResult& result);
   void EndRun(FakeWorker& worker, const AttemptRef& attempt, AttemptEnd end);
+  void BeginWork(FakeWorker& worker, const AttemptRef& attempt);
+  // Brings the work done up to now.
+  void Advance(const AttemptRef& attempt, FakeRun& run) const;
+  Time EndOf(const FakeRun& run) const;
+  Duration WorkOf(const TaskRef& task) const;
   void CheckStart(const FakeWorker& worker, const StartOrder& order);
   void StepWorkers();
   void EndGang(const AttemptRef& attempt);
@@ -118,6 +148,8 @@
   std::multimap<Time, std::function<void()>> tasks_;
   std::set<std::string> broken_;
   std::uint64_t starts_ = 0;
+  std::int64_t wasted_ = 0;
+  std::map<GraphJobKey, RealWork> work_;
   // Tasks whose end `done` is in the log and noted by its worker.
   std::set<TaskRef> noted_done_;
 };
