Placement: the workers' pace is learned from the progress of their tasks

Cause: a third of the workers takes 1.3 times as long, and says nothing of it. The lists of what runs tell each task's progress, which was not read. An urgent gang with one such member has a third of its spare time left.

Change: worker_pace.h learns the pace of each worker and the rate of each step from two points of progress.

--- a/flamingohollow/fleet.h
+++ b/flamingohollow/fleet.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "flamingohollow/graph_types.h"
+#include "flamingohollow/worker_pace.h"
 #include "util/clock.h"
 
 namespace flamingohollow {
@@ -80,6 +81,9 @@
   // The newest that a look showed.
   Checkpoint checkpoint_;
   Time checkpoint_at_;
+  // Its progress where the present measure of its pace began, and the newest.
+  std::optional<ProgressPoint> measured_from_;
+  std::optional<ProgressPoint> progress_;
 };
 
 struct FleetWorker {
@@ -116,6 +120,7 @@
   // Tasks in a row that failed here; no new work before `avoid_until_`.
   std::uint32_t failures_ = 0;
   Time avoid_until_;
+  WorkerPace pace_;
 };
 
 using Fleet = std::map<WorkerId, FleetWorker>;
--- a/flamingohollow/graph_placement_fit.cc
+++ b/flamingohollow/graph_placement_fit.cc
@@ -18,13 +18,18 @@
   return Suits(room.worker_->report_, *unit.spec_, unit.job_->terms_.pool_);
 }
 
-// Lower is better: near the data, then what is left over after the task.
-std::tuple<bool, std::int64_t, std::int64_t> FitCost(const Room& room,
-                                                     const StepSpec& spec,
-                                                     const Resources& left) {
-  const bool away = spec.data_rack_ != Rack() &&
-                    room.worker_->report_.rack_ != spec.data_rack_;
-  return {away, left.accelerators_, left.memory_mb_};
+// Urgent units have the least time to spare and get the fastest workers; the
+// others leave those free.
+int RankPace(const Room& room, const Unit& unit) {
+  const int pace = static_cast<int>(room.pace_);
+  if (unit.job_->terms_.priority_ == 0) return pace;
+  return room.pace_ == PaceClass::kVerySlow ? 1 : 0;
+}
+
+FitRank RankFit(const Room& room, const Unit& unit, const Resources& left) {
+  const Rack& data = unit.spec_->data_rack_;
+  const bool away = data != Rack() && room.worker_->report_.rack_ != data;
+  return {away, RankPace(room, unit), left.accelerators_, left.memory_mb_};
 }
 
 // How many tasks of this need fit into `free`, at most `limit`.
@@ -89,11 +94,11 @@
   std::vector<std::size_t> chosen;
   for (std::size_t i = 0; i < unit.tasks_.size(); ++i) {
     Candidate* best = nullptr;
-    std::tuple<bool, std::int64_t, std::int64_t> best_cost;
+    FitRank best_cost;
     for (Candidate& candidate : candidates) {
       if (candidate.fits_ == 0) continue;
-      const auto cost = FitCost(pass.rooms_[candidate.room_], *unit.spec_,
-                                candidate.free_ - need);
+      const FitRank cost =
+          RankFit(pass.rooms_[candidate.room_], unit, candidate.free_ - need);
       if (best != nullptr && best_cost <= cost) continue;
       best = &candidate;
       best_cost = cost;
@@ -127,14 +132,17 @@
                                                    const Unit& unit,
                                                    const RoomView& view) {
   std::optional<std::vector<std::size_t>> best;
-  std::pair<bool, std::int64_t> best_cost;
+  std::tuple<bool, int, std::int64_t> best_cost;
   for (const auto& [rack, rooms] : pass.racks_) {
     auto fit = FitAmong(pass, unit, rooms, view);
     if (!fit.has_value()) continue;
     const bool away =
         unit.spec_->data_rack_ != Rack() && rack != unit.spec_->data_rack_;
-    const std::pair<bool, std::int64_t> cost(away,
-                                             FreeAccelerators(rooms, view));
+    int pace = 0;
+    for (const std::size_t room : *fit) {
+      pace = std::max(pace, RankPace(pass.rooms_[room], unit));
+    }
+    const std::tuple cost(away, pace, FreeAccelerators(rooms, view));
     if (best.has_value() && best_cost <= cost) continue;
     best = std::move(fit);
     best_cost = cost;
--- a/flamingohollow/graph_placement_pass.cc
+++ b/flamingohollow/graph_placement_pass.cc
@@ -50,6 +50,29 @@
   }
 }
 
+// Of all workers, one in so many may be left out for being very slow.
+constexpr std::size_t kMaxVerySlowShare = 4;
+
+// Workers that are very slow get nothing new, unless so many are that it is
+// rather the measure that is wrong.
+void SetPaces(Pass& pass) {
+  std::vector<double> paces;
+  for (const Room& room : pass.rooms_) {
+    const WorkerPace& pace = room.worker_->pace_;
+    if (pace.samples_ > 0) paces.push_back(pace.log_pace_);
+  }
+  const double typical = TypicalPace(std::move(paces));
+  std::size_t very_slow = 0;
+  for (Room& room : pass.rooms_) {
+    room.pace_ = PaceOf(room.worker_->pace_, typical, pass.now_);
+    if (room.pace_ == PaceClass::kVerySlow) ++very_slow;
+  }
+  if (very_slow * kMaxVerySlowShare > pass.rooms_.size()) return;
+  for (Room& room : pass.rooms_) {
+    if (room.pace_ == PaceClass::kVerySlow) room.usable_ = false;
+  }
+}
+
 void CollectRooms(Pass& pass) {
   for (const auto& [id, worker] : pass.fleet_) {
     if (!worker.reported_) continue;
@@ -70,6 +93,7 @@
     pass.racks_[worker.report_.rack_].push_back(pass.rooms_.size());
     pass.rooms_.push_back(std::move(room));
   }
+  SetPaces(pass);
 }
 
 // What a core-millisecond of an accelerator counts for.
--- a/flamingohollow/graph_placement_pass.h
+++ b/flamingohollow/graph_placement_pass.h
@@ -21,6 +21,7 @@
 #include "flamingohollow/fleet.h"
 #include "flamingohollow/graph_placement.h"
 #include "flamingohollow/graph_state.h"
+#include "flamingohollow/worker_pace.h"
 #include "util/clock.h"
 
 namespace flamingohollow::graph_placement_internal {
@@ -48,6 +49,7 @@
 struct Room {
   const FleetWorker* worker_ = nullptr;
   bool usable_ = false;
+  PaceClass pace_ = PaceClass::kFull;
   // Free now.
   Resources free_;
   // Free once everything that is being stopped has ended.
@@ -129,10 +131,10 @@
 std::uint32_t TasksHere(const Room& room, const Unit& unit);
 // Whether the unit's tasks may run in the room at all.
 bool Allowed(const Room& room, const Unit& unit);
-// Lower is better: near the data, then what is left over after the task.
-std::tuple<bool, std::int64_t, std::int64_t> FitCost(const Room& room,
-                                                     const StepSpec& spec,
-                                                     const Resources& left);
+// Lower is better: near the data, at the pace that suits the unit, then what is
+// left over after the task.
+using FitRank = std::tuple<bool, int, std::int64_t, std::int64_t>;
+FitRank RankFit(const Room& room, const Unit& unit, const Resources& left);
 // One room a task, or nothing when not all fit. A unit that wants one rack gets
 // several only if it may `spread`.
 std::optional<std::vector<std::size_t>> FitUnit(const Pass& pass,
--- a/flamingohollow/graph_placement_trial.cc
+++ b/flamingohollow/graph_placement_trial.cc
@@ -94,8 +94,7 @@
     auto offer = OfferRoom(pass, unit, rules, trial, rooms, room, need);
     if (!offer.has_value()) continue;
     const auto key = [&](const RoomOffer& o) {
-      return std::tuple(o.cost_,
-                        FitCost(pass.rooms_[o.room_], *unit.spec_, o.left_));
+      return std::tuple(o.cost_, RankFit(pass.rooms_[o.room_], unit, o.left_));
     };
     if (!best.has_value() || key(*offer) < key(*best)) best = std::move(offer);
   }
--- a/flamingohollow/graph_scheduler.cc
+++ b/flamingohollow/graph_scheduler.cc
@@ -426,6 +426,33 @@
   Propose(ctx, std::move(record));
 }
 
+// Learns from how far the task came since the last measure.
+void MeasurePace(Context& ctx, FleetWorker& worker, const RunningRow& row,
+                 Run& run) {
+  constexpr std::int64_t kWhole = 100;
+  if (!row.done_percent_.has_value()) return;
+  const ProgressPoint point{*row.done_percent_, ctx.now_};
+  run.progress_ = point;
+  if (!run.measured_from_.has_value()) run.measured_from_ = point;
+  // A member of a gang that is through waits for the others.
+  if (point.percent_ >= kWhole) return;
+  const auto rate = RateBetween(*run.measured_from_, point);
+  if (!rate.has_value()) return;
+  run.measured_from_ = point;
+  const TaskRef& task = row.attempt_.task_;
+  const GraphJob* job = FindJob(ctx.state_, task.job_);
+  if (job == nullptr) return;
+  const StepSpec& spec = job->spec_.steps_[task.step_.value()];
+  // A task that runs until it is cancelled has no end to come nearer to; one
+  // away from its data is slow by that.
+  const bool away =
+      spec.data_rack_ != Rack() && spec.data_rack_ != worker.report_.rack_;
+  if (spec.long_running_ || away) return;
+  StepPace& step =
+      ctx.scheduler_.step_paces_[{task.job_, task.occurrence_, task.step_}];
+  LearnPace(worker.pace_, step, *rate, spec.gang_, ctx.now_);
+}
+
 // Stops what runs there and should not, such as an attempt that an earlier
 // leader's late order began.
 void TakeRunning(Context& ctx, FleetWorker& worker, const LookResult& result,
@@ -445,6 +472,7 @@
       run->checkpoint_ = row.checkpoint_;
       run->checkpoint_at_ = ctx.now_;
     }
+    MeasurePace(ctx, worker, row, *run);
     const bool found = run->phase_ == RunPhase::kStarting ||
                        run->phase_ == RunPhase::kRecovering;
     if (!found) continue;
@@ -574,6 +602,11 @@
   for (const GraphJobKey& key : record.keys_) {
     ctx.scheduler_.forget_proposed_.erase(key);
     ctx.scheduler_.since_.erase(key);
+    auto& paces = ctx.scheduler_.step_paces_;
+    auto pace = paces.lower_bound({key, Occurrence(), StepIndex()});
+    while (pace != paces.end() && pace->first.job_ == key) {
+      pace = paces.erase(pace);
+    }
   }
 }
 
--- a/flamingohollow/graph_scheduler.h
+++ b/flamingohollow/graph_scheduler.h
@@ -18,6 +18,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <variant>
@@ -27,6 +28,7 @@
 #include "flamingohollow/graph_placement.h"
 #include "flamingohollow/graph_records.h"
 #include "flamingohollow/graph_state.h"
+#include "flamingohollow/worker_pace.h"
 #include "util/clock.h"
 
 namespace flamingohollow {
@@ -126,6 +128,8 @@
 struct RunningRow {
   AttemptRef attempt_;
   Checkpoint checkpoint_;
+  // Of its work; nothing when the worker does not say.
+  std::optional<std::int64_t> done_percent_;
 };
 
 struct EndRow {
@@ -168,12 +172,23 @@
     std::variant<PoolWorkerReport, WorkerLeft, StartResult, StopResult,
                  LookResult, RecordApplied, RecordLost, SchedulerTick>;
 
+// A step of one run of a job's graph.
+struct StepRef {
+  GraphJobKey job_;
+  Occurrence occurrence_;
+  StepIndex step_;
+
+  friend auto operator<=>(const StepRef&, const StepRef&) = default;
+};
+
 struct Scheduler {
   SchedulerOptions options_;
   FencingToken token_;
   Fleet fleet_;
   // By address, the worker that was born last there.
   std::map<std::string, WorkerId> addresses_;
+  // What tasks of each step that runs do in a second.
+  std::map<StepRef, StepPace> step_paces_;
   // When each active job became known here.
   std::map<GraphJobKey, Time> since_;
   // Records of new attempts that are on their way into the log.
--- a/flamingohollow/testing/graph_placement_test.cc
+++ b/flamingohollow/testing/graph_placement_test.cc
@@ -93,6 +93,40 @@
   CHECK(Plan(state, fleet).open_.empty());
 }
 
+void SetPace(Fleet& fleet, const std::string& worker, double log_pace) {
+  fleet.at(WorkerId(worker)).pace_ = {
+      .log_pace_ = log_pace, .samples_ = 5, .sampled_ = kNow};
+}
+
+// Load: urgent gangs have half of their work's length to spare, and a third of
+// the workers is 1.3 times as slow.
+TEST_CASE("urgent gangs get the workers of full pace") {
+  GraphState state;
+  Fleet fleet = MakeFleet(1, 5, kNow);
+  for (const char* worker : {"w2", "w3", "w4"}) SetPace(fleet, worker, 0);
+  for (const char* worker : {"w0", "w1"}) SetPace(fleet, worker, -0.26);
+  Submit(state, 1, {MakeGang(2, 8, Duration(1000), true)}, {.priority_ = 0});
+  const PlacementPlan plan = Plan(state, fleet);
+  REQUIRE_EQ(plan.open_.size(), 2);
+  for (const OpenedAttempt& opened : plan.open_) {
+    CHECK_GE(opened.worker_, WorkerId("w2"));
+  }
+}
+
+TEST_CASE("a worker on which tasks hardly progress gets none") {
+  GraphState state;
+  Fleet fleet = MakeFleet(1, 5, kNow);
+  for (int i = 0; i < 5; ++i) {
+    SetPace(fleet, "w" + std::to_string(i), i == 0 ? -2 : 0);
+  }
+  Submit(state, 1, {MakeStep(5, 8, Duration(1000))}, {});
+  const PlacementPlan plan = Plan(state, fleet);
+  CHECK_EQ(plan.open_.size(), 4);
+  for (const OpenedAttempt& opened : plan.open_) {
+    CHECK_NE(opened.worker_, WorkerId("w0"));
+  }
+}
+
 TEST_CASE("labels and the limit on one worker are kept") {
   GraphState state;
   Fleet fleet = MakeFleet(1, 2, kNow);
--- a/flamingohollow/testing/graph_world.cc
+++ b/flamingohollow/testing/graph_world.cc
@@ -378,7 +378,9 @@
   result.ends_ = worker.ends_;
   for (auto& [attempt, run] : worker.runs_) {
     Advance(attempt, run);
-    result.running_.push_back({attempt, Save(run.saved_)});
+    const std::int64_t percent =
+        run.done_.ms() * 100 / std::max<std::int64_t>(1, run.work_.ms());
+    result.running_.push_back({attempt, Save(run.saved_), percent});
   }
 }
 
