Scheduler: tasks that won't end before their worker leaves are stopped in time

Cause: a worker that is taken away at short notice says nothing when it goes, so what ran there counted as over only once its lease of 10 s had run out, and a gang with one such member began anew 10 to 12 s later. Two faults besides: the time left was counted from the last answer to a look instead of from the report that told it, so even tasks that save their work were stopped too late; and leases were renewed in full beyond the worker's stay. Ruled out: to take a refused connection for the end of a worker, since a cut may refuse connections of workers that live.

Change: the remaining time of a task is known from its progress (RemainingTime, used for reservations too). What won't end in time is stopped: at once when it saves nothing and surely takes longer, shortly before otherwise. Leases of leaving workers end soon after their stay.

--- a/flamingohollow/fleet.cc
+++ b/flamingohollow/fleet.cc
@@ -3,6 +3,7 @@
 #include "flamingohollow/fleet.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace flamingohollow {
@@ -29,6 +30,28 @@
   worker.runs_.erase(found);
 }
 
+Duration RemainingTime(const Run& run, Duration estimate, Time now) {
+  constexpr double kWhole = 100;
+  if (!run.progress_.has_value()) {
+    const Duration spent = now - run.began_.value_or(now);
+    return std::max(estimate - spent, Duration(0));
+  }
+  const double to_do = kWhole - static_cast<double>(run.progress_->percent_);
+  double ms_a_percent = static_cast<double>(estimate.ms()) / kWhole;
+  const auto rate = RateBetween(*run.first_progress_, *run.progress_);
+  if (rate.has_value()) {
+    constexpr double kMsASecond = 1000;
+    ms_a_percent = kMsASecond / kWhole / std::exp(*rate);
+  }
+  const Duration left(static_cast<std::int64_t>(to_do * ms_a_percent));
+  return std::max(left - (now - run.progress_->at_), Duration(0));
+}
+
+Duration StaysFor(const FleetWorker& worker, Time now) {
+  return std::max(worker.report_.remaining_ - (now - worker.report_at_),
+                  Duration(0));
+}
+
 bool TakesTasks(const FleetWorker& worker, Duration report_interval, Time now) {
   return worker.reported_ && !worker.report_.draining_ && worker.seen_ &&
          worker.silent_calls_ < kMaxSilentCalls &&
--- a/flamingohollow/fleet.h
+++ b/flamingohollow/fleet.h
@@ -84,12 +84,17 @@
   // Its progress where the present measure of its pace began, and the newest.
   std::optional<ProgressPoint> measured_from_;
   std::optional<ProgressPoint> progress_;
+  // The first that its worker showed.
+  std::optional<ProgressPoint> first_progress_;
 };
 
 struct FleetWorker {
   PoolWorkerReport report_;
   // False while nothing but its attempts is known.
   bool reported_ = false;
+  // When `report_` came.
+  Time report_at_;
+  // When it last said anything.
   Time heard_;
   // The worker's clock showed at least `clock_ms_` at `clock_at_`.
   std::int64_t clock_ms_ = 0;
@@ -139,6 +144,12 @@
 // it answers again.
 inline constexpr std::uint32_t kMaxSilentCalls = 1;
 
+// How much longer the run takes where it is: by its progress, or by `estimate`
+// of the whole task while too little of that is known.
+Duration RemainingTime(const Run& run, Duration estimate, Time now);
+// At least this much longer does a draining worker stay.
+Duration StaysFor(const FleetWorker& worker, Time now);
+
 // Whether new tasks may be placed on the worker.
 bool TakesTasks(const FleetWorker& worker, Duration report_interval, Time now);
 
--- a/flamingohollow/graph_placement_pass.cc
+++ b/flamingohollow/graph_placement_pass.cc
@@ -112,11 +112,10 @@
   const Time began = run.began_.value_or(now);
   const Time kept = std::max(run.checkpoint_at_, began);
   const StepSpec& spec = group.job_->spec_.steps_[attempt.task_.step_.value()];
-  const std::int64_t left = (spec.estimate_ - (now - began)).ms();
+  const std::int64_t left = RemainingTime(run, spec.estimate_, now).ms();
   group.members_.push_back({room, attempt, run.need_});
   group.lost_ += ((now - kept).ms() + kStopCostMs) * WeightOf(run.need_);
-  group.remaining_ms_ =
-      std::max(group.remaining_ms_, std::max<std::int64_t>(left, 0));
+  group.remaining_ms_ = std::max(group.remaining_ms_, left);
   const bool runs = run.phase_ == RunPhase::kRunning && !run.end_proposed_;
   group.running_ = group.running_ && runs;
 }
--- a/flamingohollow/graph_scheduler.cc
+++ b/flamingohollow/graph_scheduler.cc
@@ -23,6 +23,9 @@
 // A worker that has been silent for this long, several times as long as cuts
 // last, is taken for gone for good.
 constexpr Duration kForgetWorkerAfter = Duration(60000);
+// Remaining times are known to about a third: what needs this many tenths of
+// its worker's stay won't end there.
+constexpr std::int64_t kSurelyLongerTenths = 13;
 // A worker that refuses for now is asked again after this long.
 constexpr Duration kNotNowPause = Duration(500);
 // Answers of one worker may overtake each other by about the time of a call.
@@ -151,6 +154,14 @@
   SendStop(ctx, worker, attempt, run);
 }
 
+// A worker that leaves may be gone without a word once its time is over.
+Duration LeaseFor(const Context& ctx, const FleetWorker& worker) {
+  const SchedulerOptions& options = ctx.scheduler_.options_;
+  if (!worker.report_.draining_) return options.lease_;
+  return std::min(options.lease_,
+                  StaysFor(worker, ctx.now_) + options.start_lease_);
+}
+
 void SendLook(Context& ctx, FleetWorker& worker) {
   const SchedulerOptions& options = ctx.scheduler_.options_;
   LookOrder order;
@@ -169,7 +180,7 @@
   }
   // A lease ends on the worker's clock, which the first answer tells.
   if (runs && worker.clock_at_ != Time()) {
-    order.lease_until_ms_ = GrantLease(worker, options.lease_, ctx.now_);
+    order.lease_until_ms_ = GrantLease(worker, LeaseFor(ctx, worker), ctx.now_);
   }
   bool settled = worker.seen_;
   for (const auto& [attempt, run] : worker.runs_) {
@@ -265,6 +276,7 @@
   if (!IsListed(ctx.state_, report)) Propose(ctx, WorkerRecord{{report}, {}});
   worker.report_ = report;
   worker.reported_ = true;
+  worker.report_at_ = ctx.now_;
   worker.heard_ = ctx.now_;
   NoteClock(worker, report.clock_ms_, ctx.now_);
   if (first) worker.next_look_ = ctx.now_;
@@ -433,7 +445,10 @@
   if (!row.done_percent_.has_value()) return;
   const ProgressPoint point{*row.done_percent_, ctx.now_};
   run.progress_ = point;
-  if (!run.measured_from_.has_value()) run.measured_from_ = point;
+  if (!run.first_progress_.has_value()) {
+    run.first_progress_ = point;
+    run.measured_from_ = point;
+  }
   // A member of a gang that is through waits for the others.
   if (point.percent_ >= kWhole) return;
   const auto rate = RateBetween(*run.measured_from_, point);
@@ -690,17 +705,29 @@
   StopRun(ctx, worker, attempt, run, "its start had no answer");
 }
 
-// A worker that is about to leave: its tasks save their work now, while there
-// is time to stop them.
+// Whether the task is to be stopped before its worker leaves: it won't end by
+// then, and a stop tells that it is over, where a worker that is gone says
+// nothing and its lease has to run out. Tasks that save their work go on until
+// shortly before, the others have nothing to gain.
+bool IsDoomed(const Context& ctx, const Run& run, const StepSpec& spec,
+              Duration stays) {
+  const SchedulerOptions& options = ctx.scheduler_.options_;
+  if (spec.long_running_) return stays <= options.evacuate_ahead_;
+  const Duration needs = RemainingTime(run, spec.estimate_, ctx.now_);
+  if (needs < stays) return false;
+  if (stays <= options.evacuate_ahead_) return true;
+  return !spec.checkpoints_ && needs * 10 > stays * kSurelyLongerTenths;
+}
+
 void Evacuate(Context& ctx, FleetWorker& worker) {
-  const Duration left = worker.report_.remaining_ - (ctx.now_ - worker.heard_);
-  if (left > ctx.scheduler_.options_.evacuate_ahead_) return;
+  const Duration stays = StaysFor(worker, ctx.now_);
   for (auto& [attempt, run] : worker.runs_) {
     const GraphJob* job = FindJob(ctx.state_, attempt.task_.job_);
-    const bool saves =
-        job != nullptr &&
-        job->spec_.steps_[attempt.task_.step_.value()].checkpoints_;
-    if (saves) StopRun(ctx, worker, attempt, run, "its worker leaves");
+    if (job == nullptr) continue;
+    const StepSpec& spec = job->spec_.steps_[attempt.task_.step_.value()];
+    if (IsDoomed(ctx, run, spec, stays)) {
+      StopRun(ctx, worker, attempt, run, "its worker leaves");
+    }
   }
 }
 
@@ -858,6 +885,7 @@
     FleetWorker& worker = scheduler.fleet_[id];
     worker.report_ = report;
     worker.reported_ = true;
+    worker.report_at_ = now;
     worker.heard_ = now;
     scheduler.addresses_[report.address_] = id;
   }
--- a/flamingohollow/graph_scheduler.h
+++ b/flamingohollow/graph_scheduler.h
@@ -45,7 +45,8 @@
   Duration resend_ = Duration(300);
   // A start that had no answer is given up and stopped after this many orders.
   std::uint32_t max_start_orders_ = 3;
-  // A worker that drains saves its tasks' work this long before it may leave.
+  // Tasks on a worker that drains are stopped this long before it may leave, at
+  // the latest.
   Duration evacuate_ahead_ = Duration(900);
   // Failures in a row, of different jobs, before a worker is avoided, and for
   // how long.
--- a/flamingohollow/testing/graph_scheduler_test.cc
+++ b/flamingohollow/testing/graph_scheduler_test.cc
@@ -121,6 +121,53 @@
   CHECK_EQ(Broken(world), "");
 }
 
+// Load: workers that are taken away within two seconds say nothing when they
+// go, and their leases run on for ten.
+TEST_CASE("a gang does not wait for a worker that leaves before it ends") {
+  GraphWorld world({.racks_ = 1, .per_rack_ = 4});
+  world.RunFor(Duration(1510));
+  world.Submit(1, {MakeGang(2, 8, Duration(4000), true)}, {});
+  world.RunFor(Duration(500));
+  REQUIRE_EQ(world.RunningTasks(1), 2);
+  world.StartDraining(0, Duration(2000));
+  world.StartDraining(1, Duration(2000));
+  world.RunFor(Duration(2000));
+  world.Cut(0);
+  world.Cut(1);
+  world.RunFor(Duration(4000));
+  CHECK_EQ(world.JobState(1), GraphJobState::kCompleted);
+  CHECK_EQ(Broken(world), "");
+}
+
+TEST_CASE("a task that ends before its worker leaves is not stopped") {
+  GraphWorld world({.racks_ = 1, .per_rack_ = 1});
+  world.RunFor(Duration(1510));
+  world.Submit(1, {MakeStep(1, 8, Duration(3000))}, {});
+  world.RunFor(Duration(2000));
+  REQUIRE_EQ(world.RunningTasks(1), 1);
+  world.StartDraining(0, Duration(2500));
+  world.RunFor(Duration(1500));
+  CHECK_EQ(world.JobState(1), GraphJobState::kCompleted);
+  CHECK_EQ(world.starts(), 1);
+}
+
+// What a look brings must not make the worker's stay seem longer.
+TEST_CASE("a task that saves its work is stopped before its worker leaves") {
+  GraphWorld world({.racks_ = 1, .per_rack_ = 1});
+  world.RunFor(Duration(1510));
+  StepSpec step = MakeStep(1, 8, Duration(20'000));
+  step.checkpoints_ = true;
+  world.Submit(1, {step}, {});
+  world.RunFor(Duration(3000));
+  REQUIRE_EQ(world.RunningTasks(1), 1);
+  world.StartDraining(0, Duration(2000));
+  world.RunFor(Duration(1000));
+  CHECK_EQ(world.RunningTasks(1), 1);
+  world.RunFor(Duration(800));
+  CHECK_EQ(world.RunningTasks(1), 0);
+  CHECK_EQ(world.wasted(), 0);
+}
+
 TEST_CASE("a new leader starts nothing on a worker that drains") {
   GraphWorld world({.racks_ = 1, .per_rack_ = 1});
   world.RunFor(Duration(1510));
--- a/flamingohollow/testing/graph_world.cc
+++ b/flamingohollow/testing/graph_world.cc
@@ -452,6 +452,7 @@
     worker.next_report_ = now_ + kReportEvery;
     ++worker.report_.sequence_;
     worker.report_.clock_ms_ = (now_ + worker.clock_offset_).ms();
+    worker.report_.remaining_ = std::max(worker.leaves_ - now_, Duration(0));
     Feed(worker.report_);
   }
 }
@@ -499,7 +500,7 @@
 
 void GraphWorld::StartDraining(int worker, Duration remaining) {
   workers_[worker].report_.draining_ = true;
-  workers_[worker].report_.remaining_ = remaining;
+  workers_[worker].leaves_ = now_ + remaining;
   workers_[worker].next_report_ = now_;
 }
 
--- a/flamingohollow/testing/graph_world.h
+++ b/flamingohollow/testing/graph_world.h
@@ -106,6 +106,8 @@
     // When a call last found the lease run out.
     Time lapsed_;
     bool cut_ = false;
+    // When it leaves, while it drains.
+    Time leaves_;
     double slowness_ = 1;
     Time next_report_;
   };
