Placement: a stop costs tasks that save their work only the time to resume

Cause: what is lost by a stop was counted from the last checkpoint, but a task that saves its work does so when it is stopped, too. Work without checkpoints that had just begun was stopped instead.

Ruled out: the constant cost of a stop at 0.5 or 4 s instead of 1.5 (mixed).

--- a/flamingohollow/graph_placement_pass.cc
+++ b/flamingohollow/graph_placement_pass.cc
@@ -110,11 +110,12 @@
                 const AttemptRef& attempt, const Run& run) {
   const Time now = pass.now_;
   const Time began = run.began_.value_or(now);
-  const Time kept = std::max(run.checkpoint_at_, began);
   const StepSpec& spec = group.job_->spec_.steps_[attempt.task_.step_.value()];
   const std::int64_t left = RemainingTime(run, spec.estimate_, now).ms();
   group.members_.push_back({room, attempt, run.need_});
-  group.lost_ += ((now - kept).ms() + kStopCostMs) * WeightOf(run.need_);
+  // What saves its work does so when it is stopped, too.
+  const std::int64_t lost = spec.checkpoints_ ? 0 : (now - began).ms();
+  group.lost_ += (lost + kStopCostMs) * WeightOf(run.need_);
   group.remaining_ms_ = std::max(group.remaining_ms_, left);
   const bool runs = run.phase_ == RunPhase::kRunning && !run.end_proposed_;
   group.running_ = group.running_ && runs;
