--- a/flamingohollow/control_finder.cc
+++ b/flamingohollow/control_finder.cc
@@ -36,7 +36,7 @@
 }
 
 bool TakeReply(ControlFinder& finder, const std::string& from,
-               const GraphReply& reply, Time now) {
+               const GraphReply& reply) {
   if (!reply.control_addresses_.empty()) {
     finder.members_ = reply.control_addresses_;
   }
@@ -52,7 +52,6 @@
   }
   finder.term_ = reply.term_;
   if (!reply.leader_address_.empty()) finder.leader_ = reply.leader_address_;
-  finder.heard_ = now;
   return true;
 }
 
--- a/flamingohollow/control_finder.h
+++ b/flamingohollow/control_finder.h
@@ -28,8 +28,6 @@
   // The highest of a leader that answered.
   Term term_;
   std::size_t next_ = 0;
-  // When a leader last answered.
-  Time heard_;
 };
 
 // Where to ask next.
@@ -39,7 +37,7 @@
 
 // Whether `reply` is a leader's final answer; takes in what it says of others.
 bool TakeReply(ControlFinder& finder, const std::string& from,
-               const GraphReply& reply, Time now);
+               const GraphReply& reply);
 void TakeSilence(ControlFinder& finder, const std::string& from);
 
 }  // namespace flamingohollow
--- a/flamingohollow/fleet.h
+++ b/flamingohollow/fleet.h
@@ -80,7 +80,6 @@
   std::optional<Time> began_;
   // The newest that a look showed.
   Checkpoint checkpoint_;
-  Time checkpoint_at_;
   // Its progress where the present measure of its pace began, and the newest.
   std::optional<ProgressPoint> measured_from_;
   std::optional<ProgressPoint> progress_;
--- a/flamingohollow/graph_relay.cc
+++ b/flamingohollow/graph_relay.cc
@@ -36,7 +36,6 @@
                        std::vector<std::string> seeds, LocalHandler local)
     : rpc_(rpc), threads_(threads), local_(std::move(local)) {
   finder_.seeds_ = std::move(seeds);
-  finder_.heard_ = MonotonicNow();
 }
 
 void GraphRelay::SetSeeds(std::vector<std::string> seeds) {
@@ -111,7 +110,7 @@
 
 void GraphRelay::TakeFinal(const PendingPtr& pending, const std::string& from,
                            const GraphReply& reply) {
-  if (!TakeReply(finder_, from, reply, MonotonicNow())) {
+  if (!TakeReply(finder_, from, reply)) {
     const bool elsewhere = !finder_.leader_.empty() && finder_.leader_ != from;
     if (elsewhere && ++pending->redirects_ <= kMaxRedirects) {
       return Try(pending);
--- /dev/null
+++ b/flamingohollow/graph_scheduler_orders.cc
@@ -0,0 +1,162 @@
+// Orders to workers, and ends by the leader's own finding.
+
+#include <algorithm>
+#include <utility>
+
+#include "flamingohollow/graph_scheduler_step.h"
+#include "util/event_log.h"
+
+namespace flamingohollow::graph_scheduler_internal {
+namespace {
+
+// A worker that leaves may be gone without a word once its time is over.
+Duration LeaseFor(const Context& ctx, const FleetWorker& worker) {
+  const SchedulerOptions& options = ctx.scheduler_.options_;
+  if (!worker.report_.draining_) return options.lease_;
+  return std::min(options.lease_,
+                  StaysFor(worker, ctx.now_) + options.start_lease_);
+}
+
+}  // namespace
+
+OrderTarget TargetOf(const Context& ctx, const FleetWorker& worker) {
+  return {worker.report_.id_, worker.report_.life_, worker.report_.address_,
+          ctx.scheduler_.token_};
+}
+
+FleetWorker* FindLife(const Context& ctx, const WorkerId& id, WorkerLife life) {
+  const auto found = ctx.scheduler_.fleet_.find(id);
+  if (found == ctx.scheduler_.fleet_.end()) return nullptr;
+  return found->second.report_.life_ == life ? &found->second : nullptr;
+}
+
+Run* FindRun(FleetWorker& worker, const AttemptRef& attempt) {
+  const auto found = worker.runs_.find(attempt);
+  return found == worker.runs_.end() ? nullptr : &found->second;
+}
+
+std::string Describe(const AttemptRef& attempt) {
+  const TaskRef& task = attempt.task_;
+  return fmt::format("{}.{}.{}.{}#{}", task.job_.value(),
+                     task.occurrence_.value(), task.step_.value(),
+                     task.index_.value(), attempt.attempt_.value());
+}
+
+void Propose(Context& ctx, GraphRecord record) {
+  ctx.actions_.emplace_back(std::move(record));
+}
+
+void SetPhase(Context& ctx, Run& run, RunPhase phase) {
+  run.phase_ = phase;
+  run.since_ = ctx.now_;
+  run.orders_ = 0;
+  ctx.scheduler_.dirty_ = true;
+}
+
+void ProposeEnds(Context& ctx, FleetWorker& worker,
+                 const std::vector<AttemptRef>& attempts, AttemptEnd end) {
+  EndRecord record;
+  record.ended_ = ctx.scheduler_.wall_;
+  for (const AttemptRef& attempt : attempts) {
+    Run* run = FindRun(worker, attempt);
+    if (run == nullptr || run->end_proposed_) continue;
+    if (run->phase_ == RunPhase::kProposed) continue;
+    run->end_proposed_ = true;
+    record.attempts_.push_back({attempt, end, run->checkpoint_});
+    LogDetail("attempt_end", {{"attempt", Describe(attempt)},
+                              {"worker", worker.report_.id_.value()},
+                              {"end", AttemptEndName(end)}});
+  }
+  if (!record.attempts_.empty()) Propose(ctx, std::move(record));
+}
+
+void LoseRuns(Context& ctx, FleetWorker& worker, std::string_view why) {
+  std::vector<AttemptRef> lost;
+  for (const auto& [attempt, run] : worker.runs_) lost.push_back(attempt);
+  if (lost.empty()) return;
+  LogEvent("worker_lost", {{"worker", worker.report_.id_.value()},
+                           {"life", worker.report_.life_.value()},
+                           {"runs", lost.size()},
+                           {"why", why}});
+  ProposeEnds(ctx, worker, lost, AttemptEnd::kLost);
+}
+
+void SendStart(Context& ctx, FleetWorker& worker, const AttemptRef& attempt,
+               Run& run) {
+  const GraphJob* job = FindJob(ctx.state_, attempt.task_.job_);
+  if (job == nullptr) return;
+  const StepRecord* step =
+      FindStep(*job, attempt.task_.occurrence_, attempt.task_.step_);
+  if (step == nullptr) return;
+  const StepSpec& spec = job->spec_.steps_[attempt.task_.step_.value()];
+  StartOrder order{.target_ = TargetOf(ctx, worker),
+                   .attempt_ = attempt,
+                   .payload_ = job->spec_.payload_,
+                   .checkpoint_ = {}};
+  order.checkpoint_ =
+      spec.gang_ ? step->checkpoint_
+                 : step->tasks_[attempt.task_.index_.value()].checkpoint_;
+  order.lease_until_ms_ =
+      GrantLease(worker, ctx.scheduler_.options_.start_lease_, ctx.now_);
+  run.order_in_flight_ = true;
+  run.since_ = ctx.now_;
+  ++run.orders_;
+  ctx.actions_.emplace_back(std::move(order));
+}
+
+void SendStop(Context& ctx, FleetWorker& worker, const AttemptRef& attempt,
+              Run& run) {
+  run.order_in_flight_ = true;
+  run.since_ = ctx.now_;
+  ++run.orders_;
+  ctx.actions_.emplace_back(StopOrder{TargetOf(ctx, worker), attempt});
+}
+
+void StopRun(Context& ctx, FleetWorker& worker, const AttemptRef& attempt,
+             Run& run, std::string_view why) {
+  const bool stopping =
+      run.phase_ == RunPhase::kStopping || run.phase_ == RunPhase::kStopped;
+  if (stopping || run.end_proposed_) return;
+  // Its start has not left yet; decided again once its record is in the log.
+  if (run.phase_ == RunPhase::kProposed) return;
+  LogDetail("stop_attempt", {{"attempt", Describe(attempt)},
+                             {"worker", worker.report_.id_.value()},
+                             {"why", why}});
+  const bool start_out =
+      run.phase_ == RunPhase::kStarting && run.order_in_flight_;
+  run.unclear_start_ = run.unclear_start_ || start_out;
+  SetPhase(ctx, run, RunPhase::kStopping);
+  SendStop(ctx, worker, attempt, run);
+}
+
+void SendLook(Context& ctx, FleetWorker& worker) {
+  const SchedulerOptions& options = ctx.scheduler_.options_;
+  LookOrder order;
+  order.target_ = TargetOf(ctx, worker);
+  order.number_ = ++worker.looks_;
+  // While the worker is silent it may be restarting, and its next life would
+  // forget ends of its own up to that number.
+  if (worker.silent_calls_ == 0) order.last_end_ = worker.logged_end_;
+  order.wait_ = options.look_wait_;
+  // Without a task that surely runs a worker needs no lease; with one it takes
+  // longer until a task that gets lost on the way there is known to be over.
+  bool runs = false;
+  for (const auto& [attempt, run] : worker.runs_) {
+    runs = runs || run.phase_ == RunPhase::kRunning ||
+           run.phase_ == RunPhase::kRecovering;
+  }
+  // A lease ends on the worker's clock, which the first answer tells.
+  if (runs && worker.clock_at_ != Time()) {
+    order.lease_until_ms_ = GrantLease(worker, LeaseFor(ctx, worker), ctx.now_);
+  }
+  bool settled = worker.seen_;
+  for (const auto& [attempt, run] : worker.runs_) {
+    settled = settled && run.phase_ == RunPhase::kRunning;
+  }
+  // Something waits for what the look shows, not for an end.
+  if (!settled || worker.runs_.empty()) order.wait_ = Duration(0);
+  worker.look_in_flight_ = true;
+  ctx.actions_.emplace_back(std::move(order));
+}
+
+}  // namespace flamingohollow::graph_scheduler_internal
--- /dev/null
+++ b/flamingohollow/graph_scheduler_records.cc
@@ -0,0 +1,151 @@
+// Records that made it into the log, by whoever proposed them, and those of
+// this scheduler that did not.
+
+#include <algorithm>
+#include <utility>
+
+#include "flamingohollow/graph_scheduler_step.h"
+#include "util/event_log.h"
+
+namespace flamingohollow::graph_scheduler_internal {
+namespace {
+
+void OnApplied(Context& ctx, const OpenRecord& record) {
+  if (ctx.scheduler_.opening_ > 0) --ctx.scheduler_.opening_;
+  for (const OpenedAttempt& opened : record.attempts_) {
+    const auto found = ctx.scheduler_.fleet_.find(opened.worker_);
+    if (found == ctx.scheduler_.fleet_.end()) continue;
+    FleetWorker& worker = found->second;
+    Run* run = FindRun(worker, opened.attempt_);
+    if (run == nullptr) continue;
+    if (!IsOpen(ctx.state_, opened.attempt_)) {
+      RemoveRun(worker, opened.attempt_);
+      continue;
+    }
+    SetPhase(ctx, *run, RunPhase::kStarting);
+    // Its worker began to drain, or was lost, in the meantime.
+    const bool gone = worker.report_.life_ != opened.life_ ||
+                      !worker.reported_ || worker.report_.draining_;
+    if (gone) {
+      ProposeEnds(ctx, worker, {opened.attempt_}, AttemptEnd::kNeverBegan);
+      continue;
+    }
+    SendStart(ctx, worker, opened.attempt_, *run);
+  }
+}
+
+// The worker that the attempt runs on; null when none does.
+FleetWorker* FindHolder(const Context& ctx, const AttemptRef& attempt) {
+  const TaskRef& task = attempt.task_;
+  const GraphJob* job = FindJob(ctx.state_, task.job_);
+  const StepRecord* step =
+      job == nullptr ? nullptr : FindStep(*job, task.occurrence_, task.step_);
+  if (step != nullptr) {
+    const auto found =
+        ctx.scheduler_.fleet_.find(step->tasks_[task.index_.value()].worker_);
+    if (found != ctx.scheduler_.fleet_.end() &&
+        found->second.runs_.contains(attempt)) {
+      return &found->second;
+    }
+  }
+  // The state no longer holds the occurrence, or a newer attempt.
+  for (auto& [id, worker] : ctx.scheduler_.fleet_) {
+    if (worker.runs_.contains(attempt)) return &worker;
+  }
+  return nullptr;
+}
+
+void OnApplied(Context& ctx, const EndRecord& record) {
+  for (const EndedAttempt& ended : record.attempts_) {
+    FleetWorker* holder = FindHolder(ctx, ended.attempt_);
+    if (holder == nullptr) continue;
+    if (FindRun(*holder, ended.attempt_)->end_proposed_) {
+      RemoveRun(*holder, ended.attempt_);
+    }
+  }
+  FleetWorker* worker = FindLife(ctx, record.worker_, record.life_);
+  if (worker != nullptr && record.last_end_ > 0) {
+    worker->logged_end_ = std::max(worker->logged_end_, record.last_end_);
+    worker->ends_proposed_ = false;
+  }
+}
+
+void OnApplied(Context& ctx, const SubmitRecord& record) {
+  ctx.scheduler_.since_.emplace(record.key_, ctx.now_);
+}
+
+void OnApplied(Context& ctx, const DueRecord& record) {
+  for (const auto& item : record.items_) {
+    ctx.scheduler_.due_proposed_.erase(item.key_);
+  }
+}
+
+void OnApplied(Context& ctx, const ForgetRecord& record) {
+  for (const GraphJobKey& key : record.keys_) {
+    ctx.scheduler_.forget_proposed_.erase(key);
+    ctx.scheduler_.since_.erase(key);
+    auto& paces = ctx.scheduler_.step_paces_;
+    auto pace = paces.lower_bound({key, Occurrence(), StepIndex()});
+    while (pace != paces.end() && pace->first.job_ == key) {
+      pace = paces.erase(pace);
+    }
+  }
+}
+
+}  // namespace
+
+void OnApplied(Context& /*ctx*/, const CatalogRecord& /*record*/) {}
+void OnApplied(Context& /*ctx*/, const CancelRecord& /*record*/) {}
+void OnApplied(Context& /*ctx*/, const WorkerRecord& /*record*/) {}
+
+void On(Context& ctx, const RecordApplied& applied) {
+  ctx.scheduler_.dirty_ = true;
+  std::visit([&ctx](const auto& record) { OnApplied(ctx, record); },
+             *applied.record_);
+}
+
+namespace {
+
+void OnLost(Context& ctx, const OpenRecord& record) {
+  if (ctx.scheduler_.opening_ > 0) --ctx.scheduler_.opening_;
+  for (const OpenedAttempt& opened : record.attempts_) {
+    const auto found = ctx.scheduler_.fleet_.find(opened.worker_);
+    if (found != ctx.scheduler_.fleet_.end()) {
+      RemoveRun(found->second, opened.attempt_);
+    }
+  }
+}
+
+void OnLost(Context& ctx, const EndRecord& record) {
+  for (const EndedAttempt& ended : record.attempts_) {
+    FleetWorker* holder = FindHolder(ctx, ended.attempt_);
+    if (holder == nullptr) continue;
+    FindRun(*holder, ended.attempt_)->end_proposed_ = false;
+  }
+  FleetWorker* worker = FindLife(ctx, record.worker_, record.life_);
+  if (worker != nullptr) worker->ends_proposed_ = false;
+}
+
+void OnLost(Context& ctx, const DueRecord& record) {
+  for (const auto& item : record.items_) {
+    ctx.scheduler_.due_proposed_.erase(item.key_);
+  }
+}
+
+void OnLost(Context& ctx, const ForgetRecord& record) {
+  for (const GraphJobKey& key : record.keys_) {
+    ctx.scheduler_.forget_proposed_.erase(key);
+  }
+}
+
+}  // namespace
+
+template <class Record>
+void OnLost(Context& /*ctx*/, const Record& /*record*/) {}
+
+void On(Context& ctx, const RecordLost& lost) {
+  ctx.scheduler_.dirty_ = true;
+  std::visit([&ctx](const auto& record) { OnLost(ctx, record); }, lost.record_);
+}
+
+}  // namespace flamingohollow::graph_scheduler_internal
--- a/flamingohollow/testing/membership_plan_test.cc
+++ b/flamingohollow/testing/membership_plan_test.cc
@@ -101,7 +101,7 @@
   finder.seeds_ = {"a", "b"};
   CHECK_EQ(NextAddress(finder), "a");
   CHECK_EQ(NextAddress(finder), "b");
-  CHECK_FALSE(TakeReply(finder, "b", Elsewhere("c"), kNow));
+  CHECK_FALSE(TakeReply(finder, "b", Elsewhere("c")));
   CHECK_EQ(NextAddress(finder), "c");
   CHECK_EQ(NextAddress(finder), "c");
   TakeSilence(finder, "c");
@@ -113,9 +113,9 @@
   finder.seeds_ = {"a", "b"};
   GraphReply newer = Answer(5);
   newer.leader_address_ = std::string("b");
-  CHECK(TakeReply(finder, "b", newer, kNow));
-  CHECK_FALSE(TakeReply(finder, "a", Answer(4), kNow));
-  CHECK(TakeReply(finder, "a", Answer(5), kNow));
+  CHECK(TakeReply(finder, "b", newer));
+  CHECK_FALSE(TakeReply(finder, "a", Answer(4)));
+  CHECK(TakeReply(finder, "a", Answer(5)));
 }
 
 TEST_CASE("a detour is another node than the one that failed") {
