--- a/flamingohollow/graph_scheduler_looks.cc
+++ b/flamingohollow/graph_scheduler_looks.cc
@@ -2,6 +2,7 @@
 // ended.
 
 #include <algorithm>
+#include <cmath>
 #include <set>
 #include <utility>
 
@@ -83,7 +84,12 @@
   if (spec.long_running_ || away) return;
   StepPace& step =
       ctx.scheduler_.step_paces_[{task.job_, task.occurrence_, task.step_}];
-  LearnPace(worker.pace_, step, *rate, spec.gang_, ctx.now_);
+  if (LearnPace(worker.pace_, step, *rate, spec.gang_, ctx.now_)) {
+    LogDetail("worker_pace", {{"worker", worker.report_.id_.value()},
+                              {"attempt", Describe(row.attempt_)},
+                              {"percent", point.percent_},
+                              {"pace", std::exp(worker.pace_.log_pace_)}});
+  }
 }
 
 // Stops what runs there and should not, such as an attempt that an earlier
--- a/flamingohollow/worker_pace.cc
+++ b/flamingohollow/worker_pace.cc
@@ -43,13 +43,13 @@
   return std::log(share * 1000 / static_cast<double>(span.ms()));
 }
 
-void LearnPace(WorkerPace& worker, StepPace& step, double log_rate,
+bool LearnPace(WorkerPace& worker, StepPace& step, double log_rate,
                bool equal_work, Time now) {
   const double seen = log_rate - worker.log_pace_;
   if (step.samples_ == 0) {
     step.log_rate_ = seen;
     step.samples_ = 1;
-    return;
+    return false;
   }
   const double off = seen - step.log_rate_;
   const bool large = std::abs(off) > kLargeStep;
@@ -60,6 +60,7 @@
   step.samples_ = std::min(step.samples_ + 1, kMaxStepSamples);
   // What is far off says something about the worker, not about the step.
   if (!large) step.log_rate_ += off / step.samples_;
+  return large;
 }
 
 double TypicalPace(std::vector<double> paces) {
--- a/flamingohollow/worker_pace.h
+++ b/flamingohollow/worker_pace.h
@@ -55,8 +55,9 @@
                                   const ProgressPoint& to);
 
 // Learns from the rate of one task. `equal_work`: the step's tasks have equal
-// work, as those of a gang do.
-void LearnPace(WorkerPace& worker, StepPace& step, double log_rate,
+// work, as those of a gang do. True when the worker was far off what is known
+// of it.
+bool LearnPace(WorkerPace& worker, StepPace& step, double log_rate,
                bool equal_work, Time now);
 
 // The median of the paces; 0 for none.
