--- a/bench/graph_load_bench.cc
+++ b/bench/graph_load_bench.cc
@@ -1,11 +1,12 @@
 // Plays streams of graph jobs against the scheduler and tells what callers get,
 // policy beside policy.
 //
-//   graph_load_bench [--workers=N] [--seeds=N] [--csv]
+//   graph_load_bench [--workers=N] [--seeds=N] [--load=TIMES] [--only=TROUBLE]
 //
-// Every policy plays the same seeds. Prints a line for each load and policy:
-// the share of the worth that callers got, of each queue's jobs the share in
-// time, and the work wasted as a share of the work asked for.
+// Every policy plays the same seeds. Prints a row of a Markdown table for each
+// load and policy: the share of the worth that callers got, of each queue's
+// jobs the share in time, and the work in vain as a share of the work asked
+// for. docs/LOAD.md holds its output.
 
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
@@ -23,7 +24,6 @@
 ABSL_FLAG(int, seeds, 4, "seeds to play of each load");
 ABSL_FLAG(int, threads, 4, "seeds that are played at one time");
 ABSL_FLAG(std::string, only, "", "play only troubles whose name holds this");
-ABSL_FLAG(bool, csv, false, "print comma-separated rows, for tools/plot_load");
 
 namespace flamingohollow::testing {
 namespace {
@@ -36,6 +36,13 @@
 std::vector<Policy> MakePolicies() {
   std::vector<Policy> policies;
   policies.push_back({"present", {}});
+  // Urgent jobs stop others only when their estimate just fits.
+  Policy& late = policies.emplace_back(Policy{"stops late", {}});
+  late.options_.placement_.caution_ = 1;
+  // Whoever fits starts; gangs hold no room.
+  Policy& greedy = policies.emplace_back(Policy{"no room held", {}});
+  greedy.options_.placement_.min_reservations_ = 0;
+  greedy.options_.placement_.max_reservations_ = 0;
   return policies;
 }
 
@@ -59,6 +66,7 @@
   const int threads = absl::GetFlag(FLAGS_threads);
   std::vector<LoadResult> results(static_cast<std::size_t>(seeds));
   std::vector<std::thread> pool;
+  pool.reserve(static_cast<std::size_t>(threads));
   for (int t = 0; t < threads; ++t) {
     pool.emplace_back([&, t] {
       for (int seed = t; seed < seeds; seed += threads) {
@@ -89,22 +97,23 @@
 
 void Print(const std::string& load, const std::string& trouble,
            const std::string& policy, const LoadResult& result) {
-  const char* format = absl::GetFlag(FLAGS_csv)
-                           ? "{},{},{},{:.3f},{:.3f},{:.3f},{:.3f},{:.3f}{}\n"
-                           : "{:<9} {:<15} {:<22} worth {:.3f}  in time {:.3f} "
-                             "{:.3f} {:.3f}  wasted {:.3f} {}\n";
   std::vector<double> shares;
   for (const QueueResult& queue : result.queues_) {
     shares.push_back(Share(queue.in_time_, queue.jobs_));
   }
-  fmt::print(fmt::runtime(format), load, trouble, policy,
-             Share(result.earned_, result.owed_), shares[0], shares[1],
-             shares[2], Share(result.wasted_, result.asked_), result.broken_);
+  fmt::print("| {} | {} | {} | {:.3f} | {:.3f} | {:.3f} | {:.3f} | {:.3f} |\n",
+             load, trouble, policy, Share(result.earned_, result.owed_),
+             shares[0], shares[1], shares[2],
+             Share(result.wasted_, result.asked_));
+  if (!result.broken_.empty()) fmt::print("broken: {}\n", result.broken_);
   std::fflush(stdout);
 }
 
 int Main() {
   const int workers = absl::GetFlag(FLAGS_workers);
+  fmt::print(
+      "| load | trouble | policy | worth | urgent in time | rebuild in time | "
+      "replan in time | in vain |\n|---|---|---|--:|--:|--:|--:|--:|\n");
   const std::vector<Policy> policies = MakePolicies();
   for (const auto& make : {&MakeDispatchLoad, &MakeTimecastLoad}) {
     for (const NamedTrouble& trouble : Troubles()) {
--- a/flamingohollow/testing/worker_pace_test.cc
+++ b/flamingohollow/testing/worker_pace_test.cc
@@ -48,6 +48,7 @@
     }
   }
   std::vector<double> paces;
+  paces.reserve(workers.size());
   for (const WorkerPace& worker : workers) paces.push_back(worker.log_pace_);
   const double typical = TypicalPace(paces);
   int misjudged = 0;
