Placement: paces are compared within a pool

Pools may differ in kind, and no step runs on two of them, so what was learned in one says nothing of another: a small slow pool beside a large one would have been left out as very slow. Test: two workers of a pool of their own take tasks; failed before.

--- a/flamingohollow/fleet.h
+++ b/flamingohollow/fleet.h
@@ -89,7 +89,7 @@
 
 struct FleetWorker {
   PoolWorkerReport report_;
-  // False while nothing but its attempts is known.
+  // False while nothing but its attempts is known, and once it is gone.
   bool reported_ = false;
   // When `report_` came.
   Time report_at_;
--- a/flamingohollow/graph_placement_fit.cc
+++ b/flamingohollow/graph_placement_fit.cc
@@ -18,8 +18,8 @@
   return Suits(room.worker_->report_, *unit.spec_, unit.job_->terms_.pool_);
 }
 
-// Urgent units have the least time to spare and get the fastest workers; the
-// others leave those free.
+// Urgent units have the least time to spare and get the fastest workers. To the
+// others a slow one is as good, as long as nothing is wrong with it.
 int RankPace(const Room& room, const Unit& unit) {
   const int pace = static_cast<int>(room.pace_);
   if (unit.job_->terms_.priority_ == 0) return pace;
--- a/flamingohollow/graph_placement_pass.cc
+++ b/flamingohollow/graph_placement_pass.cc
@@ -50,30 +50,33 @@
   }
 }
 
-// Of all workers, one in so many may be left out for being very slow.
+// Of a pool's workers, one in so many may be left out for being very slow.
 constexpr std::size_t kMaxVerySlowShare = 4;
 
 // Workers that are very slow get nothing new, unless so many are that it is
 // rather the measure that is wrong.
-void SetPaces(Pass& pass) {
+void SetPaces(Pass& pass, const std::vector<std::size_t>& pool) {
   std::vector<double> paces;
-  for (const Room& room : pass.rooms_) {
-    const WorkerPace& pace = room.worker_->pace_;
+  for (const std::size_t room : pool) {
+    const WorkerPace& pace = pass.rooms_[room].worker_->pace_;
     if (pace.samples_ > 0) paces.push_back(pace.log_pace_);
   }
   const double typical = TypicalPace(std::move(paces));
   std::size_t very_slow = 0;
-  for (Room& room : pass.rooms_) {
+  for (const std::size_t index : pool) {
+    Room& room = pass.rooms_[index];
     room.pace_ = PaceOf(room.worker_->pace_, typical, pass.now_);
     if (room.pace_ == PaceClass::kVerySlow) ++very_slow;
   }
-  if (very_slow * kMaxVerySlowShare > pass.rooms_.size()) return;
-  for (Room& room : pass.rooms_) {
+  if (very_slow * kMaxVerySlowShare > pool.size()) return;
+  for (const std::size_t index : pool) {
+    Room& room = pass.rooms_[index];
     if (room.pace_ == PaceClass::kVerySlow) room.usable_ = false;
   }
 }
 
 void CollectRooms(Pass& pass) {
+  std::map<PoolName, std::vector<std::size_t>> pools;
   for (const auto& [id, worker] : pass.fleet_) {
     if (!worker.reported_) continue;
     Room room;
@@ -91,9 +94,11 @@
       if (leaving) room.soon_ = room.soon_ + run.need_;
     }
     pass.racks_[worker.report_.rack_].push_back(pass.rooms_.size());
+    pools[worker.report_.pool_].push_back(pass.rooms_.size());
     pass.rooms_.push_back(std::move(room));
   }
-  SetPaces(pass);
+  // No job runs on several pools, so their paces have nothing in common.
+  for (const auto& [name, pool] : pools) SetPaces(pass, pool);
 }
 
 // What a core-millisecond of an accelerator counts for.
--- a/flamingohollow/testing/graph_placement_test.cc
+++ b/flamingohollow/testing/graph_placement_test.cc
@@ -127,6 +127,18 @@
   }
 }
 
+TEST_CASE("the paces of one pool say nothing of another") {
+  GraphState state;
+  Fleet fleet = MakeFleet(1, 9, kNow);
+  for (int i = 0; i < 9; ++i) {
+    const std::string worker = "w" + std::to_string(i);
+    SetPace(fleet, worker, i < 2 ? -2 : 0);
+    if (i >= 2) fleet.at(WorkerId(worker)).report_.pool_ = PoolName("other");
+  }
+  Submit(state, 1, {MakeStep(2, 8, Duration(1000))}, {});
+  CHECK_EQ(Plan(state, fleet).open_.size(), 2);
+}
+
 TEST_CASE("labels and the limit on one worker are kept") {
   GraphState state;
   Fleet fleet = MakeFleet(1, 2, kNow);
