Scheduler: a gang stops when the start of a member has no answer

A worker with nothing on it is not called, and counts as there until three reports are missing. A gang that is placed on it meanwhile has one start without an answer. That one was stopped after three orders, 1 to 3 s; the other members were left waiting until one ended alone, with their room held. Ruled out: a leader that was late or lost (none changed before 34 s), and a worker that was known to drain (the ones in question never were).

Change: when a start is given up, or a worker leaves, the rest of the gang stops at once; a start is given up after two orders, 2 s, since members wait 3 s for each other. Test: the new scheduler test failed before.

--- a/flamingohollow/graph_scheduler.cc
+++ b/flamingohollow/graph_scheduler.cc
@@ -40,6 +40,25 @@
   return whole ? "" : "another member of its gang ended";
 }
 
+// The other members of the attempt's gang can do nothing without it: stops
+// them.
+void StopRestOfGang(Context& ctx, const AttemptRef& attempt,
+                    std::string_view why) {
+  const TaskRef& task = attempt.task_;
+  const GraphJob* job = FindJob(ctx.state_, task.job_);
+  if (job == nullptr || !job->spec_.steps_[task.step_.value()].gang_) return;
+  const StepRecord* step = FindStep(*job, task.occurrence_, task.step_);
+  if (step == nullptr) return;
+  for (std::uint32_t index = 0; index < step->tasks_.size(); ++index) {
+    AttemptRef member = attempt;
+    member.task_.index_ = TaskIndex(index);
+    const auto worker = ctx.scheduler_.fleet_.find(step->tasks_[index].worker_);
+    if (worker == ctx.scheduler_.fleet_.end()) continue;
+    Run* run = FindRun(worker->second, member);
+    if (run != nullptr) StopRun(ctx, worker->second, member, *run, why);
+  }
+}
+
 void RetryOrders(Context& ctx, FleetWorker& worker, const AttemptRef& attempt,
                  Run& run) {
   const SchedulerOptions& options = ctx.scheduler_.options_;
@@ -52,6 +71,7 @@
     return SendStart(ctx, worker, attempt, run);
   }
   StopRun(ctx, worker, attempt, run, "its start had no answer");
+  StopRestOfGang(ctx, attempt, "the start of a gang member had no answer");
 }
 
 // Whether the task is to be stopped before its worker leaves: it won't end by
@@ -76,6 +96,7 @@
     const StepSpec& spec = job->spec_.steps_[attempt.task_.step_.value()];
     if (IsDoomed(ctx, run, spec, stays)) {
       StopRun(ctx, worker, attempt, run, "its worker leaves");
+      StopRestOfGang(ctx, attempt, "the worker of a gang member leaves");
     }
   }
 }
--- a/flamingohollow/graph_scheduler.h
+++ b/flamingohollow/graph_scheduler.h
@@ -43,8 +43,9 @@
   Duration look_wait_ = Duration(2000);
   // An order without an answer is sent again after this long.
   Duration resend_ = Duration(300);
-  // A start that had no answer is given up and stopped after this many orders.
-  std::uint32_t max_start_orders_ = 3;
+  // A start that had no answer is given up and stopped after this many orders:
+  // in 2 s, while the other members of a gang still wait for it.
+  std::uint32_t max_start_orders_ = 2;
   // Tasks on a worker that drains are stopped this long before it may leave, at
   // the latest.
   Duration evacuate_ahead_ = Duration(900);
--- a/flamingohollow/testing/graph_scheduler_test.cc
+++ b/flamingohollow/testing/graph_scheduler_test.cc
@@ -121,6 +121,20 @@
   CHECK_EQ(Broken(world), "");
 }
 
+// A worker may be gone without a word just before. The others of the gang would
+// wait for its member, holding their room, until they give up by themselves.
+TEST_CASE("a gang is stopped when the start of a member has no answer") {
+  GraphWorld world({.racks_ = 1, .per_rack_ = 2});
+  world.RunFor(Duration(1510));
+  world.Cut(1);
+  world.Submit(1, {MakeGang(2, 8, Duration(4000), true)}, {});
+  world.RunFor(Duration(500));
+  REQUIRE_EQ(world.RunningTasks(1), 1);
+  world.RunFor(Duration(2300));
+  CHECK_EQ(world.RunningTasks(1), 0);
+  CHECK_EQ(Broken(world), "");
+}
+
 // Load: workers that are taken away within two seconds say nothing when they
 // go, and their leases run on for ten.
 TEST_CASE("a gang does not wait for a worker that leaves before it ends") {
