Replica: the timing between voters and the seed are set in one place

Cause: graph_control.cc and control_process.cc each set the heartbeat, the election time-outs and a random seed, line for line, and replica.cc drew its random voter id the same way.

Change: SetVoterTiming beside the constants, RandomBits under both. No behaviour changes.

--- a/flamingohollow/control_process.cc
+++ b/flamingohollow/control_process.cc
@@ -4,7 +4,6 @@
 
 #include <boost/leaf/error.hpp>
 #include <boost/leaf/handle_errors.hpp>
-#include <random>
 #include <string>
 #include <utility>
 
@@ -38,11 +37,7 @@
   for (const ControlVoter& voter : control.voters_) {
     options.founders_.push_back({voter.name_, voter.address_});
   }
-  options.raft_.heartbeat_ = kVoterHeartbeat;
-  options.raft_.election_min_ = kElectionMin;
-  options.raft_.election_max_ = kElectionMax;
-  std::random_device device;
-  options.seed_ = (std::uint64_t{device()} << 32) | device();
+  SetVoterTiming(options);
   return options;
 }
 
--- a/flamingohollow/graph_control.cc
+++ b/flamingohollow/graph_control.cc
@@ -12,7 +12,6 @@
 #include <filesystem>
 #include <fstream>
 #include <future>
-#include <random>
 #include <thread>
 #include <utility>
 
@@ -146,11 +145,7 @@
   for (const std::string& seed : SeedAddresses(settings_)) {
     options.founders_.push_back({NodeName(HostOf(seed)), seed});
   }
-  options.raft_.heartbeat_ = kVoterHeartbeat;
-  options.raft_.election_min_ = kElectionMin;
-  options.raft_.election_max_ = kElectionMax;
-  std::random_device device;
-  options.seed_ = (std::uint64_t{device()} << 32) | device();
+  SetVoterTiming(options);
   return options;
 }
 
--- a/flamingohollow/replica.cc
+++ b/flamingohollow/replica.cc
@@ -453,15 +453,26 @@
   return status;
 }
 
-VoterId RandomVoterId() {
+std::uint64_t RandomBits() {
   std::random_device device;
+  return (std::uint64_t{device()} << 32) | device();
+}
+
+VoterId RandomVoterId() {
   std::uint64_t id = 0;
-  while (id == 0) id = (std::uint64_t{device()} << 32) | device();
+  while (id == 0) id = RandomBits();
   return VoterId(id);
 }
 
 }  // namespace
 
+void SetVoterTiming(ReplicaOptions& options) {
+  options.raft_.heartbeat_ = kVoterHeartbeat;
+  options.raft_.election_min_ = kElectionMin;
+  options.raft_.election_max_ = kElectionMax;
+  options.seed_ = RandomBits();
+}
+
 leaf::result<std::unique_ptr<Replica>> MakeReplica(ReplicaOptions options,
                                                    ReplicaOwner* owner,
                                                    PeerSender send,
--- a/flamingohollow/replica_factory.h
+++ b/flamingohollow/replica_factory.h
@@ -46,6 +46,9 @@
 inline constexpr Duration kElectionMin = Duration(750);
 inline constexpr Duration kElectionMax = Duration(1250);
 
+// Sets the timing between voters, and a seed of this process's own.
+void SetVoterTiming(ReplicaOptions& options);
+
 // Sends one message to the voter at `address`. It may be lost, delayed,
 // repeated or overtaken by another.
 using PeerSender =
