--- a/flamingohollow/fleet.cc
+++ b/flamingohollow/fleet.cc
@@ -30,6 +30,11 @@
   worker.runs_.erase(found);
 }
 
+bool IsLeaving(const Run& run) {
+  return run.phase_ == RunPhase::kStopping ||
+         run.phase_ == RunPhase::kStopped || run.end_proposed_;
+}
+
 Duration RemainingTime(const Run& run, Duration estimate, Time now) {
   constexpr double kWhole = 100;
   if (!run.progress_.has_value()) {
--- a/flamingohollow/fleet.h
+++ b/flamingohollow/fleet.h
@@ -143,6 +143,8 @@
 // it answers again.
 inline constexpr std::uint32_t kMaxSilentCalls = 1;
 
+// It is being stopped, or its end is on its way into the log.
+bool IsLeaving(const Run& run);
 // How much longer the run takes where it is: by its progress, or by `estimate`
 // of the whole task while too little of that is known.
 Duration RemainingTime(const Run& run, Duration estimate, Time now);
--- a/flamingohollow/graph_placement.cc
+++ b/flamingohollow/graph_placement.cc
@@ -14,11 +14,11 @@
 using graph_placement_internal::CollectGuaranteed;
 using graph_placement_internal::CollectRooms;
 using graph_placement_internal::CollectUnits;
+using graph_placement_internal::CountFits;
 using graph_placement_internal::FitUnit;
 using graph_placement_internal::Group;
 using graph_placement_internal::kTooLate;
 using graph_placement_internal::MeasureUse;
-using graph_placement_internal::Need;
 using graph_placement_internal::Pass;
 using graph_placement_internal::Room;
 using graph_placement_internal::RoomView;
@@ -163,15 +163,9 @@
     for (const auto& [id, worker] : fleet) {
       const bool suits = worker.reported_ && Suits(worker.report_, step, pool);
       if (!suits) continue;
-      Resources left = worker.report_.capacity_;
-      std::uint64_t here = 0;
       const std::uint64_t limit =
           step.max_per_worker_ > 0 ? step.max_per_worker_ : step.tasks_;
-      while (here < limit && Fits(need, left)) {
-        left = left - need;
-        ++here;
-      }
-      places += here;
+      places += CountFits(need, worker.report_.capacity_, limit);
     }
     const std::uint64_t wanted = step.gang_ ? step.tasks_ : 1;
     if (places < wanted) return false;
--- a/flamingohollow/graph_placement_fit.cc
+++ b/flamingohollow/graph_placement_fit.cc
@@ -27,12 +27,10 @@
 }
 
 FitRank RankFit(const Room& room, const Unit& unit, const Resources& left) {
-  const Rack& data = unit.spec_->data_rack_;
-  const bool away = data != Rack() && room.worker_->report_.rack_ != data;
+  const bool away = IsAwayFromData(*unit.spec_, room.worker_->report_.rack_);
   return {away, RankPace(room, unit), left.accelerators_, left.memory_mb_};
 }
 
-// How many tasks of this need fit into `free`, at most `limit`.
 std::uint64_t CountFits(const Resources& need, const Resources& free,
                         std::uint64_t limit) {
   if (!Fits(need, free)) return 0;
@@ -136,8 +134,7 @@
   for (const auto& [rack, rooms] : pass.racks_) {
     auto fit = FitAmong(pass, unit, rooms, view);
     if (!fit.has_value()) continue;
-    const bool away =
-        unit.spec_->data_rack_ != Rack() && rack != unit.spec_->data_rack_;
+    const bool away = IsAwayFromData(*unit.spec_, rack);
     int pace = 0;
     for (const std::size_t room : *fit) {
       pace = std::max(pace, RankPace(pass.rooms_[room], unit));
--- a/flamingohollow/graph_placement_pass.cc
+++ b/flamingohollow/graph_placement_pass.cc
@@ -18,13 +18,6 @@
   return report.pool_ == pool && HasLabel(report, spec.label_);
 }
 
-Resources Need(const StepSpec& spec) {
-  Resources need = spec.need_;
-  // A filler's share of the processor is what others leave.
-  if (spec.fills_) need.millicores_ = 0;
-  return need;
-}
-
 void CollectGuaranteed(Pass& pass) {
   std::vector<const GraphJob*> urgent;
   for (const auto& [key, job] : pass.state_.jobs_) {
@@ -86,12 +79,8 @@
     room.free_ = worker.report_.capacity_ - worker.used_;
     room.soon_ = room.free_;
     for (const auto& [attempt, run] : worker.runs_) {
-      const TaskRef& task = attempt.task_;
-      ++room.tasks_[{task.job_, task.occurrence_, task.step_}];
-      const bool leaving = run.phase_ == RunPhase::kStopping ||
-                           run.phase_ == RunPhase::kStopped ||
-                           run.end_proposed_;
-      if (leaving) room.soon_ = room.soon_ + run.need_;
+      ++room.tasks_[StepOf(attempt.task_)];
+      if (IsLeaving(run)) room.soon_ = room.soon_ + run.need_;
     }
     pass.racks_[worker.report_.rack_].push_back(pass.rooms_.size());
     pools[worker.report_.pool_].push_back(pass.rooms_.size());
@@ -141,8 +130,7 @@
 }
 
 void CollectGroups(Pass& pass) {
-  using GangKey = std::tuple<GraphJobKey, Occurrence, StepIndex>;
-  std::map<GangKey, std::size_t> gangs;
+  std::map<StepRef, std::size_t> gangs;
   pass.by_loss_.resize(pass.rooms_.size());
   for (std::size_t room = 0; room < pass.rooms_.size(); ++room) {
     for (const auto& [attempt, run] : pass.rooms_[room].worker_->runs_) {
@@ -151,8 +139,7 @@
       if (job == nullptr) continue;
       std::size_t index = pass.groups_.size();
       if (job->spec_.steps_[task.step_.value()].gang_) {
-        const GangKey key{task.job_, task.occurrence_, task.step_};
-        index = gangs.emplace(key, index).first->second;
+        index = gangs.emplace(StepOf(task), index).first->second;
       }
       if (index == pass.groups_.size()) {
         pass.groups_.emplace_back().job_ = job;
--- a/flamingohollow/graph_placement_pass.h
+++ b/flamingohollow/graph_placement_pass.h
@@ -55,8 +55,7 @@
   // Free once everything that is being stopped has ended.
   Resources soon_;
   // Tasks of each step here, for the limit on one worker.
-  std::map<std::tuple<GraphJobKey, Occurrence, StepIndex>, std::uint32_t>
-      tasks_;
+  std::map<StepRef, std::uint32_t> tasks_;
 };
 
 // Runs that stop together: a whole gang, or a lone task.
@@ -106,8 +105,6 @@
 // Workers on which the step's tasks may run when there is room.
 bool Suits(const PoolWorkerReport& report, const StepSpec& spec,
            const PoolName& pool);
-// What one task takes of a worker.
-Resources Need(const StepSpec& spec);
 void CollectGuaranteed(Pass& pass);
 void CollectRooms(Pass& pass);
 void CollectGroups(Pass& pass);
@@ -121,6 +118,9 @@
 
 // graph_placement_fit.cc
 
+// How many tasks of this need fit into `free`, at most `limit`.
+std::uint64_t CountFits(const Resources& need, const Resources& free,
+                        std::uint64_t limit);
 bool WantsOneRack(const Unit& unit);
 bool SomeRackCouldHold(const Pass& pass, const Unit& unit);
 // Whether the rooms could hold the unit if they were empty.
--- a/flamingohollow/graph_scheduler.cc
+++ b/flamingohollow/graph_scheduler.cc
@@ -52,10 +52,9 @@
   for (std::uint32_t index = 0; index < step->tasks_.size(); ++index) {
     AttemptRef member = attempt;
     member.task_.index_ = TaskIndex(index);
-    const auto worker = ctx.scheduler_.fleet_.find(step->tasks_[index].worker_);
-    if (worker == ctx.scheduler_.fleet_.end()) continue;
-    Run* run = FindRun(worker->second, member);
-    if (run != nullptr) StopRun(ctx, worker->second, member, *run, why);
+    FleetWorker* holder = FindHolder(ctx, member);
+    if (holder == nullptr) continue;
+    StopRun(ctx, *holder, member, *FindRun(*holder, member), why);
   }
 }
 
@@ -92,7 +91,7 @@
   const Duration stays = StaysFor(worker, ctx.now_);
   for (auto& [attempt, run] : worker.runs_) {
     const GraphJob* job = FindJob(ctx.state_, attempt.task_.job_);
-    if (job == nullptr) continue;
+    if (job == nullptr || IsLeaving(run)) continue;
     const StepSpec& spec = job->spec_.steps_[attempt.task_.step_.value()];
     if (IsDoomed(ctx, run, spec, stays)) {
       StopRun(ctx, worker, attempt, run, "its worker leaves");
@@ -164,19 +163,13 @@
   Propose(ctx, std::move(record));
 }
 
-bool SameStart(const AttemptRef& a, const AttemptRef& b) {
-  return a.task_.job_ == b.task_.job_ &&
-         a.task_.occurrence_ == b.task_.occurrence_ &&
-         a.task_.step_ == b.task_.step_ && a.attempt_ == b.attempt_;
-}
-
 // One line for the tasks of a step that start together.
 void LogPlaced(const std::vector<OpenedAttempt>& attempts) {
   for (std::size_t begin = 0; begin < attempts.size();) {
     std::size_t end = begin;
     std::string workers;
     while (end < attempts.size() &&
-           SameStart(attempts[begin].attempt_, attempts[end].attempt_)) {
+           IsSameStart(attempts[begin].attempt_, attempts[end].attempt_)) {
       if (!workers.empty()) workers += ',';
       workers += attempts[end].worker_.value();
       ++end;
@@ -198,8 +191,7 @@
     const StepSpec& spec =
         job->spec_.steps_[opened.attempt_.task_.step_.value()];
     Run run;
-    run.need_ = spec.need_;
-    if (spec.fills_) run.need_.millicores_ = 0;
+    run.need_ = Need(spec);
     run.since_ = ctx.now_;
     AddRun(*worker, opened.attempt_, std::move(run));
     record.attempts_.push_back(opened);
@@ -289,8 +281,7 @@
                              scheduler.options_.resend_;
         Run run;
         run.phase_ = RunPhase::kRecovering;
-        run.need_ = spec.need_;
-        if (spec.fills_) run.need_.millicores_ = 0;
+        run.need_ = Need(spec);
         run.since_ = now;
         AddRun(worker,
                {{job.key_, number, StepIndex(i), TaskIndex(index)},
--- a/flamingohollow/graph_scheduler.h
+++ b/flamingohollow/graph_scheduler.h
@@ -174,15 +174,6 @@
     std::variant<PoolWorkerReport, WorkerLeft, StartResult, StopResult,
                  LookResult, RecordApplied, RecordLost, SchedulerTick>;
 
-// A step of one run of a job's graph.
-struct StepRef {
-  GraphJobKey job_;
-  Occurrence occurrence_;
-  StepIndex step_;
-
-  friend auto operator<=>(const StepRef&, const StepRef&) = default;
-};
-
 struct Scheduler {
   SchedulerOptions options_;
   FencingToken token_;
--- a/flamingohollow/graph_scheduler_looks.cc
+++ b/flamingohollow/graph_scheduler_looks.cc
@@ -79,11 +79,9 @@
   const StepSpec& spec = job->spec_.steps_[task.step_.value()];
   // A task that runs until it is cancelled has no end to come nearer to; one
   // away from its data is slow by that.
-  const bool away =
-      spec.data_rack_ != Rack() && spec.data_rack_ != worker.report_.rack_;
+  const bool away = IsAwayFromData(spec, worker.report_.rack_);
   if (spec.long_running_ || away) return;
-  StepPace& step =
-      ctx.scheduler_.step_paces_[{task.job_, task.occurrence_, task.step_}];
+  StepPace& step = ctx.scheduler_.step_paces_[StepOf(task)];
   if (LearnPace(worker.pace_, step, *rate, spec.gang_, ctx.now_)) {
     LogDetail("worker_pace", {{"worker", worker.report_.id_.value()},
                               {"attempt", Describe(row.attempt_)},
--- a/flamingohollow/graph_scheduler_orders.cc
+++ b/flamingohollow/graph_scheduler_orders.cc
@@ -35,6 +35,24 @@
   return found == worker.runs_.end() ? nullptr : &found->second;
 }
 
+FleetWorker* FindHolder(const Context& ctx, const AttemptRef& attempt) {
+  const TaskRef& task = attempt.task_;
+  const StepRecord* step = FindStep(ctx.state_, task);
+  if (step != nullptr) {
+    const auto found =
+        ctx.scheduler_.fleet_.find(step->tasks_[task.index_.value()].worker_);
+    if (found != ctx.scheduler_.fleet_.end() &&
+        found->second.runs_.contains(attempt)) {
+      return &found->second;
+    }
+  }
+  // The state no longer holds the occurrence, or a newer attempt.
+  for (auto& [id, worker] : ctx.scheduler_.fleet_) {
+    if (worker.runs_.contains(attempt)) return &worker;
+  }
+  return nullptr;
+}
+
 std::string Describe(const AttemptRef& attempt) {
   const TaskRef& task = attempt.task_;
   return fmt::format("{}.{}.{}.{}#{}", task.job_.value(),
@@ -114,9 +132,7 @@
 
 void StopRun(Context& ctx, FleetWorker& worker, const AttemptRef& attempt,
              Run& run, std::string_view why) {
-  const bool stopping =
-      run.phase_ == RunPhase::kStopping || run.phase_ == RunPhase::kStopped;
-  if (stopping || run.end_proposed_) return;
+  if (IsLeaving(run)) return;
   // Its start has not left yet; decided again once its record is in the log.
   if (run.phase_ == RunPhase::kProposed) return;
   LogDetail("stop_attempt", {{"attempt", Describe(attempt)},
@@ -141,18 +157,16 @@
   // Without a task that surely runs a worker needs no lease; with one it takes
   // longer until a task that gets lost on the way there is known to be over.
   bool runs = false;
+  bool settled = worker.seen_;
   for (const auto& [attempt, run] : worker.runs_) {
     runs = runs || run.phase_ == RunPhase::kRunning ||
            run.phase_ == RunPhase::kRecovering;
+    settled = settled && run.phase_ == RunPhase::kRunning;
   }
   // A lease ends on the worker's clock, which the first answer tells.
   if (runs && worker.clock_at_ != Time()) {
     order.lease_until_ms_ = GrantLease(worker, LeaseFor(ctx, worker), ctx.now_);
   }
-  bool settled = worker.seen_;
-  for (const auto& [attempt, run] : worker.runs_) {
-    settled = settled && run.phase_ == RunPhase::kRunning;
-  }
   // Something waits for what the look shows, not for an end.
   if (!settled || worker.runs_.empty()) order.wait_ = Duration(0);
   worker.look_in_flight_ = true;
--- a/flamingohollow/graph_scheduler_records.cc
+++ b/flamingohollow/graph_scheduler_records.cc
@@ -2,10 +2,8 @@
 // this scheduler that did not.
 
 #include <algorithm>
-#include <utility>
 
 #include "flamingohollow/graph_scheduler_step.h"
-#include "util/event_log.h"
 
 namespace flamingohollow::graph_scheduler_internal {
 namespace {
@@ -34,27 +32,6 @@
   }
 }
 
-// The worker that the attempt runs on; null when none does.
-FleetWorker* FindHolder(const Context& ctx, const AttemptRef& attempt) {
-  const TaskRef& task = attempt.task_;
-  const GraphJob* job = FindJob(ctx.state_, task.job_);
-  const StepRecord* step =
-      job == nullptr ? nullptr : FindStep(*job, task.occurrence_, task.step_);
-  if (step != nullptr) {
-    const auto found =
-        ctx.scheduler_.fleet_.find(step->tasks_[task.index_.value()].worker_);
-    if (found != ctx.scheduler_.fleet_.end() &&
-        found->second.runs_.contains(attempt)) {
-      return &found->second;
-    }
-  }
-  // The state no longer holds the occurrence, or a newer attempt.
-  for (auto& [id, worker] : ctx.scheduler_.fleet_) {
-    if (worker.runs_.contains(attempt)) return &worker;
-  }
-  return nullptr;
-}
-
 void OnApplied(Context& ctx, const EndRecord& record) {
   for (const EndedAttempt& ended : record.attempts_) {
     FleetWorker* holder = FindHolder(ctx, ended.attempt_);
@@ -92,20 +69,10 @@
   }
 }
 
-}  // namespace
-
 void OnApplied(Context& /*ctx*/, const CatalogRecord& /*record*/) {}
 void OnApplied(Context& /*ctx*/, const CancelRecord& /*record*/) {}
 void OnApplied(Context& /*ctx*/, const WorkerRecord& /*record*/) {}
 
-void On(Context& ctx, const RecordApplied& applied) {
-  ctx.scheduler_.dirty_ = true;
-  std::visit([&ctx](const auto& record) { OnApplied(ctx, record); },
-             *applied.record_);
-}
-
-namespace {
-
 void OnLost(Context& ctx, const OpenRecord& record) {
   if (ctx.scheduler_.opening_ > 0) --ctx.scheduler_.opening_;
   for (const OpenedAttempt& opened : record.attempts_) {
@@ -138,11 +105,17 @@
   }
 }
 
-}  // namespace
-
 template <class Record>
 void OnLost(Context& /*ctx*/, const Record& /*record*/) {}
 
+}  // namespace
+
+void On(Context& ctx, const RecordApplied& applied) {
+  ctx.scheduler_.dirty_ = true;
+  std::visit([&ctx](const auto& record) { OnApplied(ctx, record); },
+             *applied.record_);
+}
+
 void On(Context& ctx, const RecordLost& lost) {
   ctx.scheduler_.dirty_ = true;
   std::visit([&ctx](const auto& record) { OnLost(ctx, record); }, lost.record_);
--- a/flamingohollow/graph_scheduler_step.h
+++ b/flamingohollow/graph_scheduler_step.h
@@ -34,6 +34,8 @@
 FleetWorker* FindLife(const Context& ctx, const WorkerId& id, WorkerLife life);
 // Null when the attempt is not on the worker.
 Run* FindRun(FleetWorker& worker, const AttemptRef& attempt);
+// The worker that the attempt runs on; null when none does.
+FleetWorker* FindHolder(const Context& ctx, const AttemptRef& attempt);
 // "JOB.OCCURRENCE.STEP.TASK#ATTEMPT", for log lines.
 std::string Describe(const AttemptRef& attempt);
 void Propose(Context& ctx, GraphRecord record);
--- a/flamingohollow/graph_state.cc
+++ b/flamingohollow/graph_state.cc
@@ -229,11 +229,15 @@
   return step.value() < steps.size() ? &steps[step.value()] : nullptr;
 }
 
+const StepRecord* FindStep(const GraphState& state, const TaskRef& task) {
+  const GraphJob* job = FindJob(state, task.job_);
+  return job == nullptr ? nullptr
+                        : FindStep(*job, task.occurrence_, task.step_);
+}
+
 bool IsOpen(const GraphState& state, const AttemptRef& attempt) {
   const TaskRef& ref = attempt.task_;
-  const GraphJob* job = FindJob(state, ref.job_);
-  if (job == nullptr) return false;
-  const StepRecord* step = FindStep(*job, ref.occurrence_, ref.step_);
+  const StepRecord* step = FindStep(state, ref);
   if (step == nullptr || ref.index_.value() >= step->tasks_.size()) {
     return false;
   }
--- a/flamingohollow/graph_state.h
+++ b/flamingohollow/graph_state.h
@@ -127,6 +127,8 @@
 // Null when the task's occurrence is not due, is finished, or never was.
 const StepRecord* FindStep(const GraphJob& job, Occurrence occurrence,
                            StepIndex step);
+// Null, too, when the job is unknown.
+const StepRecord* FindStep(const GraphState& state, const TaskRef& task);
 // The attempt is the task's newest and has not ended.
 bool IsOpen(const GraphState& state, const AttemptRef& attempt);
 
--- a/flamingohollow/graph_types.h
+++ b/flamingohollow/graph_types.h
@@ -93,6 +93,19 @@
   }
 };
 
+// What one task takes of a worker. A filler's share of the processor is what
+// others leave.
+inline Resources Need(const StepSpec& spec) {
+  Resources need = spec.need_;
+  if (spec.fills_) need.millicores_ = 0;
+  return need;
+}
+
+// Tasks on the rack run away from their data, and so slower.
+inline bool IsAwayFromData(const StepSpec& spec, const Rack& rack) {
+  return spec.data_rack_ != Rack() && rack != spec.data_rack_;
+}
+
 struct GraphSpec {
   // Handed to every task as it is.
   std::string payload_;
@@ -125,6 +138,20 @@
   }
 };
 
+// A step of one run of a job's graph.
+struct StepRef {
+  GraphJobKey job_;
+  Occurrence occurrence_;
+  StepIndex step_;
+
+  friend auto operator<=>(const StepRef&, const StepRef&) = default;
+  friend bool operator==(const StepRef&, const StepRef&) = default;
+};
+
+inline StepRef StepOf(const TaskRef& task) {
+  return {task.job_, task.occurrence_, task.step_};
+}
+
 // One start of a task.
 struct AttemptRef {
   TaskRef task_;
@@ -138,6 +165,11 @@
   }
 };
 
+// Of tasks of one step that start together, such as the members of a gang.
+inline bool IsSameStart(const AttemptRef& a, const AttemptRef& b) {
+  return a.attempt_ == b.attempt_ && StepOf(a.task_) == StepOf(b.task_);
+}
+
 // How an attempt ended.
 enum class AttemptEnd : std::uint8_t {
   kDone = 0,
--- a/flamingohollow/testing/graph_load.cc
+++ b/flamingohollow/testing/graph_load.cc
@@ -23,7 +23,6 @@
 constexpr double kSlowness = 8;
 constexpr int kTroubledWorkers = 10;
 constexpr double kCancelled = 0.25;
-constexpr std::int64_t kCoresPerAccelerator = 8;
 // A job is worth this much of its queue's worth whatever its size; the rest
 // goes by its work, up to a bound.
 constexpr double kFlatWorth = 0.3;
--- a/flamingohollow/testing/graph_world.cc
+++ b/flamingohollow/testing/graph_world.cc
@@ -23,7 +23,6 @@
 constexpr Duration kSaveEvery(2000);
 constexpr Duration kRestoreTime(600);
 constexpr double kRemoteFactor = 3;
-constexpr std::int64_t kCoresPerAccelerator = 8;
 
 // A checkpoint of the model is the work that it holds, in ms.
 Checkpoint Save(Duration done) {
@@ -242,15 +241,18 @@
 std::vector<GraphWorld::Member> GraphWorld::FindMembers(
     FakeWorker& worker, const AttemptRef& attempt) {
   if (!SpecOf(attempt.task_).gang_) {
-    return {{&worker, &worker.runs_.at(attempt)}};
+    return {{&worker, attempt, &worker.runs_.at(attempt)}};
   }
+  return FindGang(attempt);
+}
+
+std::vector<GraphWorld::Member> GraphWorld::FindGang(
+    const AttemptRef& attempt) {
   std::vector<Member> members;
   for (FakeWorker& other : workers_) {
     for (auto& [member, run] : other.runs_) {
-      const bool same = member.task_.job_ == attempt.task_.job_ &&
-                        member.task_.step_ == attempt.task_.step_ &&
-                        member.attempt_ == attempt.attempt_;
-      if (same) members.emplace_back(&other, &run);
+      if (IsSameStart(member, attempt))
+        members.push_back({&other, member, &run});
     }
   }
   return members;
@@ -258,8 +260,8 @@
 
 void GraphWorld::SetEnd(const std::vector<Member>& members) {
   Time end;
-  for (const auto& [host, run] : members) end = std::max(end, EndOf(*run));
-  for (const auto& [host, run] : members) run->ends_ = end;
+  for (const Member& member : members) end = std::max(end, EndOf(*member.run_));
+  for (const Member& member : members) member.run_->ends_ = end;
 }
 
 // A lone task works at once; a gang once all of its members are there.
@@ -268,14 +270,13 @@
   const std::vector<Member> members = FindMembers(worker, attempt);
   if (spec.gang_ && members.size() < spec.tasks_) return;
   bool remote = false;
-  for (const auto& [host, run] : members) {
-    const Rack& rack = host->report_.rack_;
-    const bool away = spec.data_rack_ != Rack() && rack != spec.data_rack_;
+  for (const Member& member : members) {
+    const Rack& rack = member.host_->report_.rack_;
     const bool apart =
-        spec.same_rack_ && rack != members.front().first->report_.rack_;
-    remote = remote || away || apart;
+        spec.same_rack_ && rack != members.front().host_->report_.rack_;
+    remote = remote || apart || IsAwayFromData(spec, rack);
   }
-  for (const auto& [host, run] : members) {
+  for (const auto& [host, member, run] : members) {
     run->slowness_ = host->slowness_ * (remote ? kRemoteFactor : 1);
     run->working_ = true;
     run->since_ = now_;
@@ -409,22 +410,11 @@
 
 // All members that run end `done` together once the last one is due.
 void GraphWorld::EndGang(const AttemptRef& attempt) {
-  const std::uint32_t size = SpecOf(attempt.task_).tasks_;
-  std::vector<std::pair<FakeWorker*, AttemptRef>> members;
-  bool due = true;
-  for (FakeWorker& worker : workers_) {
-    for (const auto& [other, run] : worker.runs_) {
-      const bool same = other.task_.job_ == attempt.task_.job_ &&
-                        other.task_.step_ == attempt.task_.step_ &&
-                        other.attempt_ == attempt.attempt_;
-      if (!same) continue;
-      members.emplace_back(&worker, other);
-      due = due && run.working_ && run.ends_ <= now_;
-    }
-  }
-  if (!due || members.size() < size) return;
-  for (const auto& [worker, member] : members) {
-    EndRun(*worker, member, AttemptEnd::kDone);
+  const std::vector<Member> members = FindGang(attempt);
+  // All have the same end, so the others are due, too.
+  if (members.size() < SpecOf(attempt.task_).tasks_) return;
+  for (const Member& member : members) {
+    EndRun(*member.host_, member.attempt_, AttemptEnd::kDone);
   }
 }
 
--- a/flamingohollow/testing/graph_world.h
+++ b/flamingohollow/testing/graph_world.h
@@ -32,6 +32,9 @@
   int fails_ = 0;
 };
 
+// What an accelerator counts for where work is weighed.
+inline constexpr std::int64_t kCoresPerAccelerator = 8;
+
 // What a job's tasks really take, by step and task, whatever the caller
 // declared.
 using RealWork = std::vector<std::vector<Duration>>;
@@ -133,9 +136,14 @@
   void EndRun(FakeWorker& worker, const AttemptRef& attempt, AttemptEnd end);
   void BeginWork(FakeWorker& worker, const AttemptRef& attempt);
   // The runs of the attempt's gang that are there, or its own.
-  using Member = std::pair<FakeWorker*, FakeRun*>;
+  struct Member {
+    FakeWorker* host_ = nullptr;
+    AttemptRef attempt_;
+    FakeRun* run_ = nullptr;
+  };
   std::vector<Member> FindMembers(FakeWorker& worker,
                                   const AttemptRef& attempt);
+  std::vector<Member> FindGang(const AttemptRef& attempt);
   static void SetEnd(const std::vector<Member>& members);
   // Brings the work done up to now.
   void Advance(const AttemptRef& attempt, FakeRun& run) const;
