Leases of earlier leaders count for every worker

Cause: RecoverRuns set a worker's lease end only where attempts were open. On any other worker the new leader counted only the short lease of its own start, while a lease of the earlier leader still kept the attempt alive, so an attempt that had no answer was taken for over and started elsewhere.

Change: RecoverWorkers sets it for every worker of the log. Workers that the log does not list never got a lease: it is granted with a start, which follows the worker's record in the log.

Test: a new leader starts a task on an idle worker of the earlier leader and hears nothing more; the task stays open until the earlier lease is over.

Other places that take a lease for over: GrantLease repeats the same absolute end towards a silent worker; HandleRestart counts a whole lease from the report of the new incarnation.

--- a/flamingohollow/graph_scheduler.cc
+++ b/flamingohollow/graph_scheduler.cc
@@ -260,8 +260,17 @@
 // the leaders' clocks may differ.
 constexpr Duration kMaxInheritedAge = Duration(60000);
 
+// When the leases that earlier leaders granted have expired. They granted them
+// before now.
+Time EarlierLeasesEnd(const Scheduler& scheduler, Time now) {
+  return now + AllowForClockDrift(scheduler.options_.lease_) +
+         scheduler.options_.resend_interval_;
+}
+
 // Restores the workers of the replicated state, so that they can be polled
 // before they report again. They get new tasks only once they have answered.
+// A lease covers everything that runs on a worker, so an earlier leader's lease
+// also counts for attempts that this leader starts there.
 void RecoverWorkers(Scheduler& scheduler, const GraphState& state, Time now) {
   for (const auto& [id, report] : state.workers_) {
     FleetWorker& worker = scheduler.fleet_[id];
@@ -269,6 +278,7 @@
     worker.reported_ = true;
     worker.report_received_at_ = now;
     worker.last_heard_at_ = now;
+    worker.lease_end_ = EarlierLeasesEnd(scheduler, now);
     scheduler.addresses_[report.address_] = id;
   }
 }
@@ -286,10 +296,7 @@
         worker.report_.id_ = tasks[index].worker_;
         worker.report_.incarnation_ =
             std::max(worker.report_.incarnation_, tasks[index].incarnation_);
-        // Earlier leaders granted their leases before now.
-        worker.lease_end_ = now +
-                            AllowForClockDrift(scheduler.options_.lease_) +
-                            scheduler.options_.resend_interval_;
+        worker.lease_end_ = EarlierLeasesEnd(scheduler, now);
         Run run;
         run.phase_ = RunPhase::kRecovering;
         run.need_ = ReservedResources(spec);
--- a/flamingohollow/testing/graph_scheduler_test.cc
+++ b/flamingohollow/testing/graph_scheduler_test.cc
@@ -250,8 +250,11 @@
   Scheduler scheduler_;
   Time now_{1'000'000};
 
-  OneWorker() {
-    scheduler_ = MakeScheduler({}, FencingToken(1), {}, now_, now_);
+  OneWorker() { Lead(1); }
+
+  // Makes the scheduler of the leader of this term.
+  void Lead(std::uint64_t term) {
+    scheduler_ = MakeScheduler({}, FencingToken(term), state_, now_, now_);
   }
 
   std::vector<SchedulerAction> Feed(const SchedulerEvent& event) {
@@ -262,11 +265,18 @@
     ApplyRecord(state_, record);
     return Feed(RecordApplied{&record});
   }
+  void ApplyRecords(const std::vector<SchedulerAction>& actions) {
+    for (const SchedulerAction& action : actions) {
+      if (const auto* record = std::get_if<GraphRecord>(&action)) {
+        Apply(*record);
+      }
+    }
+  }
   void Report(std::int64_t incarnation, std::int64_t clock) {
     PoolWorkerReport report = MakeReport("w", "r");
     report.incarnation_ = WorkerIncarnation(incarnation);
     report.clock_ms_ = clock;
-    Feed(report);
+    ApplyRecords(Feed(report));
   }
   // The first command of this kind sent in the next ticks; empty if none is.
   template <class Command>
@@ -294,11 +304,19 @@
     result.outcome_ = outcome;
     result.clock_ms_ = clock;
     result.ends_ = std::move(ends);
-    for (const SchedulerAction& action : Feed(result)) {
-      if (const auto* record = std::get_if<GraphRecord>(&action)) {
-        Apply(*record);
-      }
-    }
+    ApplyRecords(Feed(result));
+  }
+  // Lets time pass; records are applied at once and commands get no answer.
+  void Pass(Duration span) {
+    const Time end = now_ + span;
+    while (now_ < end) ApplyRecords(Feed(SchedulerTick{now_}));
+  }
+  bool IsTaskOpen(std::uint64_t job) const {
+    return state_.jobs_.at(MakeKey(job))
+        .occurrences_.at(Occurrence())
+        .steps_[0]
+        .tasks_[0]
+        .open_;
   }
   // Runs one task to its end, which is the worker's end number 1.
   void RunOneTask() {
@@ -352,6 +370,25 @@
   CHECK_EQ(world.state_.jobs_.at(MakeKey(2)).state_, GraphJobState::kCompleted);
 }
 
+// A lease counts for the whole worker and never shortens, so a start command
+// with a short lease may run on under a longer lease of an earlier leader.
+TEST_CASE("a new leader waits for leases that earlier leaders granted") {
+  OneWorker world;
+  world.RunOneTask();
+  const SchedulerOptions& options = world.scheduler_.options_;
+  world.Lead(2);
+  const Time leads_since = world.now_;
+  const auto poll = world.Next<PollCommand>();
+  world.Answer(*poll, CommandOutcome::kDone, 900'800);
+  world.Apply(MakeSubmit(2, {MakeStep(1, 1, Duration(8000))}, {}));
+  REQUIRE(world.Next<StartCommand>().has_value());
+  world.Pass(leads_since + options.lease_ - world.now_);
+  CHECK(world.IsTaskOpen(2));
+  // Allowances for drift and margins are below a second.
+  world.Pass(Duration(1000));
+  CHECK_FALSE(world.IsTaskOpen(2));
+}
+
 std::vector<StepSpec> RandomSteps(std::mt19937_64& random) {
   std::vector<StepSpec> steps;
   const std::uint64_t count = 1 + random() % 3;
