Bound the connections of a process by its descriptors

Cause: the client allowed 60 connections to each worker and had no bound over all, so at 1,100 workers a leader used up its 4,324 descriptors.

Change: a process's descriptors are divided among workers, callers and its own files (descriptor_budget.h). The client has a total bound: at the bound it closes the connection that has been idle for longest, then lets requests wait. A command that got no connection is kNotSent and says nothing about its worker. Beyond three quarters of the connections polls are no longer held open.

--- a/flamingohollow/fleet.h
+++ b/flamingohollow/fleet.h
@@ -119,6 +119,8 @@
   // A record of the worker's ended attempts is proposed but not yet committed.
   bool ends_proposed_ = false;
   bool poll_in_flight_ = false;
+  // The worker may hold the poll in flight open.
+  bool poll_held_ = false;
   // Number of polls sent.
   std::uint64_t polls_sent_ = 0;
   Time next_poll_at_;
--- a/flamingohollow/graph_control.cc
+++ b/flamingohollow/graph_control.cc
@@ -15,6 +15,7 @@
 #include <thread>
 #include <utility>
 
+#include "flamingohollow/descriptor_budget.h"
 #include "flamingohollow/peer_links.h"
 #include "flamingohollow/replica_factory.h"
 #include "flamingohollow/rpc.h"
@@ -36,6 +37,10 @@
 constexpr Duration kFoundingInterval = Duration(400);
 // Timeout of a call that is forwarded to the leader.
 constexpr Duration kForwardTimeout = Duration(500);
+// Polls may take three quarters of the connections to workers; the rest is for
+// commands.
+constexpr std::size_t kHeldPollFactor = 3;
+constexpr std::size_t kHeldPollDivisor = 4;
 // Limit on messages that wait for loop 0; further ones are rejected.
 constexpr std::size_t kMaxQueuedMessages = 8192;
 
@@ -94,6 +99,10 @@
     options.voters_ = 2 * settings.tolerated_losses_ + 1;
     options.scheduler_.lease_ = settings.lease_;
     options.scheduler_.ended_job_retention_ = settings.ended_job_retention_;
+    const DescriptorBudget descriptors = DivideDescriptors(
+        DescriptorLimit(settings.max_open_files_), settings.role_);
+    options.scheduler_.max_held_polls_ =
+        descriptors.worker_connections_ / kHeldPollDivisor * kHeldPollFactor;
     options.scheduler_.placement_.report_interval_ = settings.report_interval_;
     options.scheduler_.placement_.remote_factor_ = settings.remote_factor_;
     return options;
--- a/flamingohollow/graph_scheduler.cc
+++ b/flamingohollow/graph_scheduler.cc
@@ -245,7 +245,12 @@
 
 void On(Context& ctx, const SchedulerTick& tick) {
   ctx.scheduler_.wall_time_ = tick.wall_;
-  for (auto& [id, worker] : ctx.scheduler_.fleet_) TickWorker(ctx, worker);
+  Fleet& fleet = ctx.scheduler_.fleet_;
+  ctx.scheduler_.held_polls_ = static_cast<std::size_t>(
+      std::count_if(fleet.begin(), fleet.end(), [](const auto& item) {
+        return item.second.poll_in_flight_ && item.second.poll_held_;
+      }));
+  for (auto& [id, worker] : fleet) TickWorker(ctx, worker);
   ProposeDue(ctx);
   ProposeForget(ctx);
   ForgetWorkers(ctx);
--- a/flamingohollow/graph_scheduler.h
+++ b/flamingohollow/graph_scheduler.h
@@ -46,6 +46,9 @@
   Duration start_lease_ = Duration(4000);
   // How long the worker holds a poll open while no attempt ends.
   Duration poll_wait_ = Duration(2000);
+  // Polls that may be held open at the same time, as each takes a connection.
+  // Further workers are polled every `poll_wait_` instead.
+  std::size_t max_held_polls_ = 4096;
   // A command without an answer is sent again after this long.
   Duration resend_interval_ = Duration(300);
   // An attempt whose start command was sent this often without an answer is
@@ -109,6 +112,9 @@
   kOtherWorker,
   // A later incarnation of the worker answered; its report has yet to arrive.
   kOtherIncarnation,
+  // The leader had no connection free for the command in time, so it was not
+  // sent. Says nothing about the worker.
+  kNotSent,
   // It is unknown whether the command was or will be carried out.
   kNoAnswer,
 };
@@ -191,6 +197,9 @@
   std::map<StepRef, StepPace> step_paces_;
   // When this scheduler learned of each job; its waiting time starts then.
   std::map<GraphJobKey, Time> queued_since_;
+  // Polls in flight that the workers may hold open, as counted at the last tick
+  // and added to since.
+  std::size_t held_polls_ = 0;
   // Proposed records of new attempts that are not committed yet.
   std::uint32_t open_records_in_flight_ = 0;
   // Something changed since the last placement pass.
--- a/flamingohollow/graph_scheduler_commands.cc
+++ b/flamingohollow/graph_scheduler_commands.cc
@@ -176,7 +176,14 @@
   }
   // The scheduler needs the poll's answer at once, whether or not an attempt
   // ends.
-  if (!settled || worker.runs_.empty()) command.wait_ = Duration(0);
+  if (!settled || worker.runs_.empty()) {
+    command.wait_ = Duration(0);
+  } else if (ctx.scheduler_.held_polls_ >= options.max_held_polls_) {
+    command.wait_ = Duration(0);
+    worker.next_poll_at_ = ctx.now_ + options.poll_wait_;
+  }
+  worker.poll_held_ = command.wait_ > Duration(0);
+  if (worker.poll_held_) ++ctx.scheduler_.held_polls_;
   worker.poll_in_flight_ = true;
   ctx.actions_.emplace_back(std::move(command));
 }
--- a/flamingohollow/graph_scheduler_polls.cc
+++ b/flamingohollow/graph_scheduler_polls.cc
@@ -157,7 +157,7 @@
   worker->last_heard_at_ = std::max(worker->last_heard_at_, ctx.now_);
   if (!worker->answered_poll_) ctx.scheduler_.placement_due_ = true;
   worker->answered_poll_ = true;
-  worker->next_poll_at_ = ctx.now_;
+  worker->next_poll_at_ = std::max(worker->next_poll_at_, ctx.now_);
   if (silent_before == 0) {
     worker->acknowledged_end_ =
         std::max(worker->acknowledged_end_, worker->logged_end_);
--- a/flamingohollow/graph_scheduler_workers.cc
+++ b/flamingohollow/graph_scheduler_workers.cc
@@ -125,6 +125,7 @@
 }
 
 void RecordAnswer(Context& ctx, FleetWorker& worker, CommandOutcome outcome) {
+  if (outcome == CommandOutcome::kNotSent) return;
   if (outcome == CommandOutcome::kNoAnswer) {
     ++worker.unanswered_calls_;
     return;
@@ -214,6 +215,10 @@
       run->start_unanswered_ = true;
       worker->unanswered_starts_[result.attempt_] = run->last_command_at_;
       return;
+    case CommandOutcome::kNotSent:
+      // Sent again after `resend_interval_`, which does not count as a resend.
+      --run->commands_sent_;
+      return;
     case CommandOutcome::kOtherWorker:
     case CommandOutcome::kOtherIncarnation:
       return;
--- a/flamingohollow/graph_settings.cc
+++ b/flamingohollow/graph_settings.cc
@@ -129,6 +129,12 @@
   reader.Read("tolerated_losses", settings.tolerated_losses_, "0 to 3");
   reader.Read("remote_factor", settings.remote_factor_, "a whole number");
   reader.Read("memory_mb", settings.memory_mb_, "a whole number");
+  reader.Read("max_open_files", settings.max_open_files_, "a whole number");
+  constexpr std::uint32_t kMinOpenFiles = 512;
+  if (settings.max_open_files_ < kMinOpenFiles) {
+    reader.Mistake("max_open_files", reader.LineOf("max_open_files"),
+                   "must be 512 or more");
+  }
   reader.ReadMs("report_interval_ms", settings.report_interval_);
   reader.ReadMs("lease_ms", settings.lease_);
   reader.ReadMs("stop_grace_ms", settings.stop_grace_);
--- a/flamingohollow/graph_settings.h
+++ b/flamingohollow/graph_settings.h
@@ -60,6 +60,9 @@
   std::uint32_t remote_factor_ = 3;
   // Memory of this process, in MB.
   std::uint32_t memory_mb_ = 256;
+  // File descriptors that this process may open, unless the system's own limit
+  // is lower.
+  std::uint32_t max_open_files_ = 65536;
 };
 
 // Fails with SettingsMistakes.
--- a/flamingohollow/http_client.cc
+++ b/flamingohollow/http_client.cc
@@ -2,6 +2,7 @@
 
 #include "flamingohollow/http_client.h"
 
+#include <algorithm>
 #include <atomic>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/awaitable.hpp>
@@ -17,9 +18,11 @@
 #include <chrono>
 #include <deque>
 #include <iterator>
+#include <list>
 #include <map>
 #include <optional>
 #include <utility>
+#include <vector>
 
 #include "util/address.h"
 
@@ -36,6 +39,8 @@
 constexpr std::uint32_t kMaxHeaderBytes = 8192;
 // How often idle connections are checked for expiry.
 constexpr Duration kSweepInterval = Duration(5000);
+// How often waiting requests are checked for expiry.
+constexpr Duration kExpiryInterval = Duration(50);
 
 std::chrono::milliseconds Ms(Duration duration) {
   return std::chrono::milliseconds(duration.ms());
@@ -46,11 +51,17 @@
   beast::tcp_stream stream_;
   beast::flat_buffer buffer_;
   bool connected_ = false;
-  // When it was last returned to the pool.
-  Time idle_since_;
 };
 using ConnectionPtr = std::unique_ptr<Connection>;
 
+struct IdleConnection {
+  std::string address_;
+  ConnectionPtr connection_;
+  Time since_;
+};
+// In the order in which they became idle.
+using IdleList = std::list<IdleConnection>;
+
 struct ClientRequest {
   HttpPost post_;
   HttpClient::Callback done_;
@@ -61,8 +72,11 @@
 struct AddressPool {
   // Connections in use. Together with the idle ones, at most max_connections_.
   std::uint32_t busy_ = 0;
-  std::deque<ConnectionPtr> idle_;
+  // The newest is last.
+  std::deque<IdleList::iterator> idle_;
   std::deque<ClientRequest> waiting_;
+  // Whether the address is in `short_of_connections_`.
+  bool in_line_ = false;
 };
 
 }  // namespace
@@ -70,20 +84,38 @@
 struct HttpClientState : std::enable_shared_from_this<HttpClientState> {
   HttpClientState(const HttpClientOptions& options, IoThreads& threads,
                   std::size_t loop)
-      : options_(options), loop_(threads.Loop(loop)), sweep_timer_(loop_) {}
+      : options_(options),
+        loop_(threads.Loop(loop)),
+        sweep_timer_(loop_),
+        expiry_timer_(loop_) {}
 
   const HttpClientOptions options_;
   asio::io_context& loop_;
   asio::steady_timer sweep_timer_;
+  asio::steady_timer expiry_timer_;
+  bool expiry_scheduled_ = false;
   std::map<std::string, AddressPool> pools_;
+  IdleList idle_;
+  // Addresses whose first waiting request needs a connection over the total
+  // limit.
+  std::deque<std::string> short_of_connections_;
+  // Connections that exist, busy or idle.
   std::atomic<std::uint64_t> open_{0};
+  std::atomic<std::uint64_t> evicted_{0};
+  std::atomic<std::uint64_t> delayed_{0};
 
   void Submit(ClientRequest request);
-  void StartRequest(ClientRequest request);
+  void StartRequest(AddressPool& pool, ClientRequest request);
+  bool CanStart(const AddressPool& pool) const;
+  bool HasConnection(const AddressPool& pool) const;
   ConnectionPtr TakeConnection(AddressPool& pool);
+  void CloseIdle(IdleList::iterator idle);
   void ReturnConnection(const std::string& address, ConnectionPtr connection,
                         bool reusable);
-  void StartNext(const std::string& address);
+  void StartWaiting(const std::string& address);
+  void StartInLine();
+  void ExpireWaiting();
+  void ScheduleExpiry();
   void Sweep();
   void ScheduleSweep();
   asio::awaitable<void> Exchange(ClientRequest request,
@@ -154,25 +186,47 @@
   request.done_(std::move(result));
 }
 
+// Whether a connection is idle, or may be opened after closing an idle one of
+// another address.
+bool HttpClientState::HasConnection(const AddressPool& pool) const {
+  return !pool.idle_.empty() || open_ < options_.max_total_connections_ ||
+         !idle_.empty();
+}
+
+bool HttpClientState::CanStart(const AddressPool& pool) const {
+  return pool.busy_ < options_.max_connections_ && HasConnection(pool);
+}
+
+void HttpClientState::CloseIdle(IdleList::iterator idle) {
+  AddressPool& pool = pools_[idle->address_];
+  std::erase(pool.idle_, idle);
+  idle_.erase(idle);
+  --open_;
+}
+
+// The caller has checked HasConnection.
 ConnectionPtr HttpClientState::TakeConnection(AddressPool& pool) {
   const Time now = MonotonicNow();
   while (!pool.idle_.empty()) {
-    ConnectionPtr connection = std::move(pool.idle_.back());
+    const IdleList::iterator newest = pool.idle_.back();
+    if (now - newest->since_ >= options_.max_idle_) {
+      CloseIdle(newest);
+      continue;
+    }
+    ConnectionPtr connection = std::move(newest->connection_);
     pool.idle_.pop_back();
-    if (now - connection->idle_since_ < options_.max_idle_) return connection;
-    --open_;
+    idle_.erase(newest);
+    return connection;
+  }
+  if (open_ >= options_.max_total_connections_ && !idle_.empty()) {
+    CloseIdle(idle_.begin());
+    ++evicted_;
   }
   ++open_;
   return std::make_unique<Connection>(loop_);
 }
 
-void HttpClientState::StartRequest(ClientRequest request) {
-  if (request.deadline_ <= MonotonicNow()) {
-    StartNext(request.post_.address_);
-    request.done_({HttpClientError::kConnectFailed, 0, ""});
-    return;
-  }
-  AddressPool& pool = pools_[request.post_.address_];
+void HttpClientState::StartRequest(AddressPool& pool, ClientRequest request) {
   ++pool.busy_;
   ConnectionPtr connection = TakeConnection(pool);
   asio::co_spawn(
@@ -185,14 +239,17 @@
 }
 
 void HttpClientState::Submit(ClientRequest request) {
-  AddressPool& pool = pools_[request.post_.address_];
-  if (pool.busy_ < options_.max_connections_) {
-    StartRequest(std::move(request));
-  } else if (pool.waiting_.size() < options_.max_queued_) {
-    pool.waiting_.push_back(std::move(request));
-  } else {
-    request.done_({HttpClientError::kOverloaded, 0, ""});
+  const std::string address = request.post_.address_;
+  AddressPool& pool = pools_[address];
+  if (pool.waiting_.empty() && CanStart(pool)) {
+    return StartRequest(pool, std::move(request));
+  }
+  if (pool.waiting_.size() >= options_.max_queued_) {
+    return request.done_({HttpClientError::kOverloaded, 0, ""});
   }
+  pool.waiting_.push_back(std::move(request));
+  ScheduleExpiry();
+  StartWaiting(address);
 }
 
 void HttpClientState::ReturnConnection(const std::string& address,
@@ -202,36 +259,84 @@
   --pool.busy_;
   if (reusable) {
     connection->stream_.expires_never();
-    connection->idle_since_ = MonotonicNow();
-    pool.idle_.push_back(std::move(connection));
+    idle_.push_back({address, std::move(connection), MonotonicNow()});
+    pool.idle_.push_back(std::prev(idle_.end()));
   } else {
+    connection.reset();
     --open_;
   }
-  StartNext(address);
+  StartInLine();
+  StartWaiting(address);
 }
 
-void HttpClientState::StartNext(const std::string& address) {
+// Starts the address's waiting requests as far as the limits allow. If the
+// total limit stops it, the address gets in line.
+void HttpClientState::StartWaiting(const std::string& address) {
   AddressPool& pool = pools_[address];
-  if (pool.waiting_.empty() || pool.busy_ >= options_.max_connections_) return;
-  ClientRequest next = std::move(pool.waiting_.front());
-  pool.waiting_.pop_front();
-  StartRequest(std::move(next));
+  while (!pool.waiting_.empty() && CanStart(pool)) {
+    ClientRequest next = std::move(pool.waiting_.front());
+    pool.waiting_.pop_front();
+    StartRequest(pool, std::move(next));
+  }
+  const bool short_of_connections =
+      !pool.waiting_.empty() && pool.busy_ < options_.max_connections_;
+  if (!short_of_connections || pool.in_line_) return;
+  pool.in_line_ = true;
+  ++delayed_;
+  short_of_connections_.push_back(address);
+}
+
+void HttpClientState::StartInLine() {
+  while (!short_of_connections_.empty()) {
+    const std::string address = short_of_connections_.front();
+    AddressPool& pool = pools_[address];
+    if (!pool.waiting_.empty() && !HasConnection(pool)) return;
+    short_of_connections_.pop_front();
+    pool.in_line_ = false;
+    StartWaiting(address);
+  }
+}
+
+void HttpClientState::ExpireWaiting() {
+  const Time now = MonotonicNow();
+  std::vector<ClientRequest> expired;
+  bool waiting = false;
+  for (auto& [address, pool] : pools_) {
+    const auto kept = std::stable_partition(
+        pool.waiting_.begin(), pool.waiting_.end(),
+        [now](const ClientRequest& r) { return r.deadline_ > now; });
+    std::move(kept, pool.waiting_.end(), std::back_inserter(expired));
+    pool.waiting_.erase(kept, pool.waiting_.end());
+    waiting = waiting || !pool.waiting_.empty();
+  }
+  if (waiting) ScheduleExpiry();
+  for (ClientRequest& request : expired) {
+    request.done_({HttpClientError::kOverloaded, 0, ""});
+  }
+}
+
+void HttpClientState::ScheduleExpiry() {
+  if (expiry_scheduled_) return;
+  expiry_scheduled_ = true;
+  expiry_timer_.expires_after(Ms(kExpiryInterval));
+  expiry_timer_.async_wait([weak = weak_from_this()](error_code error) {
+    const auto state = weak.lock();
+    if (error || state == nullptr) return;
+    state->expiry_scheduled_ = false;
+    state->ExpireWaiting();
+  });
 }
 
 void HttpClientState::Sweep() {
   const Time now = MonotonicNow();
-  for (auto it = pools_.begin(); it != pools_.end();) {
-    AddressPool& pool = it->second;
-    // The connections idle for longest are at the front.
-    while (!pool.idle_.empty() &&
-           now - pool.idle_.front()->idle_since_ >= options_.max_idle_) {
-      pool.idle_.pop_front();
-      --open_;
-    }
-    const bool unused =
-        pool.busy_ == 0 && pool.idle_.empty() && pool.waiting_.empty();
-    it = unused ? pools_.erase(it) : std::next(it);
+  while (!idle_.empty() && now - idle_.front().since_ >= options_.max_idle_) {
+    CloseIdle(idle_.begin());
   }
+  std::erase_if(pools_, [](const auto& item) {
+    const AddressPool& pool = item.second;
+    return pool.busy_ == 0 && pool.idle_.empty() && pool.waiting_.empty() &&
+           !pool.in_line_;
+  });
 }
 
 void HttpClientState::ScheduleSweep() {
@@ -264,4 +369,10 @@
 
 std::uint64_t HttpClient::open_connections() const { return state_->open_; }
 
+std::uint64_t HttpClient::evicted_connections() const {
+  return state_->evicted_;
+}
+
+std::uint64_t HttpClient::delayed_addresses() const { return state_->delayed_; }
+
 }  // namespace flamingohollow
--- a/flamingohollow/http_client.h
+++ b/flamingohollow/http_client.h
@@ -1,9 +1,12 @@
 // HTTP/1.1 requests to workers over pooled connections.
 //
 // Each address has at most max_connections_ open connections and max_queued_
-// requests waiting for one; further requests fail at once. Every request ends
-// within its timeout, which includes the wait. The client never retries; that
-// is the caller's decision.
+// requests waiting for one; further requests fail at once. All addresses
+// together have at most max_total_connections_, so that the client can't use up
+// the process's file descriptors: at that limit the connection that has been
+// idle for longest is closed, and if none is idle, requests wait in the order
+// of their addresses' arrival. Every request ends within its timeout, which
+// includes the wait. The client never retries; that is the caller's decision.
 
 #ifndef FLAMINGOHOLLOW_HTTP_CLIENT_H_
 #define FLAMINGOHOLLOW_HTTP_CLIENT_H_
@@ -22,6 +25,7 @@
 
 struct HttpClientOptions {
   std::uint32_t max_connections_ = 60;
+  std::uint32_t max_total_connections_ = 8192;
   std::uint32_t max_queued_ = 256;
   std::uint32_t max_response_bytes_ = 4 * 1024 * 1024;
   // A connection idle for this long is not reused.
@@ -31,9 +35,10 @@
 enum class HttpClientError : std::uint8_t {
   kNone,
   kBadAddress,
-  // Too many requests to this address wait; nothing was sent.
+  // Too many requests to this address wait, or no connection was free in time;
+  // nothing was sent.
   kOverloaded,
-  // Connecting failed, or no connection was free in time; nothing was sent.
+  // Connecting failed; nothing was sent.
   kConnectFailed,
   // No complete response. The request may have been sent in part or whole, and
   // the peer may have acted on it.
@@ -77,6 +82,10 @@
   // Thread-safe.
   void Post(HttpPost post, Callback done);
   std::uint64_t open_connections() const;
+  // How often max_total_connections_ made the client close an idle connection,
+  // or made the requests to an address wait.
+  std::uint64_t evicted_connections() const;
+  std::uint64_t delayed_addresses() const;
 
  private:
   // Shared with the requests in progress.
--- a/flamingohollow/testing/graph_scheduler_test.cc
+++ b/flamingohollow/testing/graph_scheduler_test.cc
@@ -370,6 +370,44 @@
   CHECK_EQ(world.state_.jobs_.at(MakeKey(2)).state_, GraphJobState::kCompleted);
 }
 
+// A leader that is short of connections must not take its workers for silent.
+TEST_CASE("a poll that was not sent says nothing about the worker") {
+  OneWorker world;
+  world.RunOneTask();
+  world.Answer(*world.Next<PollCommand>(), CommandOutcome::kNotSent, 0);
+  const FleetWorker& worker = world.scheduler_.fleet_.at(WorkerId("w"));
+  CHECK_EQ(worker.unanswered_calls_, 0);
+  CHECK(AcceptsTasks(worker, kReportInterval, world.now_));
+  CHECK(world.Next<PollCommand>().has_value());
+}
+
+TEST_CASE("a start that was not sent is sent again") {
+  OneWorker world;
+  world.RunOneTask();
+  world.Apply(MakeSubmit(2, {MakeStep(1, 1, Duration(500))}, {}));
+  for (int i = 0; i < 4; ++i) {
+    const auto start = world.Next<StartCommand>();
+    REQUIRE(start.has_value());
+    world.Feed(StartResult{WorkerId("w"), WorkerIncarnation(1), start->attempt_,
+                           CommandOutcome::kNotSent, 0, ""});
+  }
+  CHECK(world.IsTaskOpen(2));
+}
+
+TEST_CASE("no more polls are held open than allowed") {
+  GraphWorldOptions options{.racks_ = 1, .per_rack_ = 4};
+  options.scheduler_.max_held_polls_ = 2;
+  GraphWorld world(options);
+  world.Submit(1, {MakeStep(4, 8, Duration(6000))}, {});
+  for (int i = 0; i < 70; ++i) {
+    world.RunFor(Duration(100));
+    CHECK(world.held_polls() <= 2);
+  }
+  world.RunFor(Duration(4000));
+  CHECK_EQ(world.JobState(1), GraphJobState::kCompleted);
+  CHECK_EQ(world.starts(), 4);
+}
+
 // A lease counts for the whole worker and never shortens, so a start command
 // with a short lease may run on under a longer lease of an earlier leader.
 TEST_CASE("a new leader waits for leases that earlier leaders granted") {
--- a/flamingohollow/testing/graph_settings_test.cc
+++ b/flamingohollow/testing/graph_settings_test.cc
@@ -70,6 +70,9 @@
   CHECK_EQ(MistakesOf(With("tolerated_losses: 2", "tolerated_losses: 9")),
            "tolerated_losses ");
   CHECK_EQ(MistakesOf(With("lease_ms: 10000", "lease_ms: 0")), "lease_ms ");
+  CHECK_EQ(MistakesOf(kControl + "max_open_files: 511\n"), "max_open_files ");
+  CHECK_EQ(MistakesOf(kControl + "max_open_files: many\n"), "max_open_files ");
+  CHECK_EQ(MistakesOf(kControl + "max_open_files: 512\n"), "");
   CHECK_EQ(MistakesOf(kControl + "colour: red\n"), "colour ");
   CHECK_EQ(MistakesOf("- a list"), " ");
   CHECK_EQ(MistakesOf("{"), " ");
--- a/flamingohollow/testing/graph_world.cc
+++ b/flamingohollow/testing/graph_world.cc
@@ -523,6 +523,14 @@
                      });
 }
 
+int GraphWorld::held_polls() const {
+  int held = 0;
+  for (const auto& [id, worker] : scheduler_.fleet_) {
+    if (worker.poll_in_flight_ && worker.poll_held_) ++held;
+  }
+  return held;
+}
+
 int GraphWorld::RunningTasks(std::uint64_t number) const {
   int running = 0;
   for (const FakeWorker& worker : workers_) {
--- a/flamingohollow/testing/graph_world.h
+++ b/flamingohollow/testing/graph_world.h
@@ -72,6 +72,8 @@
   std::uint64_t starts() const { return starts_; }
   // Number of the job's attempts that are running.
   int RunningTasks(std::uint64_t number) const;
+  // Number of polls in flight that the workers may hold open.
+  int held_polls() const;
   Time now() const { return now_; }
   // Work lost with attempts that ended before they were done, less what their
   // checkpoints hold, in core-milliseconds. An accelerator counts as 8 cores.
--- a/flamingohollow/testing/http_server_test.cc
+++ b/flamingohollow/testing/http_server_test.cc
@@ -228,6 +228,40 @@
   CHECK(client.open_connections() == 2);
 }
 
+// A fleet of workers must not use up the descriptors that the process needs
+// for its log and its callers.
+TEST_CASE("the client respects its limit over all addresses") {
+  Fixture first;
+  Fixture second;
+  IoThreads threads(1);
+  HttpClientOptions options;
+  options.max_total_connections_ = 2;
+  HttpClient client(options, threads, 0);
+  const std::uint16_t port = first.server_->port();
+  const std::uint16_t other = second.server_->port();
+  CHECK(Send(client, MakePost(port, "/", "")).get().status_ == 200);
+  auto held = Send(client, MakePost(other, "/held", ""));
+  REQUIRE(Await([&] { return second.held_count_ == 1; }));
+  // The idle connection to the first address is closed for the second one.
+  auto also_held = Send(client, MakePost(other, "/held", ""));
+  REQUIRE(Await([&] { return second.held_count_ == 2; }));
+  CHECK(client.open_connections() == 2);
+  CHECK(client.evicted_connections() == 1);
+  // All are busy: requests wait, and end in time.
+  HttpPost hopeless = MakePost(port, "/", "");
+  hopeless.timeout_ = Duration(100);
+  CHECK(Send(client, hopeless).get().error_ == HttpClientError::kOverloaded);
+  auto waiting = Send(client, MakePost(port, "/", "hi"));
+  CHECK(waiting.wait_for(std::chrono::milliseconds(50)) ==
+        std::future_status::timeout);
+  second.Release();
+  CHECK(waiting.get().body_ == "hi");
+  CHECK(held.get().status_ == 200);
+  CHECK(also_held.get().status_ == 200);
+  CHECK(client.open_connections() == 2);
+  CHECK(client.delayed_addresses() >= 1);
+}
+
 TEST_CASE("each client request ends in time with the right error") {
   Fixture fixture;
   IoThreads threads(1);
