--- a/flamingohollow/graph_placement.cc
+++ b/flamingohollow/graph_placement.cc
@@ -12,14 +12,15 @@
 namespace {
 
 using graph_placement_internal::AnyRackCouldHold;
-using graph_placement_internal::CollectGroups;
 using graph_placement_internal::CollectGuaranteed;
 using graph_placement_internal::CollectUnits;
 using graph_placement_internal::CollectWorkers;
 using graph_placement_internal::CountFits;
+using graph_placement_internal::FailedFit;
 using graph_placement_internal::FindCheapestPlacement;
+using graph_placement_internal::FindEligible;
+using graph_placement_internal::FitMost;
 using graph_placement_internal::FitUnit;
-using graph_placement_internal::FreeResourcesFn;
 using graph_placement_internal::Lateness;
 using graph_placement_internal::MatchesStep;
 using graph_placement_internal::MeasureUse;
@@ -38,14 +39,19 @@
           std::min(a.accelerators_, b.accelerators_)};
 }
 
+// Counts a task towards the `max_per_worker_` of its step.
+void CountPlaced(Pass& pass, const Unit& unit, std::size_t worker) {
+  if (unit.spec_->max_per_worker_ == 0) return;
+  pass.workers_[worker].placed_.push_back(unit.step_);
+}
+
 void DeductFromFree(Pass& pass, const Unit& unit,
                     const std::vector<std::size_t>& chosen) {
-  const Resources need = ReservedResources(*unit.spec_);
-  for (const std::size_t index : chosen) {
-    PassWorker& worker = pass.workers_[index];
-    worker.free_after_stops_ = worker.free_after_stops_ - need;
-    worker.free_ = ElementwiseMin(worker.free_, worker.free_after_stops_);
-    ++worker.tasks_[{unit.job_->key_, unit.occurrence_, unit.index_}];
+  for (const std::size_t worker : chosen) {
+    Resources& after_stops = pass.free_after_stops_[worker];
+    after_stops = after_stops - unit.need_;
+    pass.free_[worker] = ElementwiseMin(pass.free_[worker], after_stops);
+    CountPlaced(pass, unit, worker);
   }
 }
 
@@ -57,18 +63,23 @@
   return Next(newest);
 }
 
+// Opens attempts of the unit's first tasks on the chosen workers.
 void OpenAttempts(Pass& pass, const Unit& unit,
                   const std::vector<std::size_t>& chosen) {
-  const Resources need = ReservedResources(*unit.spec_);
-  const AttemptId attempt = NextAttempt(unit);
+  const AttemptId gang_attempt = NextAttempt(unit);
   for (std::size_t i = 0; i < chosen.size(); ++i) {
-    PassWorker& worker = pass.workers_[chosen[i]];
-    worker.free_ = worker.free_ - need;
-    worker.free_after_stops_ = worker.free_after_stops_ - need;
-    ++worker.tasks_[{unit.job_->key_, unit.occurrence_, unit.index_}];
-    const PoolWorkerReport& report = worker.fleet_worker_->report_;
-    const TaskRef task{unit.job_->key_, unit.occurrence_, unit.index_,
-                       unit.tasks_[i]};
+    const std::size_t worker = chosen[i];
+    pass.free_[worker] = pass.free_[worker] - unit.need_;
+    pass.free_after_stops_[worker] =
+        pass.free_after_stops_[worker] - unit.need_;
+    CountPlaced(pass, unit, worker);
+    const PoolWorkerReport& report =
+        pass.workers_[worker].fleet_worker_->report_;
+    const TaskIndex index = unit.tasks_[i];
+    const AttemptId attempt =
+        unit.spec_->gang_ ? gang_attempt
+                          : Next(unit.step_->tasks_[index.value()].attempt_);
+    const TaskRef task{unit.job_->key_, unit.occurrence_, unit.index_, index};
     pass.plan_.open_.push_back(
         {{task, attempt}, report.id_, report.incarnation_});
   }
@@ -79,10 +90,11 @@
     RunGroup& group = pass.groups_[index];
     group.preempted_ = true;
     for (const RunGroup::Member& member : group.members_) {
-      PassWorker& worker = pass.workers_[member.worker_];
-      worker.free_after_stops_ = worker.free_after_stops_ + member.need_;
+      Resources& after_stops = pass.free_after_stops_[member.worker_];
+      after_stops = after_stops + member.need_;
+      const PassWorker& worker = pass.workers_[member.worker_];
       pass.plan_.stop_.push_back(
-          {worker.fleet_worker_->report_.id_, member.attempt_});
+          {worker.fleet_worker_->report_.id_, *member.attempt_});
     }
   }
 }
@@ -96,37 +108,40 @@
                                 pass.options_.estimate_safety_factor_));
   const Time in_time = unit.deadline_ - remaining - pass.options_.restart_time_;
   const Time from = std::max(in_time, unit.queued_at_);
-  if (!pass.guaranteed_.contains(unit.job_->key_)) return from;
+  if (!unit.guaranteed_) return from;
   return std::min(from, unit.queued_at_ + pass.options_.max_guarantee_wait_);
 }
 
-// Holds the resources that are likely to become free first.
-void ReserveSoonestFree(Pass& pass, const Unit& unit, bool may_spread) {
+// Holds the resources that are likely to become free first for `tasks` tasks of
+// the unit.
+void ReserveSoonestFree(Pass& pass, const Unit& unit, std::size_t tasks,
+                        bool may_spread) {
   if (pass.reservations_ == 0) return;
   --pass.reservations_;
   const TrialOptions trial_options{.cost_ = &RemainingMs,
                                    .preemptible_only_ = false};
   const auto trial =
-      FindCheapestPlacement(pass, unit, trial_options, may_spread);
+      FindCheapestPlacement(pass, unit, tasks, trial_options, may_spread);
   if (trial.has_value()) DeductFromFree(pass, unit, trial->chosen_);
 }
 
-void PlaceUrgent(Pass& pass, const Unit& unit, bool may_spread) {
-  const FreeResourcesFn free_after_stops = [&pass](std::size_t worker) {
-    return pass.workers_[worker].free_after_stops_;
-  };
-  if (const auto fit = FitUnit(pass, unit, free_after_stops, may_spread)) {
+// Holds or frees resources for `tasks` tasks of the unit.
+void PlaceUrgent(Pass& pass, const Unit& unit, std::size_t tasks,
+                 bool may_spread) {
+  if (const auto fit =
+          FitUnit(pass, unit, tasks, &Pass::free_after_stops_, may_spread)) {
     return DeductFromFree(pass, unit, *fit);
   }
-  const bool guaranteed = pass.guaranteed_.contains(unit.job_->key_);
-  const bool may_preempt = guaranteed || unit.lateness_ != Lateness::kTooLate;
+  const bool may_preempt =
+      unit.guaranteed_ || unit.lateness_ != Lateness::kTooLate;
   if (may_preempt && pass.now_ >= EarliestPreemption(pass, unit)) {
-    if (const auto trial = FindCheapestPlacement(pass, unit, {}, may_spread)) {
+    if (const auto trial =
+            FindCheapestPlacement(pass, unit, tasks, {}, may_spread)) {
       StopGroups(pass, *trial);
       return DeductFromFree(pass, unit, trial->chosen_);
     }
   }
-  if (may_preempt) ReserveSoonestFree(pass, unit, may_spread);
+  if (may_preempt) ReserveSoonestFree(pass, unit, tasks, may_spread);
 }
 
 // Whether a gang that wants one rack may now be placed on several. An urgent
@@ -135,32 +150,69 @@
 bool MaySpread(const Pass& pass, const Unit& unit) {
   if (!WantsOneRack(unit)) return false;
   const Duration waited = pass.now_ - unit.queued_at_;
-  const bool guaranteed = pass.guaranteed_.contains(unit.job_->key_);
-  if (guaranteed && waited > pass.options_.max_rack_wait_) return true;
+  if (unit.guaranteed_ && waited > pass.options_.max_rack_wait_) return true;
   if (!pass.busy_ && waited > pass.options_.max_idle_rack_wait_) return true;
   return !AnyRackCouldHold(pass, unit);
 }
 
-// Starts the unit or, if it does not fit now, may hold or free resources for
-// it. Returns false if other tasks of its step need not be tried in this pass.
-bool PlaceUnit(Pass& pass, const Unit& unit) {
-  const FreeResourcesFn free = [&pass](std::size_t worker) {
-    return pass.workers_[worker].free_;
-  };
-  const bool may_spread = MaySpread(pass, unit);
-  if (const auto fit = FitUnit(pass, unit, free, may_spread)) {
+// Whether a fit into the free resources has failed in this pass that asked for
+// no more than this one.
+bool IsKnownToFail(const Pass& pass, const FailedFit& fit) {
+  return std::any_of(pass.failed_fits_.begin(), pass.failed_fits_.end(),
+                     [&fit](const FailedFit& failed) {
+                       return failed.eligible_ == fit.eligible_ &&
+                              failed.tasks_ <= fit.tasks_ &&
+                              (!failed.one_rack_ || fit.one_rack_) &&
+                              Fits(failed.need_, fit.need_);
+                     });
+}
+
+// Starts a whole gang if it fits now.
+bool StartGang(Pass& pass, const Unit& unit, bool may_spread) {
+  const std::size_t tasks = unit.tasks_.size();
+  const FailedFit request{unit.eligible_, unit.need_, tasks,
+                          WantsOneRack(unit) && !may_spread};
+  // A step with a limit for each worker may fail because of that limit.
+  const bool comparable = unit.spec_->max_per_worker_ == 0;
+  if (comparable && IsKnownToFail(pass, request)) return false;
+  const auto fit = FitUnit(pass, unit, tasks, &Pass::free_, may_spread);
+  if (fit.has_value()) {
     OpenAttempts(pass, unit, *fit);
-    return true;
+  } else if (comparable) {
+    pass.failed_fits_.push_back(request);
   }
+  return fit.has_value();
+}
+
+void PlaceGang(Pass& pass, const Unit& unit) {
+  const bool may_spread = MaySpread(pass, unit);
+  if (StartGang(pass, unit, may_spread)) return;
+  const std::size_t tasks = unit.tasks_.size();
   if (unit.job_->terms_.priority_ == 0) {
-    PlaceUrgent(pass, unit, may_spread);
-    // Resources may still be held for other tasks of the same step.
-    return true;
+    return PlaceUrgent(pass, unit, tasks, may_spread);
+  }
+  if (tasks > 1 && unit.lateness_ != Lateness::kTooLate) {
+    ReserveSoonestFree(pass, unit, tasks, may_spread);
+  }
+}
+
+// Starts as many of the tasks as fit now. Urgent tasks that don't fit may hold
+// or free resources, each for itself.
+void PlaceTasks(Pass& pass, const Unit& unit) {
+  const FailedFit request{unit.eligible_, unit.need_, 1, false};
+  const bool comparable = unit.spec_->max_per_worker_ == 0;
+  std::size_t started = 0;
+  if (!comparable || !IsKnownToFail(pass, request)) {
+    const auto chosen = FitMost(pass, unit, &Pass::free_);
+    OpenAttempts(pass, unit, chosen);
+    started = chosen.size();
+    const bool failed = started < unit.tasks_.size();
+    if (failed && comparable) pass.failed_fits_.push_back(request);
+  }
+  if (unit.job_->terms_.priority_ != 0) return;
+  for (std::size_t i = started; i < unit.tasks_.size(); ++i) {
+    PlaceUrgent(pass, unit, 1, false);
   }
-  const bool gang =
-      unit.tasks_.size() > 1 && unit.lateness_ != Lateness::kTooLate;
-  if (gang) ReserveSoonestFree(pass, unit, may_spread);
-  return false;
 }
 
 }  // namespace
@@ -192,28 +244,32 @@
             .options_ = options,
             .now_ = now,
             .workers_ = {},
+            .capacity_ = {},
+            .free_ = {},
+            .free_after_stops_ = {},
             .racks_ = {},
+            .eligible_ = {},
             .guaranteed_ = {},
             .groups_ = {},
             .by_loss_ = {},
             .by_end_ = {},
-            .reservations_ = 0,
+            .failed_fits_ = {},
             .plan_ = {}};
   CollectGuaranteed(pass);
-  const std::vector<Unit> units = CollectUnits(pass, queued_at);
+  std::vector<Unit> units = CollectUnits(pass, queued_at);
   if (units.empty()) return {};
   CollectWorkers(pass);
-  CollectGroups(pass);
   MeasureUse(pass);
   pass.reservations_ =
       std::clamp(pass.workers_.size() / options.workers_per_reservation_,
                  options.min_reservations_, options.max_reservations_);
-  // Equal tasks of a step are adjacent in the order: if one does not fit, the
-  // others don't either.
-  const StepRecord* full_step = nullptr;
-  for (const Unit& unit : units) {
-    if (unit.step_ == full_step) continue;
-    if (!PlaceUnit(pass, unit)) full_step = unit.step_;
+  for (Unit& unit : units) {
+    unit.eligible_ = &FindEligible(pass, unit);
+    if (unit.spec_->gang_) {
+      PlaceGang(pass, unit);
+    } else {
+      PlaceTasks(pass, unit);
+    }
   }
   return std::move(pass.plan_);
 }
--- a/flamingohollow/graph_placement.h
+++ b/flamingohollow/graph_placement.h
@@ -24,7 +24,9 @@
 //   few gangs and units of priority 0 that don't fit hold the resources that
 //   are likely to become free first, so that small tasks can't starve them.
 //
-// Cost: O(units x workers).
+// Cost: one look at each run of the fleet, and at each worker for each unit
+// that starts, is preempted for or holds resources. A unit that asks for no
+// less than one that did not fit is skipped.
 
 #ifndef FLAMINGOHOLLOW_GRAPH_PLACEMENT_H_
 #define FLAMINGOHOLLOW_GRAPH_PLACEMENT_H_
--- a/flamingohollow/graph_placement_fit.cc
+++ b/flamingohollow/graph_placement_fit.cc
@@ -8,16 +8,19 @@
 namespace flamingohollow::graph_placement_internal {
 
 std::uint32_t StepTasksOn(const PassWorker& worker, const Unit& unit) {
-  const auto found =
-      worker.tasks_.find({unit.job_->key_, unit.occurrence_, unit.index_});
-  return found == worker.tasks_.end() ? 0 : found->second;
+  const auto& runs = worker.fleet_worker_->runs_;
+  const StepRef step{unit.job_->key_, unit.occurrence_, unit.index_};
+  const AttemptRef first{{step.job_, step.occurrence_, step.step_, {}}, {}};
+  std::uint32_t tasks = 0;
+  for (auto run = runs.lower_bound(first);
+       run != runs.end() && StepOf(run->first.task_) == step; ++run) {
+    ++tasks;
+  }
+  return tasks + static_cast<std::uint32_t>(std::count(
+                     worker.placed_.begin(), worker.placed_.end(), unit.step_));
 }
 
-bool MayRunOn(const PassWorker& worker, const Unit& unit) {
-  if (!worker.usable_) return false;
-  return MatchesStep(worker.fleet_worker_->report_, *unit.spec_,
-                     unit.job_->terms_.pool_);
-}
+namespace {
 
 // Urgent units have the least slack and prefer the fastest workers. Other units
 // only avoid very slow workers, which are likely to be faulty.
@@ -27,11 +30,14 @@
   return worker.pace_ == PaceClass::kVerySlow ? 1 : 0;
 }
 
-FitRank RankFit(const PassWorker& worker, const Unit& unit,
+}  // namespace
+
+FitRank RankFit(const Pass& pass, std::size_t worker, const Unit& unit,
                 const Resources& left) {
+  const PassWorker& state = pass.workers_[worker];
   const bool away =
-      IsAwayFromData(*unit.spec_, worker.fleet_worker_->report_.rack_);
-  return {away, RankPace(worker, unit), left.accelerators_, left.memory_mb_};
+      IsAwayFromData(*unit.spec_, state.fleet_worker_->report_.rack_);
+  return {away, RankPace(state, unit), left.accelerators_, left.memory_mb_};
 }
 
 std::uint64_t CountFits(const Resources& need, const Resources& free,
@@ -48,6 +54,8 @@
   return limit;
 }
 
+namespace {
+
 // Returns how many more tasks of the unit's step the worker may take under
 // `max_per_worker_`.
 std::uint64_t TasksAllowed(const PassWorker& worker, const Unit& unit) {
@@ -57,95 +65,99 @@
   return here >= limit ? 0 : limit - here;
 }
 
+std::uint64_t CountFitsOn(const Pass& pass, const Unit& unit,
+                          std::size_t worker, const Resources& free) {
+  if (!Fits(unit.need_, free)) return 0;
+  return CountFits(unit.need_, free, TasksAllowed(pass.workers_[worker], unit));
+}
+
+// Whether the workers have room for `tasks` tasks of the unit.
+bool HaveRoom(const Pass& pass, const Unit& unit, std::size_t tasks,
+              const std::vector<std::size_t>& workers, ResourcesOf free) {
+  std::uint64_t sum = 0;
+  for (const std::size_t worker : workers) {
+    sum += CountFitsOn(pass, unit, worker, (pass.*free)[worker]);
+    if (sum >= tasks) return true;
+  }
+  return false;
+}
+
 // A worker with free resources for at least one task of a unit.
 struct Candidate {
+  FitRank rank_;
+  // Decides between equal ranks.
+  std::size_t position_ = 0;
   std::size_t worker_ = 0;
   Resources free_;
   std::uint64_t fits_ = 0;
-};
 
-std::vector<Candidate> FindCandidates(const Pass& pass, const Unit& unit,
-                                      const std::vector<std::size_t>& workers,
-                                      const FreeResourcesFn& free_of) {
-  const Resources need = ReservedResources(*unit.spec_);
-  std::vector<Candidate> candidates;
-  for (const std::size_t index : workers) {
-    const PassWorker& worker = pass.workers_[index];
-    if (!MayRunOn(worker, unit)) continue;
-    const Resources free = free_of(index);
-    const std::uint64_t fits =
-        CountFits(need, free, TasksAllowed(worker, unit));
-    if (fits > 0) candidates.push_back({index, free, fits});
+  // For heaps, whose front is the largest.
+  friend bool operator<(const Candidate& a, const Candidate& b) {
+    return std::tie(b.rank_, b.position_) < std::tie(a.rank_, a.position_);
   }
-  return candidates;
-}
-
-std::uint64_t SumFits(const std::vector<Candidate>& candidates) {
-  std::uint64_t sum = 0;
-  for (const Candidate& candidate : candidates) sum += candidate.fits_;
-  return sum;
-}
+};
 
-// Places the unit's tasks one by one on the best fitting of `workers`. Returns
-// a worker index for each task, or nothing if not all tasks fit.
-std::optional<std::vector<std::size_t>> FitAmong(
-    const Pass& pass, const Unit& unit, const std::vector<std::size_t>& workers,
-    const FreeResourcesFn& free_of) {
-  std::vector<Candidate> candidates =
-      FindCandidates(pass, unit, workers, free_of);
-  if (SumFits(candidates) < unit.tasks_.size()) return std::nullopt;
-  const Resources need = ReservedResources(*unit.spec_);
+// Places up to `tasks` tasks of the unit one by one on the best fitting of
+// `workers`.
+std::vector<std::size_t> FitBest(const Pass& pass, const Unit& unit,
+                                 std::size_t tasks,
+                                 const std::vector<std::size_t>& workers,
+                                 ResourcesOf free_of) {
+  std::vector<Candidate> heap;
+  for (std::size_t i = 0; i < workers.size(); ++i) {
+    const std::size_t worker = workers[i];
+    const Resources& free = (pass.*free_of)[worker];
+    const std::uint64_t fits = CountFitsOn(pass, unit, worker, free);
+    if (fits == 0) continue;
+    const FitRank rank = RankFit(pass, worker, unit, free - unit.need_);
+    heap.push_back({rank, i, worker, free, fits});
+  }
+  std::make_heap(heap.begin(), heap.end());
   std::vector<std::size_t> chosen;
-  for (std::size_t i = 0; i < unit.tasks_.size(); ++i) {
-    Candidate* best = nullptr;
-    FitRank best_rank;
-    for (Candidate& candidate : candidates) {
-      if (candidate.fits_ == 0) continue;
-      const FitRank rank = RankFit(pass.workers_[candidate.worker_], unit,
-                                   candidate.free_ - need);
-      if (best != nullptr && best_rank <= rank) continue;
-      best = &candidate;
-      best_rank = rank;
+  while (chosen.size() < tasks && !heap.empty()) {
+    std::pop_heap(heap.begin(), heap.end());
+    Candidate& best = heap.back();
+    chosen.push_back(best.worker_);
+    best.free_ = best.free_ - unit.need_;
+    if (--best.fits_ == 0) {
+      heap.pop_back();
+      continue;
     }
-    best->free_ = best->free_ - need;
-    --best->fits_;
-    chosen.push_back(best->worker_);
+    best.rank_ = RankFit(pass, best.worker_, unit, best.free_ - unit.need_);
+    std::push_heap(heap.begin(), heap.end());
   }
   return chosen;
 }
 
-bool WantsOneRack(const Unit& unit) {
-  return unit.spec_->same_rack_ && unit.tasks_.size() > 1;
-}
-
-std::vector<std::size_t> AllWorkers(const Pass& pass) {
-  std::vector<std::size_t> all(pass.workers_.size());
-  for (std::size_t i = 0; i < all.size(); ++i) all[i] = i;
-  return all;
-}
-
-std::int64_t FreeAccelerators(const std::vector<std::size_t>& workers,
-                              const FreeResourcesFn& free_of) {
+std::int64_t FreeAccelerators(const Pass& pass,
+                              const std::vector<std::size_t>& workers,
+                              ResourcesOf free) {
   std::int64_t sum = 0;
-  for (const std::size_t worker : workers) sum += free_of(worker).accelerators_;
+  for (const std::size_t worker : workers) {
+    sum += (pass.*free)[worker].accelerators_;
+  }
   return sum;
 }
 
 // Fits the whole unit into one rack. Prefers racks near the data, then faster
 // workers, then the rack with the fewest free accelerators.
-std::optional<std::vector<std::size_t>> FitOneRack(
-    const Pass& pass, const Unit& unit, const FreeResourcesFn& free_of) {
+std::optional<std::vector<std::size_t>> FitOneRack(const Pass& pass,
+                                                   const Unit& unit,
+                                                   std::size_t tasks,
+                                                   ResourcesOf free) {
   std::optional<std::vector<std::size_t>> best;
   std::tuple<bool, int, std::int64_t> best_rank;
-  for (const auto& [rack, workers] : pass.racks_) {
-    auto fit = FitAmong(pass, unit, workers, free_of);
-    if (!fit.has_value()) continue;
-    const bool away = IsAwayFromData(*unit.spec_, rack);
+  for (const EligibleWorkers::OnRack& here : unit.eligible_->racks_) {
+    if (!HaveRoom(pass, unit, tasks, here.workers_, free)) continue;
+    auto fit = FitBest(pass, unit, tasks, here.workers_, free);
+    const PassRack& rack = pass.racks_[here.rack_];
+    const bool away = IsAwayFromData(*unit.spec_, *rack.name_);
     int pace = 0;
-    for (const std::size_t worker : *fit) {
+    for (const std::size_t worker : fit) {
       pace = std::max(pace, RankPace(pass.workers_[worker], unit));
     }
-    const std::tuple rank(away, pace, FreeAccelerators(workers, free_of));
+    const std::tuple rank(away, pace,
+                          FreeAccelerators(pass, rack.workers_, free));
     if (best.has_value() && best_rank <= rank) continue;
     best = std::move(fit);
     best_rank = rank;
@@ -153,30 +165,41 @@
   return best;
 }
 
+}  // namespace
+
+bool WantsOneRack(const Unit& unit) {
+  return unit.spec_->same_rack_ && unit.spec_->gang_ && unit.tasks_.size() > 1;
+}
+
 bool CouldHold(const Pass& pass, const Unit& unit,
                const std::vector<std::size_t>& workers) {
-  const FreeResourcesFn whole = [&pass](std::size_t worker) {
-    return pass.workers_[worker].fleet_worker_->report_.capacity_;
-  };
-  return SumFits(FindCandidates(pass, unit, workers, whole)) >=
-         unit.tasks_.size();
+  return HaveRoom(pass, unit, unit.tasks_.size(), workers, &Pass::capacity_);
 }
 
 bool AnyRackCouldHold(const Pass& pass, const Unit& unit) {
-  return std::any_of(
-      pass.racks_.begin(), pass.racks_.end(),
-      [&](const auto& rack) { return CouldHold(pass, unit, rack.second); });
+  const auto& racks = unit.eligible_->racks_;
+  return std::any_of(racks.begin(), racks.end(), [&](const auto& rack) {
+    return CouldHold(pass, unit, rack.workers_);
+  });
 }
 
 std::optional<std::vector<std::size_t>> FitUnit(const Pass& pass,
                                                 const Unit& unit,
-                                                const FreeResourcesFn& free_of,
+                                                std::size_t tasks,
+                                                ResourcesOf free,
                                                 bool may_spread) {
   if (WantsOneRack(unit)) {
-    if (auto fit = FitOneRack(pass, unit, free_of)) return fit;
+    if (auto fit = FitOneRack(pass, unit, tasks, free)) return fit;
     if (!may_spread) return std::nullopt;
   }
-  return FitAmong(pass, unit, AllWorkers(pass), free_of);
+  const std::vector<std::size_t>& workers = unit.eligible_->all_;
+  if (!HaveRoom(pass, unit, tasks, workers, free)) return std::nullopt;
+  return FitBest(pass, unit, tasks, workers, free);
+}
+
+std::vector<std::size_t> FitMost(const Pass& pass, const Unit& unit,
+                                 ResourcesOf free) {
+  return FitBest(pass, unit, unit.tasks_.size(), unit.eligible_->all_, free);
 }
 
 }  // namespace flamingohollow::graph_placement_internal
--- a/flamingohollow/graph_placement_pass.cc
+++ b/flamingohollow/graph_placement_pass.cc
@@ -4,16 +4,23 @@
 #include "flamingohollow/graph_placement_pass.h"
 
 #include <algorithm>
+#include <iterator>
+#include <string_view>
+#include <unordered_map>
 #include <utility>
 
 namespace flamingohollow::graph_placement_internal {
 
+namespace {
+
 bool HasLabel(const PoolWorkerReport& report, const std::string& label) {
   if (label.empty()) return true;
   return std::find(report.labels_.begin(), report.labels_.end(), label) !=
          report.labels_.end();
 }
 
+}  // namespace
+
 bool MatchesStep(const PoolWorkerReport& report, const StepSpec& spec,
                  const PoolName& pool) {
   return report.pool_ == pool && HasLabel(report, spec.label_);
@@ -40,10 +47,12 @@
     std::int64_t& sum = used[job->customer_];
     if (sum + widest > limit) continue;
     sum += widest;
-    pass.guaranteed_.insert(job->key_);
+    pass.guaranteed_.insert(job);
   }
 }
 
+namespace {
+
 // At most one in this many of a pool's workers is excluded as very slow.
 constexpr std::size_t kVerySlowShareDivisor = 4;
 
@@ -69,30 +78,67 @@
   }
 }
 
+}  // namespace
+
 void CollectWorkers(Pass& pass) {
   std::map<PoolName, std::vector<std::size_t>> pools;
+  std::map<Rack, std::vector<std::size_t>> racks;
   for (const auto& [id, worker] : pass.fleet_) {
     if (!worker.reported_) continue;
     PassWorker added;
     added.fleet_worker_ = &worker;
     added.usable_ =
         AcceptsTasks(worker, pass.options_.report_interval_, pass.now_);
-    added.free_ = worker.report_.capacity_ - worker.used_;
-    added.free_after_stops_ = added.free_;
+    const Resources free = worker.report_.capacity_ - worker.used_;
+    Resources free_after_stops = free;
     for (const auto& [attempt, run] : worker.runs_) {
-      ++added.tasks_[StepOf(attempt.task_)];
-      if (IsEnding(run))
-        added.free_after_stops_ = added.free_after_stops_ + run.need_;
+      if (IsEnding(run)) free_after_stops = free_after_stops + run.need_;
     }
-    pass.racks_[worker.report_.rack_].push_back(pass.workers_.size());
+    racks[worker.report_.rack_].push_back(pass.workers_.size());
     pools[worker.report_.pool_].push_back(pass.workers_.size());
     pass.workers_.push_back(std::move(added));
+    pass.capacity_.push_back(worker.report_.capacity_);
+    pass.free_.push_back(free);
+    pass.free_after_stops_.push_back(free_after_stops);
+  }
+  for (auto& [name, workers] : racks) {
+    for (const std::size_t worker : workers) {
+      pass.workers_[worker].rack_ = pass.racks_.size();
+    }
+    const std::size_t first = workers.front();
+    pass.racks_.push_back({&pass.workers_[first].fleet_worker_->report_.rack_,
+                           std::move(workers)});
   }
   // No job runs on several pools, so paces of different pools can't be
   // compared.
   for (const auto& [name, pool] : pools) SetPaces(pass, pool);
 }
 
+const EligibleWorkers& FindEligible(Pass& pass, const Unit& unit) {
+  const auto [found, added] =
+      pass.eligible_.try_emplace({unit.job_->terms_.pool_, unit.spec_->label_});
+  EligibleWorkers& eligible = found->second;
+  if (!added) return eligible;
+  const auto accepts = [&](std::size_t index) {
+    const PassWorker& worker = pass.workers_[index];
+    return worker.usable_ && MatchesStep(worker.fleet_worker_->report_,
+                                         *unit.spec_, unit.job_->terms_.pool_);
+  };
+  for (std::size_t i = 0; i < pass.workers_.size(); ++i) {
+    if (accepts(i)) eligible.all_.push_back(i);
+  }
+  for (std::size_t rack = 0; rack < pass.racks_.size(); ++rack) {
+    EligibleWorkers::OnRack here{rack, {}};
+    std::copy_if(pass.racks_[rack].workers_.begin(),
+                 pass.racks_[rack].workers_.end(),
+                 std::back_inserter(here.workers_), accepts);
+    if (!here.workers_.empty()) eligible.racks_.push_back(std::move(here));
+  }
+  return eligible;
+}
+
+namespace {
+
 // An accelerator counts as this many cores in the cost of lost work.
 constexpr std::int64_t kCoresPerAccelerator = 8;
 // Stopping a task costs this much of its work in addition to the work lost: it
@@ -109,7 +155,7 @@
   const Time began = run.began_.value_or(now);
   const StepSpec& spec = group.job_->spec_.steps_[attempt.task_.step_.value()];
   const std::int64_t left = RemainingTime(run, spec.estimate_, now).ms();
-  group.members_.push_back({worker, attempt, run.need_});
+  group.members_.push_back({worker, &attempt, run.need_});
   // A task that takes checkpoints also takes one when it is stopped.
   const std::int64_t lost = spec.checkpoints_ ? 0 : (now - began).ms();
   group.lost_work_ += (lost + kStopCostMs) * WeightOf(run.need_);
@@ -120,37 +166,60 @@
 
 void SortGroups(Pass& pass) {
   pass.by_end_ = pass.by_loss_;
-  for (std::vector<std::size_t>& here : pass.by_loss_) {
-    std::sort(here.begin(), here.end(), [&pass](std::size_t a, std::size_t b) {
-      return pass.groups_[a].lost_work_ < pass.groups_[b].lost_work_;
-    });
-  }
-  for (std::vector<std::size_t>& here : pass.by_end_) {
-    std::sort(here.begin(), here.end(), [&pass](std::size_t a, std::size_t b) {
-      return pass.groups_[a].remaining_ms_ < pass.groups_[b].remaining_ms_;
-    });
-  }
+  const auto sort = [&pass](std::vector<GroupOnWorker>& here, auto value) {
+    std::stable_sort(
+        here.begin(), here.end(),
+        [&pass, value](const GroupOnWorker& a, const GroupOnWorker& b) {
+          return pass.groups_[a.group_].*value < pass.groups_[b.group_].*value;
+        });
+  };
+  for (auto& here : pass.by_loss_) sort(here, &RunGroup::lost_work_);
+  for (auto& here : pass.by_end_) sort(here, &RunGroup::remaining_ms_);
 }
 
+// The active jobs by key. A lookup for each run in the ordered map of the state
+// would take longer than the rest of CollectGroups.
+std::unordered_map<std::string_view, const GraphJob*> IndexJobs(
+    const GraphState& state) {
+  std::unordered_map<std::string_view, const GraphJob*> jobs;
+  jobs.reserve(state.jobs_.size());
+  for (const auto& [key, job] : state.jobs_) jobs.emplace(key.value(), &job);
+  return jobs;
+}
+
+}  // namespace
+
 void CollectGroups(Pass& pass) {
+  if (std::exchange(pass.groups_collected_, true)) return;
+  const auto jobs = IndexJobs(pass.state_);
+  // Runs of one gang are adjacent on each worker, but not across workers.
   std::map<StepRef, std::size_t> gangs;
+  std::unordered_map<const StepRecord*, std::size_t> known_gangs;
   pass.by_loss_.resize(pass.workers_.size());
   for (std::size_t worker = 0; worker < pass.workers_.size(); ++worker) {
     for (const auto& [attempt, run] :
          pass.workers_[worker].fleet_worker_->runs_) {
       const TaskRef& task = attempt.task_;
-      const GraphJob* job = FindJob(pass.state_, task.job_);
-      if (job == nullptr) continue;
+      const auto found = jobs.find(task.job_.value());
+      if (found == jobs.end()) continue;
+      const GraphJob* job = found->second;
       std::size_t index = pass.groups_.size();
       if (job->spec_.steps_[task.step_.value()].gang_) {
-        index = gangs.emplace(StepOf(task), index).first->second;
+        const StepRecord* step = FindStep(*job, task.occurrence_, task.step_);
+        index = step != nullptr
+                    ? known_gangs.emplace(step, index).first->second
+                    : gangs.emplace(StepOf(task), index).first->second;
       }
       if (index == pass.groups_.size()) {
         pass.groups_.emplace_back().job_ = job;
       }
       AddToGroup(pass, pass.groups_[index], worker, attempt, run);
-      std::vector<std::size_t>& here = pass.by_loss_[worker];
-      if (here.empty() || here.back() != index) here.push_back(index);
+      std::vector<GroupOnWorker>& here = pass.by_loss_[worker];
+      if (here.empty() || here.back().group_ != index) {
+        here.push_back({index, run.need_});
+      } else {
+        here.back().need_ = here.back().need_ + run.need_;
+      }
     }
   }
   SortGroups(pass);
@@ -172,8 +241,7 @@
 bool MayPreempt(const Pass& pass, const RunGroup& group, const Unit& unit) {
   if (group.preempted_ || !group.all_running_) return false;
   if (group.job_->terms_.priority_ > 0) return true;
-  return pass.guaranteed_.contains(unit.job_->key_) &&
-         !pass.guaranteed_.contains(group.job_->key_);
+  return unit.guaranteed_ && !pass.guaranteed_.contains(group.job_);
 }
 
 }  // namespace flamingohollow::graph_placement_internal
--- a/flamingohollow/graph_placement_pass.h
+++ b/flamingohollow/graph_placement_pass.h
@@ -6,16 +6,23 @@
 //   graph_placement_fit.cc    fits a unit into free resources
 //   graph_placement_trial.cc  fits a unit, assuming that some groups end
 //   graph_placement.cc        decides what starts, waits and stops
+//
+// A pass refers to jobs, steps and attempts by pointers into the replicated
+// state and the fleet, which don't change during the pass, and to workers by
+// index. Free resources are kept in arrays of their own, because most of a
+// pass's time goes into scanning them.
 
 #ifndef FLAMINGOHOLLOW_GRAPH_PLACEMENT_PASS_H_
 #define FLAMINGOHOLLOW_GRAPH_PLACEMENT_PASS_H_
 
+#include <boost/container/small_vector.hpp>
 #include <cstdint>
-#include <functional>
 #include <map>
 #include <optional>
-#include <set>
+#include <string>
 #include <tuple>
+#include <unordered_set>
+#include <utility>
 #include <vector>
 
 #include "flamingohollow/fleet.h"
@@ -34,7 +41,21 @@
   kTooLate = 2,
 };
 
-// A whole gang or a single task that waits to start.
+// The workers that accept tasks of a pool and with a label, in the order of the
+// pass.
+struct EligibleWorkers {
+  std::vector<std::size_t> all_;
+  struct OnRack {
+    // Index into `Pass::racks_`.
+    std::size_t rack_ = 0;
+    std::vector<std::size_t> workers_;
+  };
+  // Racks with at least one of the workers.
+  std::vector<OnRack> racks_;
+};
+
+// A whole gang that waits to start, or the waiting tasks of a step that is no
+// gang, which start one by one.
 struct Unit {
   const GraphJob* job_ = nullptr;
   const StepSpec* spec_ = nullptr;
@@ -42,37 +63,46 @@
   Occurrence occurrence_;
   StepIndex index_;
   std::vector<TaskIndex> tasks_;
+  // Resources that one task reserves.
+  Resources need_;
   // Lateness of the job, if the unit starts now and takes as long as estimated.
   Lateness lateness_ = Lateness::kOnTime;
   Time deadline_;
   // Estimated run time of the rest of the job, if it starts now.
   Duration remaining_;
   Time queued_at_;
+  // The job is within its customer's guarantee.
+  bool guaranteed_ = false;
+  // Set before the unit is placed.
+  const EligibleWorkers* eligible_ = nullptr;
 };
 
-// A worker's state within one pass.
+// A worker's state within one pass, except its resources.
 struct PassWorker {
   const FleetWorker* fleet_worker_ = nullptr;
+  // Index into `Pass::racks_`.
+  std::size_t rack_ = 0;
   bool usable_ = false;
   PaceClass pace_ = PaceClass::kFull;
-  // Resources that are free now and not held for a unit.
-  Resources free_;
-  // Resources that are free once all runs that are being stopped have ended.
-  Resources free_after_stops_;
-  // Number of tasks per step on this worker, for `max_per_worker_`.
-  std::map<StepRef, std::uint32_t> tasks_;
+  // Steps of the tasks that this pass has placed here or holds resources for;
+  // only steps with `max_per_worker_`.
+  std::vector<const StepRecord*> placed_;
+};
+
+struct PassRack {
+  const Rack* name_ = nullptr;
+  std::vector<std::size_t> workers_;
 };
 
 // Runs that are stopped together: a whole gang or a single task.
 struct RunGroup {
   struct Member {
-    // Index into `Pass::workers_`.
     std::size_t worker_ = 0;
-    AttemptRef attempt_;
+    const AttemptRef* attempt_ = nullptr;
     Resources need_;
   };
   const GraphJob* job_ = nullptr;
-  std::vector<Member> members_;
+  boost::container::small_vector<Member, 1> members_;
   // Work lost if the group is stopped, plus a fixed cost for each member, in
   // core-milliseconds.
   std::int64_t lost_work_ = 0;
@@ -83,29 +113,56 @@
   bool preempted_ = false;
 };
 
+// A group's share of a worker.
+struct GroupOnWorker {
+  // Index into `Pass::groups_`.
+  std::size_t group_ = 0;
+  // Sum of the needs of its members there.
+  Resources need_;
+};
+
+// A request that was found not to fit: tasks of one need on eligible workers.
+struct FailedFit {
+  const EligibleWorkers* eligible_ = nullptr;
+  Resources need_;
+  std::size_t tasks_ = 0;
+  bool one_rack_ = false;
+};
+
 struct Pass {
   const GraphState& state_;
   const Fleet& fleet_;
   const GraphPlacementOptions& options_;
   Time now_;
   std::vector<PassWorker> workers_;
-  std::map<Rack, std::vector<std::size_t>> racks_;
+  // By worker: the whole capacity, what is free now and not held for a unit,
+  // and what is free once all runs that are being stopped have ended.
+  std::vector<Resources> capacity_;
+  std::vector<Resources> free_;
+  std::vector<Resources> free_after_stops_;
+  std::vector<PassRack> racks_;
+  std::map<std::pair<PoolName, std::string>, EligibleWorkers> eligible_;
   // Jobs of priority 0 that are within their customer's guarantee.
-  std::set<GraphJobKey> guaranteed_;
+  std::unordered_set<const GraphJob*> guaranteed_;
+  // Filled by CollectGroups when a unit first needs them.
+  bool groups_collected_ = false;
   std::vector<RunGroup> groups_;
-  // For each worker, the indices of the groups with a member on it, ordered by
-  // least lost work and by earliest end.
-  std::vector<std::vector<std::size_t>> by_loss_;
-  std::vector<std::vector<std::size_t>> by_end_;
+  // For each worker, the groups with a member on it, ordered by least lost work
+  // and by earliest end.
+  std::vector<std::vector<GroupOnWorker>> by_loss_;
+  std::vector<std::vector<GroupOnWorker>> by_end_;
   // More than half of the usable workers' capacity is in use.
   bool busy_ = false;
   // Number of units that may still hold resources in this pass.
   std::size_t reservations_ = 0;
+  // Fits into `free_` that failed. They fail for the rest of the pass, as
+  // `free_` only decreases.
+  std::vector<FailedFit> failed_fits_;
   PlacementPlan plan_;
 };
 
-// Returns the resources of a worker that a unit may be fitted into.
-using FreeResourcesFn = std::function<Resources(std::size_t worker)>;
+// The array of a pass that a unit is fitted into.
+using ResourcesOf = std::vector<Resources> Pass::*;
 
 // graph_placement_pass.cc
 
@@ -115,9 +172,11 @@
 // Fills `guaranteed_`.
 void CollectGuaranteed(Pass& pass);
 void CollectWorkers(Pass& pass);
+// Does nothing if the groups are collected already.
 void CollectGroups(Pass& pass);
 // Sets `busy_`.
 void MeasureUse(Pass& pass);
+const EligibleWorkers& FindEligible(Pass& pass, const Unit& unit);
 bool MayPreempt(const Pass& pass, const RunGroup& group, const Unit& unit);
 
 // graph_placement_units.cc
@@ -135,22 +194,24 @@
 // Whether the unit would fit on these workers if they were empty.
 bool CouldHold(const Pass& pass, const Unit& unit,
                const std::vector<std::size_t>& workers);
-std::vector<std::size_t> AllWorkers(const Pass& pass);
 // Returns the number of tasks of the unit's step on the worker.
 std::uint32_t StepTasksOn(const PassWorker& worker, const Unit& unit);
-// Whether the worker accepts tasks of the unit, regardless of free resources.
-bool MayRunOn(const PassWorker& worker, const Unit& unit);
 // Lower is better. Compares distance from the data, then the worker's pace as
 // it matters to the unit, then the accelerators and memory left over.
 using FitRank = std::tuple<bool, int, std::int64_t, std::int64_t>;
-FitRank RankFit(const PassWorker& worker, const Unit& unit,
+FitRank RankFit(const Pass& pass, std::size_t worker, const Unit& unit,
                 const Resources& left);
-// Returns a worker index for each task, or nothing if not all tasks fit. A unit
-// that wants one rack is placed on several only if `may_spread`.
+// Returns a worker index for each of the first `tasks` tasks of the unit, or
+// nothing if not all fit. A unit that wants one rack is placed on several only
+// if `may_spread`.
 std::optional<std::vector<std::size_t>> FitUnit(const Pass& pass,
                                                 const Unit& unit,
-                                                const FreeResourcesFn& free_of,
+                                                std::size_t tasks,
+                                                ResourcesOf free,
                                                 bool may_spread);
+// Returns worker indices for as many of the unit's tasks as fit.
+std::vector<std::size_t> FitMost(const Pass& pass, const Unit& unit,
+                                 ResourcesOf free);
 
 // graph_placement_trial.cc
 
@@ -164,8 +225,8 @@
 struct TrialPlacement {
   // A worker index for each task.
   std::vector<std::size_t> chosen_;
-  // Indices of the groups that must end first.
-  std::set<std::size_t> groups_;
+  // Indices of the groups that must end first, ascending.
+  std::vector<std::size_t> groups_;
   std::int64_t cost_ = 0;
 };
 
@@ -177,11 +238,12 @@
   bool preemptible_only_ = true;
 };
 
-// Returns the cheapest trial placement that was found, or nothing if the unit
-// would not fit even if all groups that the options select had ended.
+// Returns the cheapest trial placement of the unit's first `tasks` tasks that
+// was found, or nothing if they would not fit even if all groups that the
+// options select had ended.
 std::optional<TrialPlacement> FindCheapestPlacement(
-    const Pass& pass, const Unit& unit, const TrialOptions& trial_options,
-    bool may_spread);
+    Pass& pass, const Unit& unit, std::size_t tasks,
+    const TrialOptions& trial_options, bool may_spread);
 
 }  // namespace flamingohollow::graph_placement_internal
 
--- a/flamingohollow/graph_placement_trial.cc
+++ b/flamingohollow/graph_placement_trial.cc
@@ -1,4 +1,8 @@
 // Fits a unit by assuming that some running groups end, at the lowest cost.
+//
+// The tasks are placed one by one, each on the worker with the cheapest offer.
+// Only the offers of workers that the last placement has changed are computed
+// again, so a trial costs one offer for each worker and a few for each task.
 
 #include <algorithm>
 #include <limits>
@@ -13,148 +17,205 @@
 
 namespace {
 
-// Changes that a trial assumes so far, by worker index.
-struct TrialState {
-  // Resources freed by the trial's groups, less the needs of its tasks.
-  std::map<std::size_t, Resources> free_change_;
-  std::map<std::size_t, std::uint32_t> tasks_;
-};
+constexpr std::int64_t kNoCostLimit = std::numeric_limits<std::int64_t>::max();
 
 // A place for one task on a worker, free once the groups have ended.
 struct WorkerOffer {
   std::size_t worker_ = 0;
-  std::vector<std::size_t> groups_;
+  boost::container::small_vector<GroupOnWorker, 4> groups_;
   std::int64_t cost_ = 0;
   Resources left_;
 };
 
-bool IsCandidate(const Pass& pass, const RunGroup& group, const Unit& unit,
-                 const TrialOptions& trial_options) {
-  return trial_options.preemptible_only_ ? MayPreempt(pass, group, unit)
-                                         : !group.preempted_;
-}
+// A trial of one unit on some workers.
+class Trial {
+ public:
+  Trial(const Pass& pass, const Unit& unit, const TrialOptions& options)
+      : pass_(pass), unit_(unit), options_(options) {}
+
+  // Returns nothing if not all tasks fit, or if the cost reaches `limit`.
+  std::optional<TrialPlacement> Place(std::size_t tasks,
+                                      const std::vector<std::size_t>& workers,
+                                      std::int64_t limit);
+
+ private:
+  // What the trial assumes of a worker so far.
+  struct Change {
+    // Resources freed by the trial's groups, less the needs of its tasks.
+    Resources free_;
+    std::uint32_t tasks_ = 0;
+    // Offers made before this many changes of the worker are out of date.
+    std::uint32_t version_ = 0;
+  };
+  struct Entry {
+    std::int64_t cost_ = 0;
+    FitRank rank_;
+    // Decides between equal offers.
+    std::size_t position_ = 0;
+    std::size_t worker_ = 0;
+    std::uint32_t version_ = 0;
+
+    // For heaps, whose front is the largest.
+    friend bool operator<(const Entry& a, const Entry& b) {
+      return std::tie(b.cost_, b.rank_, b.position_) <
+             std::tie(a.cost_, a.rank_, a.position_);
+    }
+  };
 
-Resources NeedOn(const RunGroup& group, std::size_t worker) {
-  Resources sum;
-  for (const RunGroup::Member& member : group.members_) {
-    if (member.worker_ == worker) sum = sum + member.need_;
+  bool IsCandidate(const RunGroup& group) const {
+    return options_.preemptible_only_ ? MayPreempt(pass_, group, unit_)
+                                      : !group.preempted_;
   }
-  return sum;
-}
+  std::optional<WorkerOffer> Offer(std::size_t worker) const;
+  // Adds the worker's current offer to `heap_`.
+  void Push(std::size_t worker, std::size_t position);
+  void Accept(const WorkerOffer& offer, TrialPlacement& placement);
+  void MarkChanged(std::size_t worker);
+
+  const Pass& pass_;
+  const Unit& unit_;
+  const TrialOptions& options_;
+  std::map<std::size_t, Change> changes_;
+  // Groups assumed to have ended, ascending.
+  std::vector<std::size_t> ended_;
+  std::vector<Entry> heap_;
+  // Workers whose offers must be computed again.
+  std::vector<std::size_t> changed_;
+};
 
-// Picks groups on the worker, cheapest first, until `need` fits once they end.
+// Picks groups on the worker, cheapest first, until a task fits once they end.
 // Returns nothing if it does not fit even then.
-std::optional<WorkerOffer> OfferWorker(const Pass& pass, const Unit& unit,
-                                       const TrialOptions& trial_options,
-                                       const TrialPlacement& trial,
-                                       const TrialState& state,
-                                       std::size_t worker,
-                                       const Resources& need) {
+std::optional<WorkerOffer> Trial::Offer(std::size_t worker) const {
+  const Resources& need = unit_.need_;
+  Resources free = pass_.free_after_stops_[worker];
+  std::uint32_t placed = 0;
+  const auto change = changes_.find(worker);
+  if (change != changes_.end()) {
+    free = free + change->second.free_;
+    placed = change->second.tasks_;
+  }
+  const std::uint32_t limit = unit_.spec_->max_per_worker_;
+  const bool at_limit =
+      limit > 0 && StepTasksOn(pass_.workers_[worker], unit_) + placed >= limit;
+  if (at_limit) return std::nullopt;
   WorkerOffer offer;
   offer.worker_ = worker;
-  Resources free = pass.workers_[worker].free_after_stops_;
-  const auto change = state.free_change_.find(worker);
-  if (change != state.free_change_.end()) free = free + change->second;
   if (Fits(need, free)) {
     offer.left_ = free - need;
     return offer;
   }
-  const auto& groups = trial_options.preemptible_only_ ? pass.by_loss_[worker]
-                                                       : pass.by_end_[worker];
-  for (const std::size_t index : groups) {
+  const std::vector<GroupOnWorker>& groups = options_.preemptible_only_
+                                                 ? pass_.by_loss_[worker]
+                                                 : pass_.by_end_[worker];
+  for (const GroupOnWorker& here : groups) {
     if (Fits(need, free)) break;
-    const RunGroup& group = pass.groups_[index];
-    if (trial.groups_.contains(index)) continue;
-    if (!IsCandidate(pass, group, unit, trial_options)) continue;
-    free = free + NeedOn(group, worker);
-    offer.groups_.push_back(index);
+    if (std::binary_search(ended_.begin(), ended_.end(), here.group_)) continue;
+    if (!IsCandidate(pass_.groups_[here.group_])) continue;
+    free = free + here.need_;
+    offer.groups_.push_back(here);
   }
   if (!Fits(need, free)) return std::nullopt;
   // Drops groups that turned out not to be needed, the most expensive first.
   for (std::size_t i = offer.groups_.size(); i-- > 0;) {
-    const Resources own = NeedOn(pass.groups_[offer.groups_[i]], worker);
+    const Resources own = offer.groups_[i].need_;
     if (!Fits(need, free - own)) continue;
     free = free - own;
     offer.groups_.erase(offer.groups_.begin() + static_cast<std::ptrdiff_t>(i));
   }
-  for (const std::size_t index : offer.groups_) {
-    offer.cost_ += trial_options.cost_(pass.groups_[index]);
+  for (const GroupOnWorker& here : offer.groups_) {
+    offer.cost_ += options_.cost_(pass_.groups_[here.group_]);
   }
   offer.left_ = free - need;
   return offer;
 }
 
-std::optional<WorkerOffer> BestOffer(const Pass& pass, const Unit& unit,
-                                     const TrialOptions& trial_options,
-                                     const TrialPlacement& trial,
-                                     TrialState& state,
-                                     const std::vector<std::size_t>& among) {
-  const Resources need = ReservedResources(*unit.spec_);
-  const std::uint32_t limit = unit.spec_->max_per_worker_;
-  std::optional<WorkerOffer> best;
-  for (const std::size_t worker : among) {
-    if (!MayRunOn(pass.workers_[worker], unit)) continue;
-    const bool at_limit =
-        limit > 0 &&
-        StepTasksOn(pass.workers_[worker], unit) + state.tasks_[worker] >=
-            limit;
-    if (at_limit) continue;
-    auto offer =
-        OfferWorker(pass, unit, trial_options, trial, state, worker, need);
-    if (!offer.has_value()) continue;
-    const auto key = [&](const WorkerOffer& o) {
-      return std::tuple(o.cost_,
-                        RankFit(pass.workers_[o.worker_], unit, o.left_));
-    };
-    if (!best.has_value() || key(*offer) < key(*best)) best = std::move(offer);
-  }
-  return best;
+void Trial::Push(std::size_t worker, std::size_t position) {
+  const auto offer = Offer(worker);
+  if (!offer.has_value()) return;
+  const auto change = changes_.find(worker);
+  const std::uint32_t version =
+      change == changes_.end() ? 0 : change->second.version_;
+  heap_.push_back({offer->cost_, RankFit(pass_, worker, unit_, offer->left_),
+                   position, worker, version});
 }
 
-constexpr std::int64_t kNoCostLimit = std::numeric_limits<std::int64_t>::max();
+void Trial::MarkChanged(std::size_t worker) {
+  ++changes_[worker].version_;
+  changed_.push_back(worker);
+}
+
+void Trial::Accept(const WorkerOffer& offer, TrialPlacement& placement) {
+  for (const GroupOnWorker& here : offer.groups_) {
+    ended_.insert(std::upper_bound(ended_.begin(), ended_.end(), here.group_),
+                  here.group_);
+    for (const RunGroup::Member& member : pass_.groups_[here.group_].members_) {
+      Change& change = changes_[member.worker_];
+      change.free_ = change.free_ + member.need_;
+      MarkChanged(member.worker_);
+    }
+  }
+  Change& change = changes_[offer.worker_];
+  change.free_ = change.free_ - unit_.need_;
+  ++change.tasks_;
+  MarkChanged(offer.worker_);
+  placement.chosen_.push_back(offer.worker_);
+  placement.cost_ += offer.cost_;
+}
 
-// Returns nothing if not all tasks fit, or if the cost reaches `limit`.
-std::optional<TrialPlacement> FindPlacementAmong(
-    const Pass& pass, const Unit& unit, const TrialOptions& trial_options,
-    const std::vector<std::size_t>& among, std::int64_t limit) {
-  const Resources need = ReservedResources(*unit.spec_);
-  TrialPlacement trial;
-  TrialState state;
-  for (std::size_t i = 0; i < unit.tasks_.size(); ++i) {
-    const auto offer =
-        BestOffer(pass, unit, trial_options, trial, state, among);
-    if (!offer.has_value()) return std::nullopt;
-    for (const std::size_t index : offer->groups_) {
-      trial.groups_.insert(index);
-      for (const RunGroup::Member& member : pass.groups_[index].members_) {
-        state.free_change_[member.worker_] =
-            state.free_change_[member.worker_] + member.need_;
-      }
+std::optional<TrialPlacement> Trial::Place(
+    std::size_t tasks, const std::vector<std::size_t>& workers,
+    std::int64_t limit) {
+  heap_.reserve(workers.size());
+  for (std::size_t i = 0; i < workers.size(); ++i) Push(workers[i], i);
+  std::make_heap(heap_.begin(), heap_.end());
+  TrialPlacement placement;
+  while (placement.chosen_.size() < tasks) {
+    if (heap_.empty()) return std::nullopt;
+    std::pop_heap(heap_.begin(), heap_.end());
+    const Entry best = heap_.back();
+    heap_.pop_back();
+    const auto change = changes_.find(best.worker_);
+    const bool current =
+        change == changes_.end() || change->second.version_ == best.version_;
+    if (!current) continue;
+    Accept(*Offer(best.worker_), placement);
+    if (placement.cost_ >= limit) return std::nullopt;
+    std::sort(changed_.begin(), changed_.end());
+    changed_.erase(std::unique(changed_.begin(), changed_.end()),
+                   changed_.end());
+    for (const std::size_t worker : changed_) {
+      // `workers` is in ascending order.
+      const auto found =
+          std::lower_bound(workers.begin(), workers.end(), worker);
+      if (found == workers.end() || *found != worker) continue;
+      const std::size_t before = heap_.size();
+      Push(worker, static_cast<std::size_t>(found - workers.begin()));
+      if (heap_.size() > before) std::push_heap(heap_.begin(), heap_.end());
     }
-    state.free_change_[offer->worker_] =
-        state.free_change_[offer->worker_] - need;
-    ++state.tasks_[offer->worker_];
-    trial.chosen_.push_back(offer->worker_);
-    trial.cost_ += offer->cost_;
-    if (trial.cost_ >= limit) return std::nullopt;
+    changed_.clear();
   }
-  return trial;
+  placement.groups_ = std::move(ended_);
+  return placement;
 }
 
 }  // namespace
 
 std::optional<TrialPlacement> FindCheapestPlacement(
-    const Pass& pass, const Unit& unit, const TrialOptions& trial_options,
-    bool may_spread) {
+    Pass& pass, const Unit& unit, std::size_t tasks,
+    const TrialOptions& trial_options, bool may_spread) {
+  CollectGroups(pass);
+  const auto place = [&](const std::vector<std::size_t>& workers,
+                         std::int64_t limit) {
+    return Trial(pass, unit, trial_options).Place(tasks, workers, limit);
+  };
   if (!WantsOneRack(unit) || may_spread) {
-    return FindPlacementAmong(pass, unit, trial_options, AllWorkers(pass),
-                              kNoCostLimit);
+    return place(unit.eligible_->all_, kNoCostLimit);
   }
   std::optional<TrialPlacement> best;
   std::int64_t limit = kNoCostLimit;
-  for (const auto& [rack, workers] : pass.racks_) {
-    if (!CouldHold(pass, unit, workers)) continue;
-    auto trial = FindPlacementAmong(pass, unit, trial_options, workers, limit);
+  for (const EligibleWorkers::OnRack& rack : unit.eligible_->racks_) {
+    if (!CouldHold(pass, unit, rack.workers_)) continue;
+    auto trial = place(rack.workers_, limit);
     if (!trial.has_value()) continue;
     limit = trial->cost_;
     best = std::move(trial);
--- a/flamingohollow/graph_placement_units.cc
+++ b/flamingohollow/graph_placement_units.cc
@@ -82,15 +82,15 @@
     units.push_back(std::move(unit));
     return;
   }
+  Unit unit = base;
   for (std::uint32_t i = 0; i < step.tasks_.size(); ++i) {
     if (step.tasks_[i].open_ || step.tasks_[i].done_) continue;
-    Unit unit = base;
     unit.tasks_.emplace_back(i);
-    units.push_back(std::move(unit));
   }
+  units.push_back(std::move(unit));
 }
 
-void CollectJob(const GraphJob& job, Time queued_at, Time now,
+void CollectJob(const GraphJob& job, bool guaranteed, Time queued_at, Time now,
                 std::vector<Unit>& units) {
   for (const auto& [number, occurrence] : job.occurrences_) {
     for (std::uint32_t i = 0; i < occurrence.steps_.size(); ++i) {
@@ -106,38 +106,52 @@
                 .occurrence_ = number,
                 .index_ = StepIndex(i),
                 .tasks_ = {},
+                .need_ = ReservedResources(spec),
                 .deadline_ = {},
                 .remaining_ = {},
-                .queued_at_ = {}};
+                .queued_at_ = {},
+                .guaranteed_ = guaranteed};
       SetUrgency(unit, occurrence, queued_at, now);
       CollectStep(unit, units);
     }
   }
 }
 
+// Drops units, or tasks of the last unit, so that at most `limit` gangs and
+// single tasks are left.
+void LimitUnits(std::vector<Unit>& units, std::size_t limit) {
+  std::size_t count = 0;
+  for (std::size_t i = 0; i < units.size(); ++i) {
+    Unit& unit = units[i];
+    if (count >= limit) return units.resize(i);
+    if (!unit.spec_->gang_ && unit.tasks_.size() > limit - count) {
+      unit.tasks_.resize(limit - count);
+    }
+    count += unit.spec_->gang_ ? 1 : unit.tasks_.size();
+  }
+}
+
 }  // namespace
 
 std::vector<Unit> CollectUnits(const Pass& pass, const JobQueuedAt& queued_at) {
   std::vector<Unit> units;
   for (const auto& [key, job] : pass.state_.jobs_) {
     if (job.state_ != GraphJobState::kActive) continue;
-    CollectJob(job, queued_at(job), pass.now_, units);
+    CollectJob(job, pass.guaranteed_.contains(&job), queued_at(job), pass.now_,
+               units);
   }
   // Units that may preempt come before the units that they may preempt.
   // Otherwise a preempted unit would take the freed resources first and be
   // preempted again, forever.
-  const auto order = [&pass](const Unit& unit) {
-    const bool guaranteed = pass.guaranteed_.contains(unit.job_->key_);
+  const auto order = [](const Unit& unit) {
     const bool too_late = unit.lateness_ == Lateness::kTooLate;
-    return std::tuple(!guaranteed, too_late, unit.job_->terms_.priority_,
+    return std::tuple(!unit.guaranteed_, too_late, unit.job_->terms_.priority_,
                       unit.lateness_, unit.deadline_);
   };
   std::stable_sort(
       units.begin(), units.end(),
       [&order](const Unit& a, const Unit& b) { return order(a) < order(b); });
-  if (units.size() > pass.options_.max_units_) {
-    units.resize(pass.options_.max_units_);
-  }
+  LimitUnits(units, pass.options_.max_units_);
   return units;
 }
 
