Placement: the pause between passes follows their measured cost

Cause: passes were 220 ms apart at 1,100 workers, by a rule of 1 ms for each 5 workers, while urgent work aims at 250 ms.

Change: the caller reports how long a tick took; the pause is four times that of the last pass, or twice if urgent work has been accepted, and 250 ms at most.

--- a/flamingohollow/graph_scheduler.cc
+++ b/flamingohollow/graph_scheduler.cc
@@ -16,10 +16,14 @@
 // Waiting jobs become more urgent with time, so a placement pass runs this
 // often even if nothing else changes.
 constexpr Duration kPlacementInterval = Duration(100);
-// The minimum pause between placement passes is 1 ms per this many workers: a
-// pass over 350 workers takes a few ms of a core, and a leader may have only
-// half a core.
-constexpr std::int64_t kWorkersPerPauseMs = 5;
+// The pause between placement passes is this many times the duration of the
+// last one, so that passes leave most of the thread's time to polls, commands
+// and callers. The shorter pause holds if urgent work has been accepted.
+constexpr std::int64_t kPausePerCost = 4;
+constexpr std::int64_t kUrgentPausePerCost = 2;
+// Bounds the pause after a pass that took long because the process was slow or
+// suspended.
+constexpr Duration kMaxPlacementPause = Duration(250);
 // A worker that has sent nothing for this long is considered gone for good.
 // Network partitions are several times shorter.
 constexpr Duration kRemoveWorkerAfter = Duration(60000);
@@ -215,13 +219,17 @@
       ctx.now_ < ctx.scheduler_.next_placement_) {
     return;
   }
-  // A pass takes longer the larger the fleet is; the pause leaves time for
-  // other work.
-  const Duration pause(static_cast<std::int64_t>(ctx.scheduler_.fleet_.size()) /
-                       kWorkersPerPauseMs);
+  const std::int64_t factor = ctx.scheduler_.urgent_placement_due_
+                                  ? kUrgentPausePerCost
+                                  : kPausePerCost;
+  const Duration cost = ctx.scheduler_.placement_cost_;
+  // The last pass began at `last_placement_`.
+  const Duration pause = std::min(cost * (factor + 1), kMaxPlacementPause);
   if (ctx.now_ - ctx.scheduler_.last_placement_ < pause) return;
   ctx.scheduler_.last_placement_ = ctx.now_;
   ctx.scheduler_.placement_due_ = false;
+  ctx.scheduler_.urgent_placement_due_ = false;
+  ctx.scheduler_.placed_in_last_tick_ = true;
   ctx.scheduler_.next_placement_ = ctx.now_ + kPlacementInterval;
   const JobQueuedAt since = [&ctx](const GraphJob& job) {
     const auto found = ctx.scheduler_.queued_since_.find(job.key_);
@@ -245,6 +253,9 @@
 
 void On(Context& ctx, const SchedulerTick& tick) {
   ctx.scheduler_.wall_time_ = tick.wall_;
+  if (std::exchange(ctx.scheduler_.placed_in_last_tick_, false)) {
+    ctx.scheduler_.placement_cost_ = tick.previous_cost_;
+  }
   Fleet& fleet = ctx.scheduler_.fleet_;
   ctx.scheduler_.held_polls_ = static_cast<std::size_t>(
       std::count_if(fleet.begin(), fleet.end(), [](const auto& item) {
--- a/flamingohollow/graph_scheduler.h
+++ b/flamingohollow/graph_scheduler.h
@@ -181,6 +181,8 @@
 
 struct SchedulerTick {
   Time wall_;
+  // How long the caller took for the previous tick and its actions.
+  Duration previous_cost_ = Duration();
 };
 
 using SchedulerEvent =
@@ -204,9 +206,15 @@
   std::uint32_t open_records_in_flight_ = 0;
   // Something changed since the last placement pass.
   bool placement_due_ = true;
+  // A job of priority 0 was accepted since the last placement pass.
+  bool urgent_placement_due_ = false;
   // A pass runs then even if nothing changed.
   Time next_placement_;
   Time last_placement_;
+  // The previous tick ran a placement pass.
+  bool placed_in_last_tick_ = false;
+  // Duration of the last tick that ran a pass.
+  Duration placement_cost_;
   // Jobs with a proposed occurrence or removal that is not committed yet.
   std::set<GraphJobKey> due_proposed_;
   std::set<GraphJobKey> forget_proposed_;
--- a/flamingohollow/graph_scheduler_records.cc
+++ b/flamingohollow/graph_scheduler_records.cc
@@ -52,6 +52,7 @@
 
 void OnApplied(Context& ctx, const SubmitRecord& record) {
   ctx.scheduler_.queued_since_.emplace(record.key_, ctx.now_);
+  if (record.terms_.priority_ == 0) ctx.scheduler_.urgent_placement_due_ = true;
 }
 
 void OnApplied(Context& ctx, const DueRecord& record) {
--- a/flamingohollow/graph_service.cc
+++ b/flamingohollow/graph_service.cc
@@ -514,8 +514,13 @@
   // A leader that can't reach a majority sends no commands: there may be
   // another leader by now.
   if (!Leads()) return;
-  Feed(SchedulerTick{clocks_.wall_()});
-  if (leadership_ == nullptr || Now() < leadership_->next_upkeep_) return;
+  const Time start = Now();
+  Feed(SchedulerTick{clocks_.wall_(), leadership_->tick_cost_});
+  if (leadership_ == nullptr) return;
+  leadership_->tick_cost_ = Now() - start;
+  metrics_.Observe("scheduler_tick_ms",
+                   static_cast<double>(leadership_->tick_cost_.ms()), Now());
+  if (Now() < leadership_->next_upkeep_) return;
   leadership_->next_upkeep_ = Now() + kUpkeepInterval;
   AnswerReports();
   PlanMembers();
--- a/flamingohollow/graph_service.h
+++ b/flamingohollow/graph_service.h
@@ -109,6 +109,8 @@
     Scheduler scheduler_;
     std::map<NodeName, ControlNode> nodes_;
     bool changing_members_ = false;
+    // How long the last tick of the scheduler took, with its actions.
+    Duration tick_cost_;
     Time next_upkeep_;
     // Reports that are to be answered once their content is committed.
     std::vector<WaitingReport> reports_;
--- a/flamingohollow/testing/graph_scheduler_test.cc
+++ b/flamingohollow/testing/graph_scheduler_test.cc
@@ -370,6 +370,38 @@
   CHECK_EQ(world.state_.jobs_.at(MakeKey(2)).state_, GraphJobState::kCompleted);
 }
 
+// How long it takes until a job that is accepted right after a placement pass
+// is placed, if each pass takes 40 ms.
+Duration WaitForPass(std::uint32_t priority) {
+  constexpr Duration kCost(40);
+  OneWorker world;
+  world.RunOneTask();
+  const auto tick = [&world] {
+    return world.Feed(SchedulerTick{world.now_, kCost});
+  };
+  const Time last_pass = world.scheduler_.last_placement_;
+  while (world.scheduler_.last_placement_ == last_pass) tick();
+  tick();
+  world.Apply(
+      MakeSubmit(2, {MakeStep(1, 1, Duration(500))}, {.priority_ = priority}));
+  const Time accepted = world.now_;
+  while (world.now_ - accepted < Duration(1000)) {
+    for (const SchedulerAction& action : tick()) {
+      const auto* record = std::get_if<GraphRecord>(&action);
+      if (record != nullptr && std::holds_alternative<OpenRecord>(*record)) {
+        return world.now_ - accepted;
+      }
+    }
+  }
+  return Duration(1000);
+}
+
+TEST_CASE("placement passes leave time for other work, urgent jobs wait less") {
+  CHECK(WaitForPass(1) >= Duration(100));
+  CHECK(WaitForPass(1) <= Duration(220));
+  CHECK(WaitForPass(0) <= Duration(120));
+}
+
 // A leader that is short of connections must not take its workers for silent.
 TEST_CASE("a poll that was not sent says nothing about the worker") {
   OneWorker world;
