Scheduler: look for runs to stop where something changed

Cause: every tick, 50 a second, looked up job and step of each run, 8,000 of them at 1,100 workers: a seventh of the leader's processor time.

Change: records that may be a reason to stop runs (cancelled, a gang member ended, job failed, opened after a cancel) mark their job; a tick looks at the marked jobs only. Tests and 3,000 random schedules pass as before.

--- a/flamingohollow/graph_scheduler.cc
+++ b/flamingohollow/graph_scheduler.cc
@@ -31,17 +31,13 @@
 // this many tenths of its worker's remaining time won't finish there.
 constexpr std::int64_t kRemainingTimeMarginTenths = 13;
 
-// Why the attempt should be stopped; empty if it should continue.
-std::string_view StopReason(const Context& ctx, const AttemptRef& attempt) {
-  const GraphJob* job = FindJob(ctx.state_, attempt.task_.job_);
-  if (job == nullptr) return "its job is gone";
-  if (job->state_ == GraphJobState::kCancelled) return "its job is cancelled";
-  if (job->state_ == GraphJobState::kFailed) return "its job has failed";
-  const StepSpec& spec = job->spec_.steps_[attempt.task_.step_.value()];
-  if (!spec.gang_ || !IsOpen(ctx.state_, attempt)) return "";
-  const StepRecord* step =
-      FindStep(*job, attempt.task_.occurrence_, attempt.task_.step_);
-  const bool complete = step != nullptr && step->open_ == step->tasks_.size();
+// Why the open attempts of the step should be stopped; empty if they should
+// continue.
+std::string_view StopReason(const GraphJob& job, const StepSpec& spec,
+                            const StepRecord& step) {
+  if (job.state_ == GraphJobState::kCancelled) return "its job is cancelled";
+  if (job.state_ == GraphJobState::kFailed) return "its job has failed";
+  const bool complete = !spec.gang_ || step.open_ == step.tasks_.size();
   return complete ? "" : "another member of its gang ended";
 }
 
@@ -112,14 +108,10 @@
   if (!worker.runs_.empty() && ctx.now_ >= worker.lease_end_) {
     ProposeLostRuns(ctx, worker, "its lease is over");
   }
+  if (!worker.reported_) return;
   for (auto& [attempt, run] : worker.runs_) {
-    if (run.end_proposed_) continue;
-    if (!worker.reported_) continue;
-    const std::string_view why = StopReason(ctx, attempt);
-    if (!why.empty()) StopRun(ctx, worker, attempt, run, why);
-    RetryCommands(ctx, worker, attempt, run);
+    if (!run.end_proposed_) RetryCommands(ctx, worker, attempt, run);
   }
-  if (!worker.reported_) return;
   if (worker.report_.draining_) Evacuate(ctx, worker);
   const bool needed = !worker.answered_poll_ || !worker.runs_.empty() ||
                       worker.unanswered_calls_ > 0 ||
@@ -129,6 +121,48 @@
   if (needed && idle) SendPoll(ctx, worker);
 }
 
+// Stops an open attempt. Returns false if that is not possible yet.
+bool StopAttempt(Context& ctx, const AttemptRef& attempt,
+                 std::string_view why) {
+  FleetWorker* worker = FindWorkerOf(ctx, attempt);
+  if (worker == nullptr) return true;
+  Run& run = worker->runs_.at(attempt);
+  if (worker->reported_) StopRun(ctx, *worker, attempt, run, why);
+  return IsEnding(run);
+}
+
+// Stops the runs of the job that should not continue. Returns false if some
+// can't be stopped yet.
+bool StopUnwanted(Context& ctx, const GraphJob& job) {
+  bool all = true;
+  for (const auto& [number, occurrence] : job.occurrences_) {
+    for (std::uint32_t i = 0; i < occurrence.steps_.size(); ++i) {
+      const StepRecord& step = occurrence.steps_[i];
+      if (step.open_ == 0) continue;
+      const std::string_view why = StopReason(job, job.spec_.steps_[i], step);
+      if (why.empty()) continue;
+      for (std::uint32_t index = 0; index < step.tasks_.size(); ++index) {
+        const TaskRecord& task = step.tasks_[index];
+        const TaskRef ref{job.key_, number, StepIndex(i), TaskIndex(index)};
+        if (task.open_ && !StopAttempt(ctx, {ref, task.attempt_}, why)) {
+          all = false;
+        }
+      }
+    }
+  }
+  return all;
+}
+
+void CheckJobs(Context& ctx) {
+  std::set<GraphJobKey> jobs = std::move(ctx.scheduler_.jobs_to_check_);
+  ctx.scheduler_.jobs_to_check_.clear();
+  for (const GraphJobKey& key : jobs) {
+    const GraphJob* job = FindJob(ctx.state_, key);
+    const bool settled = job == nullptr || StopUnwanted(ctx, *job);
+    if (!settled) ctx.scheduler_.jobs_to_check_.insert(key);
+  }
+}
+
 void ProposeDue(Context& ctx) {
   DueRecord record;
   for (const auto& [key, job] : ctx.state_.jobs_) {
@@ -261,6 +295,7 @@
       std::count_if(fleet.begin(), fleet.end(), [](const auto& item) {
         return item.second.poll_in_flight_ && item.second.poll_held_;
       }));
+  CheckJobs(ctx);
   for (auto& [id, worker] : fleet) TickWorker(ctx, worker);
   ProposeDue(ctx);
   ProposeForget(ctx);
@@ -339,6 +374,7 @@
     const Duration age =
         std::clamp(wall - job.accepted_, Duration(0), kMaxInheritedAge);
     scheduler.queued_since_.emplace(key, now - age);
+    if (!job.occurrences_.empty()) scheduler.jobs_to_check_.insert(key);
     RecoverRuns(scheduler, job, now);
   }
   return scheduler;
--- a/flamingohollow/graph_scheduler.h
+++ b/flamingohollow/graph_scheduler.h
@@ -215,6 +215,8 @@
   bool placed_in_last_tick_ = false;
   // Duration of the last tick that ran a pass.
   Duration placement_cost_;
+  // Jobs of which some runs may have to be stopped.
+  std::set<GraphJobKey> jobs_to_check_;
   // Jobs with a proposed occurrence or removal that is not committed yet.
   std::set<GraphJobKey> due_proposed_;
   std::set<GraphJobKey> forget_proposed_;
--- a/flamingohollow/graph_scheduler_records.cc
+++ b/flamingohollow/graph_scheduler_records.cc
@@ -8,6 +8,18 @@
 namespace flamingohollow::graph_scheduler_internal {
 namespace {
 
+void CheckJob(Context& ctx, const GraphJobKey& key) {
+  ctx.scheduler_.jobs_to_check_.insert(key);
+}
+
+// Whether the end of an attempt may be a reason to stop others of its job.
+bool MayStopOthers(const Context& ctx, const TaskRef& task) {
+  const GraphJob* job = FindJob(ctx.state_, task.job_);
+  if (job == nullptr) return false;
+  return job->state_ != GraphJobState::kActive ||
+         job->spec_.steps_[task.step_.value()].gang_;
+}
+
 void OnApplied(Context& ctx, const OpenRecord& record) {
   if (ctx.scheduler_.open_records_in_flight_ > 0)
     --ctx.scheduler_.open_records_in_flight_;
@@ -22,6 +34,8 @@
       continue;
     }
     SetPhase(ctx, *run, RunPhase::kStarting);
+    // The job may have been cancelled since the attempt was proposed.
+    CheckJob(ctx, opened.attempt_.task_.job_);
     // The worker started to drain, restarted or was lost after the attempt was
     // proposed.
     const bool gone = worker.report_.incarnation_ != opened.incarnation_ ||
@@ -36,6 +50,8 @@
 
 void OnApplied(Context& ctx, const EndRecord& record) {
   for (const EndedAttempt& ended : record.attempts_) {
+    const TaskRef& task = ended.attempt_.task_;
+    if (MayStopOthers(ctx, task)) CheckJob(ctx, task.job_);
     FleetWorker* holder = FindWorkerOf(ctx, ended.attempt_);
     if (holder == nullptr) continue;
     if (FindRun(*holder, ended.attempt_)->end_proposed_) {
@@ -73,8 +89,11 @@
   }
 }
 
+void OnApplied(Context& ctx, const CancelRecord& record) {
+  CheckJob(ctx, record.key_);
+}
+
 void OnApplied(Context& /*ctx*/, const CatalogRecord& /*record*/) {}
-void OnApplied(Context& /*ctx*/, const CancelRecord& /*record*/) {}
 void OnApplied(Context& /*ctx*/, const WorkerRecord& /*record*/) {}
 
 void OnLost(Context& ctx, const OpenRecord& record) {
@@ -93,6 +112,7 @@
     FleetWorker* holder = FindWorkerOf(ctx, ended.attempt_);
     if (holder == nullptr) continue;
     FindRun(*holder, ended.attempt_)->end_proposed_ = false;
+    CheckJob(ctx, ended.attempt_.task_.job_);
   }
   FleetWorker* worker =
       FindIncarnation(ctx, record.worker_, record.incarnation_);
