Placement: a new leader doesn't spread gangs over racks it has yet to hear from

Cause: in its first passes a new leader knows only some workers of each rack, so no rack could hold a gang, and the gang was spread at once.

Change: workers that have yet to answer a new leader's first poll count when it decides whether some rack could hold a gang, as long as they are expected to report.

Test: failed before the change; the oracle follows.

--- a/flamingohollow/fleet.cc
+++ b/flamingohollow/fleet.cc
@@ -69,6 +69,12 @@
          now >= worker.avoid_until_;
 }
 
+bool IsAwaited(const FleetWorker& worker, Duration report_interval, Time now) {
+  return worker.reported_ && !worker.report_.draining_ &&
+         !worker.answered_poll_ &&
+         now - worker.last_heard_at_ < report_interval * kMissedReports;
+}
+
 Duration AllowForClockDrift(Duration span) {
   return Duration(span.ms() + span.ms() * kClockDriftPerMille / 1000);
 }
--- a/flamingohollow/fleet.h
+++ b/flamingohollow/fleet.h
@@ -167,6 +167,10 @@
 bool AcceptsTasks(const FleetWorker& worker, Duration report_interval,
                   Time now);
 
+// Whether the worker is only awaited: it is known to run and has yet to answer
+// its first poll by this leader.
+bool IsAwaited(const FleetWorker& worker, Duration report_interval, Time now);
+
 // Grants a lease and returns its end on the worker's clock, to be sent with a
 // command. The lease ends `lease` from now. If the worker did not answer the
 // last call, the earlier grant is returned unchanged, so that the lease of an
--- a/flamingohollow/graph_placement_fit.cc
+++ b/flamingohollow/graph_placement_fit.cc
@@ -185,7 +185,7 @@
 bool AnyRackCouldHold(const Pass& pass, const Unit& unit) {
   const auto& racks = unit.eligible_->racks_;
   return std::any_of(racks.begin(), racks.end(), [&](const auto& rack) {
-    return CouldHold(pass, unit, rack.workers_);
+    return CouldHold(pass, unit, rack.expected_);
   });
 }
 
--- a/flamingohollow/graph_placement_pass.cc
+++ b/flamingohollow/graph_placement_pass.cc
@@ -110,6 +110,8 @@
     added.fleet_worker_ = &worker;
     added.usable_ =
         AcceptsTasks(worker, pass.options_.report_interval_, pass.now_);
+    added.awaited_ =
+        IsAwaited(worker, pass.options_.report_interval_, pass.now_);
     const Resources free = worker.report_.capacity_ - worker.used_;
     Resources free_after_stops = free;
     for (const auto& [attempt, run] : worker.runs_) {
@@ -143,20 +145,28 @@
       pass.eligible_.try_emplace({unit.job_->terms_.pool_, unit.spec_->label_});
   EligibleWorkers& eligible = found->second;
   if (!added) return eligible;
+  const auto matches = [&](std::size_t index) {
+    return MatchesStep(pass.workers_[index].fleet_worker_->report_, *unit.spec_,
+                       unit.job_->terms_.pool_);
+  };
   const auto accepts = [&](std::size_t index) {
+    return pass.workers_[index].usable_ && matches(index);
+  };
+  const auto expected = [&](std::size_t index) {
     const PassWorker& worker = pass.workers_[index];
-    return worker.usable_ && MatchesStep(worker.fleet_worker_->report_,
-                                         *unit.spec_, unit.job_->terms_.pool_);
+    return (worker.usable_ || worker.awaited_) && matches(index);
   };
   for (std::size_t i = 0; i < pass.workers_.size(); ++i) {
     if (accepts(i)) eligible.all_.push_back(i);
   }
   for (std::size_t rack = 0; rack < pass.racks_.size(); ++rack) {
-    EligibleWorkers::OnRack here{rack, {}};
-    std::copy_if(pass.racks_[rack].workers_.begin(),
-                 pass.racks_[rack].workers_.end(),
+    const std::vector<std::size_t>& workers = pass.racks_[rack].workers_;
+    EligibleWorkers::OnRack here{rack, {}, {}};
+    std::copy_if(workers.begin(), workers.end(),
                  std::back_inserter(here.workers_), accepts);
-    if (!here.workers_.empty()) eligible.racks_.push_back(std::move(here));
+    std::copy_if(workers.begin(), workers.end(),
+                 std::back_inserter(here.expected_), expected);
+    if (!here.expected_.empty()) eligible.racks_.push_back(std::move(here));
   }
   return eligible;
 }
--- a/flamingohollow/graph_placement_pass.h
+++ b/flamingohollow/graph_placement_pass.h
@@ -49,8 +49,10 @@
     // Index into `Pass::racks_`.
     std::size_t rack_ = 0;
     std::vector<std::size_t> workers_;
+    // `workers_`, and those that are likely to accept tasks soon.
+    std::vector<std::size_t> expected_;
   };
-  // Racks with at least one of the workers.
+  // Racks with at least one expected worker.
   std::vector<OnRack> racks_;
 };
 
@@ -83,6 +85,8 @@
   // Index into `Pass::racks_`.
   std::size_t rack_ = 0;
   bool usable_ = false;
+  // Not usable yet, but likely to be soon.
+  bool awaited_ = false;
   PaceClass pace_ = PaceClass::kFull;
   bool suspect_ = false;
   // Steps of the tasks that this pass has placed here or holds resources for;
@@ -191,6 +195,8 @@
 std::uint64_t CountFits(const Resources& need, const Resources& free,
                         std::uint64_t limit);
 bool WantsOneRack(const Unit& unit);
+// Whether some rack could hold the unit with the workers that are expected
+// there. A new leader's first passes see only part of each rack.
 bool AnyRackCouldHold(const Pass& pass, const Unit& unit);
 // Whether the unit would fit on these workers if they were empty.
 bool CouldHold(const Pass& pass, const Unit& unit,
--- a/flamingohollow/testing/graph_placement_test.cc
+++ b/flamingohollow/testing/graph_placement_test.cc
@@ -70,6 +70,31 @@
   CHECK_EQ(RacksOf(Plan(state, fleet), fleet), std::set<std::string>{"r1"});
 }
 
+// Spread over racks, a gang runs three times as long; a new leader hears from
+// all workers within a fraction of a second.
+TEST_CASE(
+    "a gang is not spread while workers have yet to answer a new leader") {
+  GraphState state;
+  Fleet fleet = MakeFleet(3, 4, kNow);
+  for (const char* id : {"w0", "w1", "w4", "w5", "w8", "w9"}) {
+    fleet.at(WorkerId(id)).answered_poll_ = false;
+  }
+  Submit(state, 1, {MakeGang(4, 8, Duration(1000), true)}, {.priority_ = 0});
+  CHECK(Plan(state, fleet).open_.empty());
+  SUBCASE("once a rack has answered it starts there") {
+    fleet.at(WorkerId("w4")).answered_poll_ = true;
+    fleet.at(WorkerId("w5")).answered_poll_ = true;
+    CHECK_EQ(RacksOf(Plan(state, fleet), fleet), std::set<std::string>{"r1"});
+  }
+  SUBCASE("workers that stay silent are not waited for") {
+    for (auto& [id, worker] : fleet) {
+      if (worker.answered_poll_) continue;
+      worker.last_heard_at_ = kNow - kReportInterval * kMissedReports;
+    }
+    CHECK_EQ(Plan(state, fleet).open_.size(), 4);
+  }
+}
+
 TEST_CASE("small tasks leave whole workers free") {
   GraphState state;
   Fleet fleet = MakeFleet(1, 2, kNow);
--- a/flamingohollow/testing/placement_oracle_test.cc
+++ b/flamingohollow/testing/placement_oracle_test.cc
@@ -64,6 +64,7 @@
     if (Chance(10)) worker.report_.draining_ = true;
     if (Chance(5)) worker.reported_ = false;
     if (Chance(10)) worker.unanswered_calls_ = 1;
+    if (Chance(20)) worker.answered_poll_ = false;
     if (Chance(20)) worker.report_.labels_.assign(1, "b");
     if (Chance(20)) worker.report_.capacity_ = {16000, 64000, 4};
     for (int failures = Chance(15) ? Below(4) : 0; failures > 0; --failures) {
--- a/flamingohollow/testing/slow_placement.cc
+++ b/flamingohollow/testing/slow_placement.cc
@@ -518,9 +518,15 @@
 }
 
 bool AnyRackCouldHold(const Pass& pass, const Unit& unit) {
+  Pass later = pass;
+  for (PassWorker& worker : later.workers_) {
+    worker.usable_ =
+        worker.usable_ || IsAwaited(*worker.fleet_worker_,
+                                    pass.options_.report_interval_, pass.now_);
+  }
   return std::any_of(
       pass.racks_.begin(), pass.racks_.end(),
-      [&](const auto& rack) { return CouldHold(pass, unit, rack.second); });
+      [&](const auto& rack) { return CouldHold(later, unit, rack.second); });
 }
 
 std::optional<std::vector<std::size_t>> FitUnit(const Pass& pass,
