--- a/flamingohollow/testing/graph_scheduler_test.cc
+++ b/flamingohollow/testing/graph_scheduler_test.cc
@@ -370,14 +370,15 @@
   CHECK_EQ(world.state_.jobs_.at(MakeKey(2)).state_, GraphJobState::kCompleted);
 }
 
+constexpr Duration kPassCost(40);
+
 // How long it takes until a job that is accepted right after a placement pass
-// is placed, if each pass takes 40 ms.
+// is placed, if each pass takes kPassCost.
 Duration WaitForPass(std::uint32_t priority) {
-  constexpr Duration kCost(40);
   OneWorker world;
   world.RunOneTask();
   const auto tick = [&world] {
-    return world.Feed(SchedulerTick{world.now_, kCost});
+    return world.Feed(SchedulerTick{world.now_, kPassCost});
   };
   const Time last_pass = world.scheduler_.last_placement_;
   while (world.scheduler_.last_placement_ == last_pass) tick();
