--- a/flamingohollow/fleet.h
+++ b/flamingohollow/fleet.h
@@ -167,8 +167,8 @@
 bool AcceptsTasks(const FleetWorker& worker, Duration report_interval,
                   Time now);
 
-// Whether the worker is only awaited: it is known to run and has yet to answer
-// its first poll by this leader.
+// Whether the worker is expected to accept tasks soon: it was heard of, but has
+// yet to answer its first poll by this leader.
 bool IsAwaited(const FleetWorker& worker, Duration report_interval, Time now);
 
 // Grants a lease and returns its end on the worker's clock, to be sent with a
--- a/flamingohollow/graph_placement_pass.cc
+++ b/flamingohollow/graph_placement_pass.cc
@@ -125,9 +125,6 @@
     pass.free_after_stops_.push_back(free_after_stops);
   }
   for (auto& [name, workers] : racks) {
-    for (const std::size_t worker : workers) {
-      pass.workers_[worker].rack_ = pass.racks_.size();
-    }
     const std::size_t first = workers.front();
     pass.racks_.push_back({&pass.workers_[first].fleet_worker_->report_.rack_,
                            std::move(workers)});
@@ -211,8 +208,8 @@
   for (auto& here : pass.by_end_) sort(here, &RunGroup::remaining_ms_);
 }
 
-// The active jobs by key. A lookup for each run in the ordered map of the state
-// would take longer than the rest of CollectGroups.
+// All jobs by key. A lookup for each run in the ordered map of the state would
+// take longer than the rest of CollectGroups.
 std::unordered_map<std::string_view, const GraphJob*> IndexJobs(
     const GraphState& state) {
   std::unordered_map<std::string_view, const GraphJob*> jobs;
@@ -226,9 +223,9 @@
 void CollectGroups(Pass& pass) {
   if (std::exchange(pass.groups_collected_, true)) return;
   const auto jobs = IndexJobs(pass.state_);
-  // Runs of one gang are adjacent on each worker, but not across workers.
-  std::map<StepRef, std::size_t> gangs;
-  std::unordered_map<const StepRecord*, std::size_t> known_gangs;
+  std::unordered_map<const StepRecord*, std::size_t> gangs;
+  // Gangs of occurrences that have finished in the meantime.
+  std::map<StepRef, std::size_t> finished_gangs;
   pass.by_loss_.resize(pass.workers_.size());
   for (std::size_t worker = 0; worker < pass.workers_.size(); ++worker) {
     for (const auto& [attempt, run] :
@@ -241,13 +238,14 @@
       if (job->spec_.steps_[task.step_.value()].gang_) {
         const StepRecord* step = FindStep(*job, task.occurrence_, task.step_);
         index = step != nullptr
-                    ? known_gangs.emplace(step, index).first->second
-                    : gangs.emplace(StepOf(task), index).first->second;
+                    ? gangs.emplace(step, index).first->second
+                    : finished_gangs.emplace(StepOf(task), index).first->second;
       }
       if (index == pass.groups_.size()) {
         pass.groups_.emplace_back().job_ = job;
       }
       AddToGroup(pass, pass.groups_[index], worker, attempt, run);
+      // Members of one gang are adjacent among a worker's runs.
       std::vector<GroupOnWorker>& here = pass.by_loss_[worker];
       if (here.empty() || here.back().group_ != index) {
         here.push_back({index, run.need_});
--- a/flamingohollow/graph_placement_pass.h
+++ b/flamingohollow/graph_placement_pass.h
@@ -82,8 +82,6 @@
 // A worker's state within one pass, except its resources.
 struct PassWorker {
   const FleetWorker* fleet_worker_ = nullptr;
-  // Index into `Pass::racks_`.
-  std::size_t rack_ = 0;
   bool usable_ = false;
   // Not usable yet, but likely to be soon.
   bool awaited_ = false;
