--- a/flamingohollow/graph_scheduler.h
+++ b/flamingohollow/graph_scheduler.h
@@ -196,8 +196,8 @@
   std::map<StepRef, StepPace> step_paces_;
   // When this scheduler learned of each job; its waiting time starts then.
   std::map<GraphJobKey, Time> queued_since_;
-  // Polls in flight that the workers may hold open, as counted at the last tick
-  // and added to since.
+  // Number of polls in flight that the workers may hold open. Counted anew at
+  // each tick.
   std::size_t held_polls_ = 0;
   // Proposed records of new attempts that are not committed yet.
   std::uint32_t open_records_in_flight_ = 0;
--- a/flamingohollow/http_client.cc
+++ b/flamingohollow/http_client.cc
@@ -186,8 +186,8 @@
   request.done_(std::move(result));
 }
 
-// Whether a connection is idle, or may be opened after closing an idle one of
-// another address.
+// Whether a request to the address can get a connection: an idle one, a new one
+// within the total limit, or a new one in place of another address's idle one.
 bool HttpClientState::HasConnection(const AddressPool& pool) const {
   return !pool.idle_.empty() || open_ < options_.max_total_connections_ ||
          !idle_.empty();
