--- a/flamingohollow/graph_control.cc
+++ b/flamingohollow/graph_control.cc
@@ -97,6 +97,7 @@
     GraphServiceOptions options;
     options.name_ = NodeName(settings.address_);
     options.voters_ = 2 * settings.tolerated_losses_ + 1;
+    options.failure_domains_ = settings.failure_domains_;
     options.scheduler_.lease_ = settings.lease_;
     options.scheduler_.ended_job_retention_ = settings.ended_job_retention_;
     const DescriptorBudget descriptors = DivideDescriptors(
--- a/flamingohollow/graph_messages.h
+++ b/flamingohollow/graph_messages.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "flamingohollow/catalog.h"
+#include "flamingohollow/evacuation.h"
 #include "flamingohollow/fleet.h"
 #include "flamingohollow/graph_types.h"
 #include "util/clock.h"
@@ -30,6 +31,10 @@
   kReadCatalog = 8,
   // Sent by each node about every 200 ms to 1 s.
   kAnnounce = 9,
+  // Evacuates a failure domain, or takes it back.
+  kEvacuate = 10,
+  // Lists the failure domains that are evacuated, one a line.
+  kReadEvacuations = 11,
 };
 
 // The target of a caller's HTTP request, and the caller's key.
@@ -72,6 +77,8 @@
   // kPutCatalog.
   Catalog catalog_;
   NodeAnnouncement node_;
+  // kEvacuate.
+  EvacuationOrder evacuation_;
 
   template <class Archive>
   void serialize(Archive& archive) {
@@ -94,6 +101,10 @@
         archive(catalog_);
         break;
       case GraphCallKind::kReadCatalog:
+      case GraphCallKind::kReadEvacuations:
+        break;
+      case GraphCallKind::kEvacuate:
+        archive(evacuation_);
         break;
       case GraphCallKind::kAnnounce:
         archive(node_);
@@ -117,6 +128,8 @@
   // The job was not accepted.
   kRefused = 7,
   kInvalid = 8,
+  // No such failure domain.
+  kNoDomain = 9,
 };
 
 struct GraphReply {
--- a/flamingohollow/graph_placement_pass.cc
+++ b/flamingohollow/graph_placement_pass.cc
@@ -108,9 +108,13 @@
     if (!worker.reported_) continue;
     PassWorker added;
     added.fleet_worker_ = &worker;
+    const bool evacuated =
+        IsEvacuated(pass.state_.evacuations_, worker.report_.failure_domain_);
     added.usable_ =
+        !evacuated &&
         AcceptsTasks(worker, pass.options_.report_interval_, pass.now_);
     added.awaited_ =
+        !evacuated &&
         IsAwaited(worker, pass.options_.report_interval_, pass.now_);
     const Resources free = worker.report_.capacity_ - worker.used_;
     Resources free_after_stops = free;
--- a/flamingohollow/graph_records.h
+++ b/flamingohollow/graph_records.h
@@ -16,6 +16,7 @@
 #include <vector>
 
 #include "flamingohollow/catalog.h"
+#include "flamingohollow/evacuation.h"
 #include "flamingohollow/fleet.h"
 #include "flamingohollow/graph_types.h"
 
@@ -160,10 +161,19 @@
   }
 };
 
+struct EvacuationRecord {
+  EvacuationOrder order_;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(order_);
+  }
+};
+
 // The log stores the position of the alternative, so new kinds are appended.
-using GraphRecord =
-    std::variant<CatalogRecord, SubmitRecord, CancelRecord, OpenRecord,
-                 EndRecord, DueRecord, ForgetRecord, WorkerRecord>;
+using GraphRecord = std::variant<CatalogRecord, SubmitRecord, CancelRecord,
+                                 OpenRecord, EndRecord, DueRecord, ForgetRecord,
+                                 WorkerRecord, EvacuationRecord>;
 
 }  // namespace flamingohollow
 
--- a/flamingohollow/graph_scheduler.cc
+++ b/flamingohollow/graph_scheduler.cc
@@ -68,10 +68,13 @@
     return SendStop(ctx, worker, attempt, run);
   }
   if (run.phase_ != RunPhase::kStarting) return;
-  if (run.commands_sent_ < options.max_start_commands_) {
+  const bool evacuated = IsEvacuated(ctx, worker);
+  if (!evacuated && run.commands_sent_ < options.max_start_commands_) {
     return SendStart(ctx, worker, attempt, run);
   }
-  StopRun(ctx, worker, attempt, run, "its start had no answer");
+  StopRun(ctx, worker, attempt, run,
+          evacuated ? "its failure domain is evacuated"
+                    : "its start had no answer");
   StopRestOfGang(ctx, attempt, "the start of a gang member had no answer");
 }
 
--- a/flamingohollow/graph_scheduler_commands.cc
+++ b/flamingohollow/graph_scheduler_commands.cc
@@ -33,6 +33,11 @@
                                                            : nullptr;
 }
 
+bool IsEvacuated(const Context& ctx, const FleetWorker& worker) {
+  return flamingohollow::IsEvacuated(ctx.state_.evacuations_,
+                                     worker.report_.failure_domain_);
+}
+
 Run* FindRun(FleetWorker& worker, const AttemptRef& attempt) {
   const auto found = worker.runs_.find(attempt);
   return found == worker.runs_.end() ? nullptr : &found->second;
--- a/flamingohollow/graph_scheduler_records.cc
+++ b/flamingohollow/graph_scheduler_records.cc
@@ -36,10 +36,11 @@
     SetPhase(ctx, *run, RunPhase::kStarting);
     // The job may have been cancelled since the attempt was proposed.
     CheckJob(ctx, opened.attempt_.task_.job_);
-    // The worker started to drain, restarted or was lost after the attempt was
-    // proposed.
+    // The worker started to drain, restarted, was lost or was evacuated after
+    // the attempt was proposed.
     const bool gone = worker.report_.incarnation_ != opened.incarnation_ ||
-                      !worker.reported_ || worker.report_.draining_;
+                      !worker.reported_ || worker.report_.draining_ ||
+                      IsEvacuated(ctx, worker);
     if (gone) {
       ProposeEnds(ctx, worker, {opened.attempt_}, AttemptEnd::kNeverStarted);
       continue;
@@ -95,6 +96,7 @@
 
 void OnApplied(Context& /*ctx*/, const CatalogRecord& /*record*/) {}
 void OnApplied(Context& /*ctx*/, const WorkerRecord& /*record*/) {}
+void OnApplied(Context& /*ctx*/, const EvacuationRecord& /*record*/) {}
 
 void OnLost(Context& ctx, const OpenRecord& record) {
   if (ctx.scheduler_.open_records_in_flight_ > 0)
--- a/flamingohollow/graph_scheduler_step.h
+++ b/flamingohollow/graph_scheduler_step.h
@@ -33,6 +33,9 @@
 // Null if the worker is unknown or has another incarnation by now.
 FleetWorker* FindIncarnation(const Context& ctx, const WorkerId& id,
                              WorkerIncarnation incarnation);
+// Whether the worker's failure domain is evacuated, so that nothing may start
+// there.
+bool IsEvacuated(const Context& ctx, const FleetWorker& worker);
 // Null if the attempt is not on the worker.
 Run* FindRun(FleetWorker& worker, const AttemptRef& attempt);
 // The worker that the attempt is assigned to; null if there is none.
--- a/flamingohollow/graph_service.cc
+++ b/flamingohollow/graph_service.cc
@@ -112,6 +112,10 @@
       return HandleReadCatalog(respond);
     case GraphCallKind::kAnnounce:
       return HandleAnnounce(call, respond);
+    case GraphCallKind::kEvacuate:
+      return HandleEvacuate(call, respond);
+    case GraphCallKind::kReadEvacuations:
+      return HandleReadEvacuations(respond);
   }
   respond(Reply(GraphOutcome::kInvalid, "unknown call"));
 }
@@ -311,6 +315,48 @@
   });
 }
 
+bool GraphService::IsKnownDomain(const FailureDomain& domain) const {
+  const auto& configured = options_.failure_domains_;
+  return std::find(configured.begin(), configured.end(), domain) !=
+             configured.end() ||
+         std::any_of(state_.workers_.begin(), state_.workers_.end(),
+                     [&domain](const auto& item) {
+                       return item.second.failure_domain_ == domain;
+                     });
+}
+
+// Orders that change nothing are committed too: a leader that has been replaced
+// unawares must not acknowledge what its successor no longer holds.
+void GraphService::HandleEvacuate(const GraphCall& call,
+                                  const Responder& respond) {
+  EvacuationOrder order = call.evacuation_;
+  if (!IsKnownDomain(order.domain_)) {
+    return respond(Reply(GraphOutcome::kNoDomain,
+                         "no failure domain " + order.domain_.value()));
+  }
+  order.ordered_ = clocks_.wall_();
+  ProposeFor(EvacuationRecord{order}, respond, [this, order] {
+    Count("evacuation_orders_total");
+    LogEvent("evacuation",
+             {{"domain", order.domain_.value()},
+              {"order", order.evacuate_ ? "evacuate" : "take back"},
+              {"number", order.number_},
+              {"in_force", IsEvacuated(state_.evacuations_, order.domain_)}});
+    return Reply(GraphOutcome::kOk);
+  });
+}
+
+void GraphService::HandleReadEvacuations(const Responder& respond) {
+  replica_->ConfirmLeadership([this, respond](bool ok, const std::string&) {
+    if (!ok) return respond(NotLeader());
+    std::string text;
+    for (const auto& [domain, evacuation] : state_.evacuations_) {
+      if (evacuation.in_force_) text += domain.value() + '\n';
+    }
+    respond(Reply(GraphOutcome::kOk, text));
+  });
+}
+
 // Other nodes and membership.
 
 void GraphService::HandleAnnounce(const GraphCall& call,
@@ -444,16 +490,22 @@
   metrics_.SetGauge("jobs_running", static_cast<double>(running));
   metrics_.SetGauge("workers_usable", static_cast<double>(usable));
   metrics_.SetGauge("attempts_open", static_cast<double>(runs));
+  const auto& evacuations = state_.evacuations_;
+  metrics_.SetGauge(
+      "failure_domains_evacuated",
+      static_cast<double>(std::count_if(
+          evacuations.begin(), evacuations.end(),
+          [](const auto& item) { return item.second.in_force_; })));
   metrics_.SetGauge("catalog_version",
                     static_cast<double>(state_.catalog_.version_.value()));
   metrics_.SetCount("log_lines_dropped_total",
                     static_cast<double>(DroppedLogLines()));
 }
 
-std::string GraphService::EncodeSnapshot() { return Pack(state_); }
+std::string GraphService::EncodeSnapshot() { return EncodeState(state_); }
 
 bool GraphService::RestoreSnapshot(std::string_view snapshot) {
-  auto state = Unpack<GraphState>(snapshot);
+  auto state = DecodeState(snapshot);
   if (!state.has_value()) return false;
   state_ = std::move(*state);
   return true;
--- a/flamingohollow/graph_service.h
+++ b/flamingohollow/graph_service.h
@@ -61,6 +61,8 @@
   SchedulerOptions scheduler_;
   // Target number of voters: 2f + 1 to tolerate the loss of f.
   std::size_t voters_ = 3;
+  // The failure domains of the deployment. Domains of known workers count too.
+  std::vector<FailureDomain> failure_domains_;
 };
 
 struct GraphClocks {
@@ -134,6 +136,9 @@
   void AnswerReports();
   void HandlePutCatalog(const GraphCall& call, const Responder& respond);
   void HandleReadCatalog(const Responder& respond);
+  bool IsKnownDomain(const FailureDomain& domain) const;
+  void HandleEvacuate(const GraphCall& call, const Responder& respond);
+  void HandleReadEvacuations(const Responder& respond);
   void HandleAnnounce(const GraphCall& call, const Responder& respond);
 
   // The queue and customer of a caller's request. CheckAccess returns a reply
--- a/flamingohollow/graph_settings.cc
+++ b/flamingohollow/graph_settings.cc
@@ -100,6 +100,11 @@
   std::string failure_domain;
   reader.Read("name", name, "text");
   reader.Read("failure_domain", failure_domain, "text");
+  std::vector<std::string> failure_domains;
+  reader.Read("failure_domains", failure_domains, "a list of names");
+  for (const std::string& domain : failure_domains) {
+    settings.failure_domains_.emplace_back(domain);
+  }
   reader.Read("address", settings.address_, "an IP address");
   reader.Read("internal_port", settings.internal_port_, "1 to 65535");
   reader.Read("seeds", settings.seeds_, "a list of \"IP:PORT\"");
--- a/flamingohollow/graph_settings.h
+++ b/flamingohollow/graph_settings.h
@@ -25,6 +25,9 @@
   // disk returns with the same address.
   std::string address_;
   FailureDomain failure_domain_;
+  // All failure domains of the deployment, of which the operator may evacuate
+  // any. Those of known workers may be evacuated too.
+  std::vector<FailureDomain> failure_domains_;
   // Port on every VM at which the system's own processes reach each other.
   std::uint16_t internal_port_ = 0;
   // "IP:PORT" to listen at for `internal_port_`. The default is `address_` and
--- a/flamingohollow/graph_state.cc
+++ b/flamingohollow/graph_state.cc
@@ -3,8 +3,12 @@
 #include "flamingohollow/graph_state.h"
 
 #include <algorithm>
+#include <istream>
+#include <sstream>
 #include <utility>
 
+#include "util/pack.h"
+
 namespace flamingohollow {
 namespace {
 
@@ -197,8 +201,65 @@
   for (const WorkerId& id : record.gone_) state.workers_.erase(id);
 }
 
+void Apply(GraphState& state, const EvacuationRecord& record) {
+  ApplyEvacuation(state.evacuations_, record.order_);
+}
+
+// The parts of a snapshot that every version knows.
+template <class State>
+struct BaseParts {
+  State& state_;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(state_.catalog_, state_.jobs_, state_.workers_);
+  }
+};
+
+// The numbers of the other parts in a snapshot. They never change.
+enum class SnapshotPart : std::uint32_t { kEvacuations = 1 };
+
+using SnapshotParts = std::map<std::uint32_t, std::string>;
+
+// Returns false if the part is there but can't be read.
+template <class Value>
+bool ReadPart(const SnapshotParts& parts, SnapshotPart part, Value& value) {
+  const auto found = parts.find(static_cast<std::uint32_t>(part));
+  if (found == parts.end()) return true;
+  auto read = Unpack<Value>(found->second);
+  if (!read.has_value()) return false;
+  value = std::move(*read);
+  return true;
+}
+
 }  // namespace
 
+std::string EncodeState(const GraphState& state) {
+  SnapshotParts parts;
+  parts[static_cast<std::uint32_t>(SnapshotPart::kEvacuations)] =
+      Pack(state.evacuations_);
+  return Pack(BaseParts<const GraphState>{state}) + Pack(parts);
+}
+
+std::optional<GraphState> DecodeState(std::string_view bytes) {
+  GraphState state;
+  SnapshotParts parts;
+  try {
+    std::istringstream in{std::string(bytes), std::ios::binary};
+    cereal::BinaryInputArchive archive(in);
+    BaseParts<GraphState> base{state};
+    archive(base);
+    const bool has_parts = in.peek() != std::istream::traits_type::eof();
+    if (has_parts) archive(parts);
+  } catch (const std::exception&) {
+    return std::nullopt;
+  }
+  if (!ReadPart(parts, SnapshotPart::kEvacuations, state.evacuations_)) {
+    return std::nullopt;
+  }
+  return state;
+}
+
 std::uint32_t TotalOccurrences(const GraphSpec& spec) {
   return std::max<std::uint32_t>(1, spec.occurrences_);
 }
--- a/flamingohollow/graph_state.h
+++ b/flamingohollow/graph_state.h
@@ -10,11 +10,13 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
 
 #include "flamingohollow/catalog.h"
+#include "flamingohollow/evacuation.h"
 #include "flamingohollow/graph_records.h"
 #include "flamingohollow/graph_types.h"
 
@@ -112,13 +114,16 @@
   std::map<GraphJobKey, GraphJob> jobs_;
   // The last report of each worker; at most one worker per address.
   std::map<WorkerId, PoolWorkerReport> workers_;
-
-  template <class Archive>
-  void serialize(Archive& archive) {
-    archive(catalog_, jobs_, workers_);
-  }
+  Evacuations evacuations_;
 };
 
+// A snapshot of the state. Parts that a version of the program does not know
+// are ignored, and parts that a snapshot lacks are empty, so that nodes of
+// different versions can read each other's snapshots.
+std::string EncodeState(const GraphState& state);
+// Returns nothing if the bytes are no snapshot.
+std::optional<GraphState> DecodeState(std::string_view bytes);
+
 // Total number of occurrences of the job's graph: 1 for a plain job.
 std::uint32_t TotalOccurrences(const GraphSpec& spec);
 
--- a/flamingohollow/testing/graph_scheduler_test.cc
+++ b/flamingohollow/testing/graph_scheduler_test.cc
@@ -529,6 +529,8 @@
       world.RunFor(Duration(static_cast<std::int64_t>(random() % 1500)));
       Disturb(world, random);
     }
+    if (seed % 2 == 0) world.Evacuate(static_cast<int>(seed / 2 % 2), true);
+    world.RunFor(Duration(static_cast<std::int64_t>(seed % 5) * 1000));
     world.EndFaults();
     for (int i = 0; i < 12 && !world.AllEnded(); ++i) {
       world.RunFor(Duration(10'000));
--- a/flamingohollow/testing/graph_settings_test.cc
+++ b/flamingohollow/testing/graph_settings_test.cc
@@ -23,6 +23,7 @@
     "data_folder: \"/data\"\n"
     "first_start: true\n"
     "tolerated_losses: 2\n"
+    "failure_domains: [\"north\",\"south\"]\n"
     "lease_ms: 10000\n";
 
 // The keys of the reported mistakes, each followed by a space.
@@ -54,6 +55,8 @@
   CHECK_EQ(settings.role_, ProcessRole::kControl);
   CHECK_EQ(settings.tolerated_losses_, 2);
   CHECK(settings.first_start_);
+  CHECK_EQ(settings.failure_domains_,
+           std::vector{FailureDomain("north"), FailureDomain("south")});
   CHECK_EQ(settings.lease_, Duration(10000));
   CHECK_EQ(InternalAddress(settings), "10.1.0.22:7000");
   CHECK_EQ(SeedAddresses(settings),
@@ -73,6 +76,8 @@
   CHECK_EQ(MistakesOf(kControl + "max_open_files: 511\n"), "max_open_files ");
   CHECK_EQ(MistakesOf(kControl + "max_open_files: many\n"), "max_open_files ");
   CHECK_EQ(MistakesOf(kControl + "max_open_files: 512\n"), "");
+  CHECK_EQ(MistakesOf(With("[\"north\",\"south\"]", "{north: 1}")),
+           "failure_domains ");
   CHECK_EQ(MistakesOf(kControl + "colour: red\n"), "colour ");
   CHECK_EQ(MistakesOf("- a list"), " ");
   CHECK_EQ(MistakesOf("{"), " ");
--- a/flamingohollow/testing/graph_world.cc
+++ b/flamingohollow/testing/graph_world.cc
@@ -37,6 +37,10 @@
   return Duration(ms);
 }
 
+FailureDomain DomainOfRack(int rack) {
+  return FailureDomain(fmt::format("d{}", rack));
+}
+
 Duration Scale(Duration span, double times) {
   return Duration(
       std::llround(static_cast<double>(span.ms()) * std::max(times, 0.0)));
@@ -52,6 +56,7 @@
     FakeWorker worker;
     worker.report_ = MakeReport(fmt::format("w{}", i),
                                 fmt::format("r{}", i / options.per_rack_));
+    worker.report_.failure_domain_ = DomainOfRack(i / options.per_rack_);
     worker.clock_offset_ = Duration(1000 * i - 500'000);
     worker.next_report_ = now_;
     workers_.push_back(std::move(worker));
@@ -107,6 +112,19 @@
   ProposeLater(CancelRecord{MakeKey(number), now_});
 }
 
+void GraphWorld::Evacuate(int rack, bool evacuate) {
+  ProposeLater(EvacuationRecord{{DomainOfRack(rack), evacuate, 0, now_}});
+}
+
+int GraphWorld::running_on_rack(int rack) const {
+  int running = 0;
+  for (const FakeWorker& worker : workers_) {
+    if (worker.report_.failure_domain_ != DomainOfRack(rack)) continue;
+    running += static_cast<int>(worker.runs_.size());
+  }
+  return running;
+}
+
 void GraphWorld::Apply(const GraphRecord& record) {
   ApplyRecord(state_, record);
   Feed(RecordApplied{&record});
@@ -128,6 +146,11 @@
     if (const auto* record = std::get_if<GraphRecord>(&action)) {
       ProposeLater(*record);
     } else if (const auto* start = std::get_if<StartCommand>(&action)) {
+      const FailureDomain& domain =
+          FindWorker(start->target_.worker_)->report_.failure_domain_;
+      if (IsEvacuated(state_.evacuations_, domain)) {
+        violations_.insert("a start was sent to an evacuated domain");
+      }
       StartResult result{start->target_.worker_,
                          start->target_.incarnation_,
                          start->attempt_,
@@ -140,6 +163,7 @@
             CarryOut(w, command, r);
           });
     } else if (const auto* stop = std::get_if<StopCommand>(&action)) {
+      ++stops_;
       StopResult result{stop->target_.worker_, stop->target_.incarnation_,
                         stop->attempt_, CommandOutcome::kNoAnswer, 0};
       Deliver<StopCommand, StopResult>(
@@ -525,6 +549,7 @@
   options_.late_ = 0;
   options_.answer_lost_ = 0;
   options_.fails_ = 0;
+  for (int rack = 0; rack < options_.racks_; ++rack) Evacuate(rack, false);
   for (FakeWorker& worker : workers_) {
     worker.disconnected_ = false;
     worker.fails_ = 0;
--- a/flamingohollow/testing/graph_world.h
+++ b/flamingohollow/testing/graph_world.h
@@ -53,6 +53,9 @@
   // a gang that fails breaks its gang.
   void SetFailing(int worker, int per_mille);
   void Cancel(std::uint64_t number);
+  // Orders the evacuation of a rack's failure domain, or takes it back. Each
+  // rack is a failure domain.
+  void Evacuate(int rack, bool evacuate);
   void RunFor(Duration span);
   // A new leader takes over; proposals that are not committed yet are lost.
   void ChangeLeader();
@@ -73,8 +76,12 @@
   const std::set<std::string>& violations() const { return violations_; }
   // Number of starts that workers carried out.
   std::uint64_t starts() const { return starts_; }
+  // Number of stop commands sent.
+  std::uint64_t stops() const { return stops_; }
   // Number of the job's attempts that are running.
   int RunningTasks(std::uint64_t number) const;
+  // Number of attempts that are running on the rack's workers.
+  int running_on_rack(int rack) const;
   // Number of polls in flight that the workers may hold open.
   int held_polls() const;
   Time now() const { return now_; }
@@ -178,6 +185,7 @@
   std::multimap<Time, std::function<void()>> tasks_;
   std::set<std::string> violations_;
   std::uint64_t starts_ = 0;
+  std::uint64_t stops_ = 0;
   std::int64_t wasted_work_ = 0;
   std::map<GraphJobKey, RealWork> work_;
   // Tasks whose end `done` is in the log and was acknowledged to the worker.
--- a/flamingohollow/testing/slow_placement.cc
+++ b/flamingohollow/testing/slow_placement.cc
@@ -255,6 +255,8 @@
     PassWorker added;
     added.fleet_worker_ = &worker;
     added.usable_ =
+        !IsEvacuated(pass.state_.evacuations_,
+                     worker.report_.failure_domain_) &&
         AcceptsTasks(worker, pass.options_.report_interval_, pass.now_);
     added.free_ = worker.report_.capacity_ - worker.used_;
     added.free_after_stops_ = added.free_;
@@ -521,8 +523,11 @@
   Pass later = pass;
   for (PassWorker& worker : later.workers_) {
     worker.usable_ =
-        worker.usable_ || IsAwaited(*worker.fleet_worker_,
-                                    pass.options_.report_interval_, pass.now_);
+        worker.usable_ ||
+        (!IsEvacuated(pass.state_.evacuations_,
+                      worker.fleet_worker_->report_.failure_domain_) &&
+         IsAwaited(*worker.fleet_worker_, pass.options_.report_interval_,
+                   pass.now_));
   }
   return std::any_of(
       pass.racks_.begin(), pass.racks_.end(),
