Relay: a reply that is ignored for its term may follow a change

Cause: a leader that loses its leadership with a submission pending answers kUnknown, without a term, as it leads no more. An entry that has heard a later term, or any, ignored that reply as stale and forgot that the call may be in the log; without a leader within the search limit it then answered 503, or took a new leader's 429, for a job that the next leader had committed. The same for an accepting reply of an older term.

Change: such a reply counts as an attempt that may have taken effect.

Tests: graph_relay_test, two of whose cases fail without the change.

--- a/flamingohollow/graph_relay.cc
+++ b/flamingohollow/graph_relay.cc
@@ -18,6 +18,11 @@
 // Limit on redirects followed without a pause, as stale hints may form a cycle.
 constexpr std::uint32_t kMaxRedirects = 4;
 
+// Whether a call with this outcome may have taken effect, or may still do so.
+bool MayHaveExecuted(GraphOutcome outcome) {
+  return outcome == GraphOutcome::kOk || outcome == GraphOutcome::kUnknown;
+}
+
 }  // namespace
 
 struct GraphRelay::Pending {
@@ -113,6 +118,8 @@
 
 void GraphRelay::HandleReply(const PendingPtr& pending, const std::string& from,
                              const GraphReply& reply) {
+  // Also if the reply is ignored for its term, the call may be in the log.
+  if (MayHaveExecuted(reply.outcome_)) pending->maybe_executed_ = true;
   if (!RecordReply(finder_, from, reply)) {
     const bool elsewhere = !finder_.leader_.empty() && finder_.leader_ != from;
     if (elsewhere && ++pending->redirects_ <= kMaxRedirects) {
@@ -120,10 +127,7 @@
     }
     return RetryLater(pending);
   }
-  if (reply.outcome_ == GraphOutcome::kUnknown) {
-    pending->maybe_executed_ = true;
-    return RetryLater(pending);
-  }
+  if (reply.outcome_ == GraphOutcome::kUnknown) return RetryLater(pending);
   const bool refuses = reply.outcome_ == GraphOutcome::kUnavailable ||
                        reply.outcome_ == GraphOutcome::kRefused;
   if (refuses && pending->maybe_executed_) {
