Replica: a leader resigns before it applies a new leader's log

Cause: entries were applied before the owner was told that leadership is lost. A suspended leader whose first message after it resumes carries the commit of a new leader applied those entries as leader, so its scheduler sent the starts of an OpenRecord that the new leader was recovering: both acted for a moment.

Test: a suspended leader resigns before it applies a new leader's log; fails without the change.

--- a/flamingohollow/replica.cc
+++ b/flamingohollow/replica.cc
@@ -155,7 +155,8 @@
   void AnswerRequests(const Actions& actions);
   void TickTransfer(Time now);
   void UpdateLeadership();
-  void LoseLeadership();
+  void ResignIfReplaced();
+  void Resign();
   void FailProposals();
   void MaybeCompact();
   void Fail(const std::string& reason);
@@ -226,6 +227,8 @@
   Actions actions = Step(&state_, event, now);
   Write(&actions);
   SendAll(actions.send_);
+  // The owner must not act, as the leader, on what a new leader committed.
+  ResignIfReplaced();
   if (actions.restore_ && !RestoreOwner()) {
     return Fail("the owner can't read the leader's snapshot");
   }
@@ -363,11 +366,8 @@
 }
 
 void LogReplica::UpdateLeadership() {
+  ResignIfReplaced();
   const bool leads = state_.role_ == Role::kLeader;
-  if (announced_term_.has_value() &&
-      (!leads || *announced_term_ != state_.hard_.term_)) {
-    LoseLeadership();
-  }
   if (!leads) FailProposals();
   if (!announced_term_.has_value() && LeaderReady(state_)) {
     announced_term_ = state_.hard_.term_;
@@ -377,12 +377,17 @@
   }
 }
 
-void LogReplica::LoseLeadership() {
+void LogReplica::ResignIfReplaced() {
+  const bool leads = state_.role_ == Role::kLeader;
+  if (!announced_term_.has_value()) return;
+  if (!leads || *announced_term_ != state_.hard_.term_) Resign();
+}
+
+void LogReplica::Resign() {
   LogInfo("{} no longer leads group {} in term {}", options_.name_.value(),
           options_.group_.value(), announced_term_->value());
   announced_term_.reset();
   owner_->LeadershipLost();
-  FailProposals();
 }
 
 void LogReplica::FailProposals() {
@@ -414,7 +419,7 @@
   LogError("{} stops voting: {}", options_.name_.value(), reason);
   failure_ = reason;
   unsynced_messages_.clear();
-  if (announced_term_.has_value()) LoseLeadership();
+  if (announced_term_.has_value()) Resign();
   FailProposals();
   const std::map<std::uint64_t, DoneCallback> reads = std::move(reads_);
   reads_.clear();
--- a/flamingohollow/testing/replica_group.h
+++ b/flamingohollow/testing/replica_group.h
@@ -52,6 +52,7 @@
  public:
   void ApplyCommitted(LogIndex, std::string_view command) override {
     applied_.emplace_back(command);
+    if (leads_) applied_as_leader_.emplace_back(command);
   }
   std::string EncodeSnapshot() override {
     std::string all;
@@ -71,6 +72,8 @@
   void LeadershipLost() override { leads_ = false; }
 
   std::vector<std::string> applied_;
+  // Those of them that were applied while the node led.
+  std::vector<std::string> applied_as_leader_;
   bool leads_ = false;
 };
 
@@ -81,6 +84,9 @@
     std::unique_ptr<RecordingOwner> owner_;
     // Null while the node is down.
     std::unique_ptr<Replica> replica_;
+    // A suspended node gets no ticks, and its messages wait.
+    bool suspended_ = false;
+    std::vector<std::string> waiting_;
   };
 
   explicit ReplicaGroup(std::size_t size, ReplicaOptions options = {})
@@ -88,7 +94,8 @@
     for (std::size_t i = 0; i < size; ++i) {
       nodes_.push_back({.name_ = "control-" + std::to_string(i),
                         .owner_ = nullptr,
-                        .replica_ = nullptr});
+                        .replica_ = nullptr,
+                        .waiting_ = {}});
       options_.founders_.push_back(
           {NodeName(nodes_[i].name_), nodes_[i].name_});
     }
@@ -129,6 +136,14 @@
     return node.replica_ != nullptr;
   }
   void Stop(std::size_t i) { nodes_[i].replica_.reset(); }
+  void Suspend(Node& node) { node.suspended_ = true; }
+  // The messages that waited are handled before the next tick.
+  void Resume(Node& node) {
+    node.suspended_ = false;
+    for (std::string& bytes : std::exchange(node.waiting_, {})) {
+      node.replica_->Receive(std::move(bytes));
+    }
+  }
   void Wipe(std::size_t i) { std::filesystem::remove_all(Folder(i)); }
   std::string Folder(std::size_t i) const {
     return folder_.path() + "/" + nodes_[i].name_;
@@ -143,7 +158,9 @@
       if (now >= end) return false;
       if (now >= next_tick_) {
         for (Node& node : nodes_) {
-          if (node.replica_ != nullptr) node.replica_->Tick(now);
+          if (node.replica_ != nullptr && !node.suspended_) {
+            node.replica_->Tick(now);
+          }
         }
         next_tick_ = now + kTick;
       }
@@ -152,11 +169,12 @@
     return true;
   }
 
-  // The first running node whose owner was notified of leadership; null if
-  // there is none.
+  // The first running node whose owner was notified of leadership and that is
+  // not suspended; null if there is none.
   Node* Leader() {
     for (Node& node : nodes_) {
-      if (node.replica_ != nullptr && node.owner_->leads_) return &node;
+      const bool runs = node.replica_ != nullptr && !node.suspended_;
+      if (runs && node.owner_->leads_) return &node;
     }
     return nullptr;
   }
@@ -195,10 +213,9 @@
     ++messages_;
     message_bytes_ += bytes.size();
     for (Node& node : nodes_) {
-      if (node.name_ == to && node.replica_ != nullptr) {
-        node.replica_->Receive(std::move(bytes));
-        return;
-      }
+      if (node.name_ != to || node.replica_ == nullptr) continue;
+      if (node.suspended_) return node.waiting_.push_back(std::move(bytes));
+      return node.replica_->Receive(std::move(bytes));
     }
   }
 
--- a/flamingohollow/testing/replica_test.cc
+++ b/flamingohollow/testing/replica_test.cc
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "flamingohollow/peer_codec.h"
 #include "flamingohollow/testing/replica_group.h"
 
 namespace flamingohollow::testing {
@@ -50,6 +51,38 @@
   }
 }
 
+// Keeps the messages that bring committed entries from a leader.
+void KeepCommits(std::vector<std::string>& messages) {
+  std::erase_if(messages, [](const std::string& bytes) {
+    const std::optional<Message> message = DecodeMessage(bytes);
+    if (!message.has_value()) return true;
+    const auto* append = std::get_if<AppendRequest>(&message->body_);
+    return append == nullptr || append->entries_.empty() ||
+           append->commit_ < append->entries_.back().index_;
+  });
+}
+
+// The owner would otherwise act, as the leader, on what the new one committed.
+TEST_CASE("a suspended leader resigns before it applies a new leader's log") {
+  ReplicaGroup group(3);
+  REQUIRE(group.Form());
+  REQUIRE(Propose(&group, "a") == ProposeOutcome::kCommitted);
+  ReplicaGroup::Node& old = *group.Leader();
+  std::optional<ProposeOutcome> outcome;
+  old.replica_->Propose("b", [&outcome](const ProposeResult& result) {
+    outcome = result.outcome_;
+  });
+  group.Suspend(old);
+  REQUIRE(group.RunUntil([&] {
+    KeepCommits(old.waiting_);
+    return !old.waiting_.empty();
+  }));
+  group.Resume(old);
+  CHECK(AllApplied(&group, {"a", "b"}));
+  CHECK(outcome.has_value());
+  CHECK(old.owner_->applied_as_leader_ == std::vector<std::string>{"a"});
+}
+
 TEST_CASE("a group has no leader until formed and refuses a second init") {
   ReplicaGroup group(3);
   CHECK_FALSE(group.RunUntil([&] { return group.Leader() != nullptr; },
