Leader: answers of workers count only while a majority is heard

Cause: an answer that waited while the leader was suspended was handled before its next tick, and its scheduler's commands went out although another leader may have been elected: stops of attempts that it doesn't know, or of starts that were refused.

Change: answers are handled only while the leader has a quorum. Without one the replica steps down at its next step, so nothing is lost with an answer.

--- a/flamingohollow/graph_service.cc
+++ b/flamingohollow/graph_service.cc
@@ -557,8 +557,9 @@
 void GraphService::SendToWorker(const GraphCommand& command) {
   const Term term = leadership_->term_;
   send_(command, [this, term](const SchedulerEvent& event) {
-    const bool same_term = leadership_ != nullptr && leadership_->term_ == term;
-    if (same_term) Feed(event);
+    // Without a quorum the leader steps down at its next step, so nothing is
+    // lost with the answer.
+    if (Leads() && leadership_->term_ == term) Feed(event);
   });
 }
 
--- a/flamingohollow/testing/fake_replica.h
+++ b/flamingohollow/testing/fake_replica.h
@@ -20,6 +20,8 @@
   // While set, proposals commit and leadership is confirmed at once; while
   // not, both wait for CommitAll, ConfirmAll or LoseLeadership.
   bool completes_immediately_ = true;
+  // While not set, a leader has not heard from a majority in time.
+  bool has_quorum_ = true;
   // While set, proposals are refused as overloaded.
   bool overloaded_ = false;
 
--- a/flamingohollow/testing/graph_service_test.cc
+++ b/flamingohollow/testing/graph_service_test.cc
@@ -7,23 +7,36 @@
 #include <cstdint>
 #include <functional>
 #include <list>
+#include <map>
 #include <optional>
+#include <random>
+#include <vector>
 
 #include "flamingohollow/testing/fake_replica.h"
 #include "flamingohollow/testing/graph_fixture.h"
+#include "util/pack.h"
 
 namespace flamingohollow::testing {
 namespace {
 
 struct Leader {
+  struct Command {
+    GraphCommand command_;
+    std::function<void(SchedulerEvent)> done_;
+  };
+
   Time now_{1'000'000};
+  std::vector<Command> commands_;
   Metrics metrics_;
   GraphService service_{
       GraphServiceOptions{.name_ = {},
                           .scheduler_ = {},
                           .failure_domains_ = {FailureDomain("north")}},
       GraphClocks{[this] { return now_; }, [this] { return now_; }},
-      [](const GraphCommand&, const std::function<void(SchedulerEvent)>&) {},
+      [this](const GraphCommand& command,
+             const std::function<void(SchedulerEvent)>& done) {
+        commands_.push_back({command, done});
+      },
       metrics_};
   FakeReplica replica_{&service_};
   std::uint64_t sequence_ = 0;
@@ -132,5 +145,108 @@
   CHECK_EQ(leader.replica_.pending_proposals(), 0);
 }
 
+// Answers to commands, as of a worker that carries them out.
+struct Answers {
+  std::map<AttemptRef, std::uint64_t> running_;
+  std::uint64_t last_end_ = 0;
+
+  SchedulerEvent To(const StartCommand& command) {
+    running_[command.attempt_] = 0;
+    return StartResult{command.target_.worker_,
+                       command.target_.incarnation_,
+                       command.attempt_,
+                       CommandOutcome::kDone,
+                       0,
+                       ""};
+  }
+  SchedulerEvent To(const StopCommand& command) {
+    return StopResult{command.target_.worker_, command.target_.incarnation_,
+                      command.attempt_, CommandOutcome::kDone, 0};
+  }
+  // Each poll shows the end of the first attempt, and one that a delayed
+  // command of an earlier leader started.
+  SchedulerEvent To(const PollCommand& command) {
+    PollResult result{.worker_ = command.target_.worker_,
+                      .incarnation_ = command.target_.incarnation_,
+                      .number_ = command.number_,
+                      .outcome_ = CommandOutcome::kDone,
+                      .running_ = {{.attempt_ = {{MakeKey(2), {}, {}, {}}, {}},
+                                    .checkpoint_ = {},
+                                    .done_percent_ = {}}},
+                      .ends_ = {}};
+    for (auto& [attempt, end] : running_) {
+      if (end == 0 && result.ends_.empty()) {
+        end = ++last_end_;
+        result.ends_.push_back({end, attempt, AttemptEnd::kDone, {}});
+      } else if (end == 0) {
+        result.running_.push_back({attempt, {}, std::nullopt});
+      }
+    }
+    return result;
+  }
+};
+
+// A leader with a job of several tasks, driven at random: ticks, reports,
+// commits, and answers to its commands.
+struct RandomRun {
+  explicit RandomRun(std::uint32_t seed) : random_(seed) {
+    const GraphRecord job =
+        MakeSubmit(1, {MakeStep(12, 4, Duration(1000))}, {});
+    leader_.replica_.Propose(Pack(job), [](const ProposeResult&) {});
+    leader_.replica_.CommitAll();
+    leader_.Report(false);
+    leader_.replica_.CommitAll();
+  }
+
+  void Step() {
+    leader_.now_ = leader_.now_ + Duration(20);
+    auto& commands = leader_.commands_;
+    switch (random_() % 4) {
+      case 0:
+        return leader_.service_.Tick();
+      case 1:
+        leader_.Report(random_() % 20 == 0);
+        return;
+      case 2:
+        if (leader_.replica_.has_quorum_) leader_.replica_.CommitAll();
+        return;
+      default:
+        if (answered_ == commands.size()) return;
+        const Leader::Command command = commands[answered_++];
+        command.done_(
+            std::visit([this](const auto& body) { return answers_.To(body); },
+                       command.command_));
+    }
+  }
+
+  std::mt19937 random_;
+  Leader leader_;
+  Answers answers_;
+  std::size_t answered_ = 0;
+};
+
+// A leader that was suspended may have been replaced. Its commands would extend
+// leases that the new leader takes to be over, or start tasks again.
+TEST_CASE("a suspended leader sends no commands before it hears a majority") {
+  constexpr std::uint32_t kRuns = 300;
+  constexpr std::uint32_t kMaxSteps = 60;
+  constexpr int kStepsAfter = 20;
+  std::size_t sent = 0;
+  for (const Duration pause : {Duration(1000), Duration(5000), Duration(20000)})
+    for (std::uint32_t seed = 1; seed <= kRuns; ++seed) {
+      CAPTURE(seed);
+      CAPTURE(pause.ms());
+      RandomRun run(seed);
+      for (std::uint32_t i = 0; i < 5 + seed % kMaxSteps; ++i) run.Step();
+      const std::size_t before = run.leader_.commands_.size();
+      sent += before;
+      run.leader_.replica_.has_quorum_ = false;
+      run.leader_.now_ = run.leader_.now_ + pause;
+      for (int i = 0; i < kStepsAfter; ++i) run.Step();
+      REQUIRE_EQ(run.leader_.commands_.size(), before);
+    }
+  CHECK(sent > kRuns);
+}
+
 }  // namespace
 }  // namespace flamingohollow::testing
