Scheduler: a start whose answer looked late is sent again

Cause: an answer whose clock is behind a newer reading counts as one of a later incarnation. If the worker then reports as the same incarnation, the command still counted as in flight: a start that the worker had not carried out was never sent again nor given up while other tasks kept the worker's lease alive. Also, a task that was moved to a restarted worker kept the number of its first valid poll, though polls are numbered anew: if the record of its end was lost, its end was noted only when the new numbers had caught up.

Tests: two cases with one worker; both fail without the change.

--- a/flamingohollow/graph_scheduler_workers.cc
+++ b/flamingohollow/graph_scheduler_workers.cc
@@ -60,6 +60,8 @@
                      AllowForClockDrift(ctx.scheduler_.options_.lease_) +
                      ctx.scheduler_.options_.resend_interval_;
   for (auto& [attempt, run] : fresh.runs_) {
+    // The new incarnation's polls are numbered anew.
+    run.first_valid_poll_ = 0;
     if (run.end_proposed_ || run.phase_ == RunPhase::kProposed) continue;
     SetPhase(ctx, run, RunPhase::kStopping);
     run.command_in_flight_ = false;
@@ -180,10 +182,12 @@
   RecordAnswer(ctx, *worker, result.outcome_);
   const CommandOutcome outcome =
       OutcomeByClock(*worker, result.outcome_, result.clock_ms_);
-  if (HandleIncarnationEnd(ctx, *worker, outcome)) return {};
   Run* run = FindRun(*worker, result.attempt_);
-  if (run == nullptr || run->phase_ != phase) return {};
-  run->command_in_flight_ = false;
+  const bool awaited = run != nullptr && run->phase_ == phase;
+  // Also if a later incarnation seems to have answered: if it was this one
+  // after all, the command is sent again once the worker reports.
+  if (awaited) run->command_in_flight_ = false;
+  if (HandleIncarnationEnd(ctx, *worker, outcome) || !awaited) return {};
   return {worker, run};
 }
 
--- a/flamingohollow/testing/graph_scheduler_test.cc
+++ b/flamingohollow/testing/graph_scheduler_test.cc
@@ -370,6 +370,48 @@
   CHECK_EQ(world.state_.jobs_.at(MakeKey(2)).state_, GraphJobState::kCompleted);
 }
 
+// An answer can also look late because the leader handled a newer one first.
+TEST_CASE(
+    "a start is sent again after an answer taken for a later incarnation's") {
+  OneWorker world;
+  world.RunOneTask();
+  world.Apply(MakeSubmit(2, {MakeStep(1, 1, Duration(500))}, {}));
+  const auto start = world.Next<StartCommand>();
+  world.Feed(StartResult{WorkerId("w"), WorkerIncarnation(1), start->attempt_,
+                         CommandOutcome::kRetryLater, 150, ""});
+  world.Report(1, 901'500);
+  const auto again = world.Next<StartCommand>();
+  REQUIRE(again.has_value());
+  CHECK(again->attempt_ == start->attempt_);
+}
+
+// Polls are numbered anew for each incarnation.
+TEST_CASE("a task whose end got lost with a restart ends with the first poll") {
+  OneWorker world;
+  world.RunOneTask();
+  world.Answer(*world.Next<PollCommand>(), CommandOutcome::kDone, 901'000);
+  world.scheduler_.fleet_.at(WorkerId("w")).polls_sent_ = 20;
+  world.Apply(MakeSubmit(2, {MakeStep(1, 1, Duration(500))}, {}));
+  const auto start = world.Next<StartCommand>();
+  world.Feed(StartResult{WorkerId("w"), WorkerIncarnation(1), start->attempt_,
+                         CommandOutcome::kDone, 901'100, ""});
+  const auto poll = world.Next<PollCommand>();
+  REQUIRE(poll.has_value());
+  PollResult result{.worker_ = WorkerId("w"),
+                    .incarnation_ = WorkerIncarnation(1),
+                    .number_ = poll->number_,
+                    .outcome_ = CommandOutcome::kDone,
+                    .clock_ms_ = 901'700,
+                    .running_ = {},
+                    .ends_ = {{2, start->attempt_, AttemptEnd::kDone, {}}}};
+  const auto actions = world.Feed(result);
+  REQUIRE_EQ(actions.size(), 1);
+  world.Report(2, 400);
+  world.Feed(RecordLost{std::get<GraphRecord>(actions[0])});
+  world.Answer(*world.Next<PollCommand>(), CommandOutcome::kDone, 500);
+  CHECK_FALSE(world.IsTaskOpen(2));
+}
+
 constexpr Duration kPassCost(40);
 
 // How long it takes until a job that is accepted right after a placement pass
