Test the failures halfway through an evacuation order

A leader that is lost before the commit or before its answer, an order that is repeated at the next leader, a start of an earlier leader that arrives late, a leader without a majority, a lost disk, and a restart of all nodes.

--- a/flamingohollow/testing/evacuation_test.cc
+++ b/flamingohollow/testing/evacuation_test.cc
@@ -4,9 +4,16 @@
 
 #include <doctest/doctest.h>
 
+#include <memory>
+#include <optional>
 #include <string>
+#include <utility>
+#include <vector>
 
+#include "flamingohollow/graph_state.h"
 #include "flamingohollow/testing/graph_world.h"
+#include "flamingohollow/testing/replica_group.h"
+#include "util/pack.h"
 
 namespace flamingohollow::testing {
 namespace {
@@ -95,5 +102,81 @@
   CHECK_EQ(world.JobState(1), GraphJobState::kCompleted);
 }
 
+TEST_CASE("a start of an earlier leader arrives after the order") {
+  GraphWorld world({.racks_ = 1, .per_rack_ = 1});
+  world.RunFor(Duration(500));
+  world.SetLate(1000);
+  world.Submit(1, {MakeStep(1, 8, Duration(1000))}, {});
+  world.RunFor(Duration(100));
+  world.SetLate(0);
+  world.ChangeLeader();
+  world.Evacuate(0, true);
+  world.RunFor(Duration(15'000));
+  CHECK_EQ(world.starts(), 0);
+  CHECK(world.violations().empty());
+}
+
+// Holds the state of graph jobs.
+class StateOwner : public RecordingOwner {
+ public:
+  void ApplyCommitted(LogIndex, std::string_view command) override {
+    const auto record = Unpack<GraphRecord>(command);
+    if (record.has_value()) ApplyRecord(state_, *record);
+  }
+  std::string EncodeSnapshot() override { return EncodeState(state_); }
+  bool RestoreSnapshot(std::string_view snapshot) override {
+    auto state = DecodeState(snapshot);
+    if (!state.has_value()) return false;
+    state_ = std::move(*state);
+    ++restored_;
+    return true;
+  }
+
+  GraphState state_;
+  int restored_ = 0;
+};
+
+const StateOwner& OwnerOf(const ReplicaGroup::Node& node) {
+  return static_cast<const StateOwner&>(*node.owner_);
+}
+
+TEST_CASE("orders survive lost disks and a restart of all nodes") {
+  ReplicaOptions options;
+  options.snapshot_log_entries_ = 4;
+  options.raft_.keep_entries_ = 0;
+  ReplicaGroup group(3, options, [] { return std::make_unique<StateOwner>(); });
+  REQUIRE(group.Form());
+  const auto order = [&group](const FailureDomain& domain, bool evacuate) {
+    std::optional<ProposeOutcome> outcome;
+    group.Leader()->replica_->Propose(
+        Pack(GraphRecord(EvacuationRecord{{domain, evacuate, 0, Time(1)}})),
+        [&outcome](const ProposeResult& r) { outcome = r.outcome_; });
+    group.RunUntil([&outcome] { return outcome.has_value(); });
+    return outcome == ProposeOutcome::kCommitted;
+  };
+  REQUIRE(order(kNorth, true));
+  for (int i = 0; i < 5; ++i) {
+    REQUIRE(order(kSouth, true));
+    REQUIRE(order(kSouth, false));
+  }
+  const auto in_force = [](const ReplicaGroup::Node& node) {
+    const Evacuations& evacuations = OwnerOf(node).state_.evacuations_;
+    return evacuations.contains(kSouth) && IsEvacuated(evacuations, kNorth) &&
+           !IsEvacuated(evacuations, kSouth);
+  };
+  std::size_t wiped = 0;
+  while (&group.nodes()[wiped] == group.Leader()) ++wiped;
+  group.Stop(wiped);
+  group.Wipe(wiped);
+  REQUIRE(group.Start(wiped));
+  const ReplicaGroup::Node& node = group.nodes()[wiped];
+  CHECK(group.RunUntil([&] { return in_force(node); }));
+  CHECK_GT(OwnerOf(node).restored_, 0);
+  for (std::size_t i = 0; i < 3; ++i) group.Stop(i);
+  for (std::size_t i = 0; i < 3; ++i) REQUIRE(group.Start(i));
+  REQUIRE(group.RunUntil([&] { return group.Leader() != nullptr; }));
+  CHECK(in_force(*group.Leader()));
+}
+
 }  // namespace
 }  // namespace flamingohollow::testing
--- a/flamingohollow/testing/fake_replica.cc
+++ b/flamingohollow/testing/fake_replica.cc
@@ -86,7 +86,7 @@
   return status;
 }
 
-bool FakeReplica::HasQuorum(Time) const { return is_leader_; }
+bool FakeReplica::HasQuorum(Time) const { return is_leader_ && has_quorum_; }
 
 void FakeReplica::Receive(std::string) {}
 
--- a/flamingohollow/testing/fake_replica.h
+++ b/flamingohollow/testing/fake_replica.h
@@ -22,6 +22,8 @@
   bool completes_immediately_ = true;
   // While set, proposals are refused as overloaded.
   bool overloaded_ = false;
+  // While not set, the leader hears from no majority.
+  bool has_quorum_ = true;
 
   void GainLeadership();
   // Pending proposals end with `outcome`; pending confirmations fail.
--- a/flamingohollow/testing/graph_service_test.cc
+++ b/flamingohollow/testing/graph_service_test.cc
@@ -4,13 +4,17 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <cstdint>
 #include <functional>
 #include <list>
 #include <optional>
+#include <variant>
+#include <vector>
 
 #include "flamingohollow/testing/fake_replica.h"
 #include "flamingohollow/testing/graph_fixture.h"
+#include "util/pack.h"
 
 namespace flamingohollow::testing {
 namespace {
@@ -23,10 +27,18 @@
                           .scheduler_ = {},
                           .failure_domains_ = {FailureDomain("north")}},
       GraphClocks{[this] { return now_; }, [this] { return now_; }},
-      [](const GraphCommand&, const std::function<void(SchedulerEvent)>&) {},
+      [this](const GraphCommand& command,
+             const std::function<void(SchedulerEvent)>& done) {
+        sent_.push_back({command, done});
+      },
       metrics_};
   FakeReplica replica_{&service_};
   std::uint64_t sequence_ = 0;
+  struct Sent {
+    GraphCommand command_;
+    std::function<void(SchedulerEvent)> done_;
+  };
+  std::vector<Sent> sent_;
 
   Leader() {
     service_.SetReplica(&replica_);
@@ -126,6 +138,85 @@
   CHECK_EQ(order, GraphOutcome::kUnknown);
 }
 
+bool IsInForce(const Leader& leader) {
+  return IsEvacuated(leader.service_.state().evacuations_,
+                     FailureDomain("north"));
+}
+
+TEST_CASE("an order that was lost with its leader takes effect when repeated") {
+  Leader leader;
+  leader.Send(Evacuate("north", true));
+  leader.replica_.LoseLeadership(ProposeOutcome::kUnknown);
+  leader.replica_.GainLeadership();
+  CHECK_FALSE(IsInForce(leader));
+  auto& repeated = leader.Send(Evacuate("north", true));
+  leader.replica_.CommitAll();
+  CHECK_EQ(repeated, GraphOutcome::kOk);
+  CHECK(IsInForce(leader));
+}
+
+TEST_CASE("the next leader acknowledges an order that is in force already") {
+  Leader first;
+  first.Send(Evacuate("north", true));
+  first.replica_.CommitAll();
+  Leader next;
+  next.now_ = first.now_ + Duration(1000);
+  REQUIRE(next.service_.RestoreSnapshot(first.service_.EncodeSnapshot()));
+  CHECK(IsInForce(next));
+  auto& repeated = next.Send(Evacuate("north", true));
+  next.replica_.CommitAll();
+  CHECK_EQ(repeated, GraphOutcome::kOk);
+  const auto& evacuations = next.service_.state().evacuations_;
+  CHECK_EQ(evacuations.at(FailureDomain("north")).ordered_, first.now_);
+}
+
+int CountStarts(const Leader& leader) {
+  return static_cast<int>(std::count_if(
+      leader.sent_.begin(), leader.sent_.end(), [](const Leader::Sent& sent) {
+        return std::holds_alternative<StartCommand>(sent.command_);
+      }));
+}
+
+// Answers the newest command.
+template <class Command, class Result>
+void AnswerLast(Leader& leader, Result result) {
+  const Leader::Sent sent = leader.sent_.back();
+  REQUIRE(std::holds_alternative<Command>(sent.command_));
+  const CommandTarget& target = std::get<Command>(sent.command_).target_;
+  result.worker_ = target.worker_;
+  result.incarnation_ = target.incarnation_;
+  sent.done_(result);
+}
+
+// A domain may be evacuated by the next leader while this one was paused.
+TEST_CASE("a leader that hears from no majority repeats no start") {
+  Leader leader;
+  leader.replica_.completes_immediately_ = true;
+  leader.Report(false);
+  leader.service_.Tick();
+  PollResult poll;
+  poll.number_ = 1;
+  poll.outcome_ = CommandOutcome::kDone;
+  AnswerLast<PollCommand>(leader, poll);
+  leader.service_.ApplyCommitted(
+      LogIndex(1),
+      Pack(GraphRecord(MakeSubmit(1, {MakeStep(1, 8, Duration(1000))}, {}))));
+  leader.now_ = leader.now_ + Duration(100);
+  leader.service_.Tick();
+  REQUIRE_EQ(CountStarts(leader), 1);
+  StartResult unanswered;
+  unanswered.attempt_ =
+      std::get<StartCommand>(leader.sent_.back().command_).attempt_;
+  AnswerLast<StartCommand>(leader, unanswered);
+  bool majority = false;
+  SUBCASE("with a majority the start is repeated") { majority = true; }
+  SUBCASE("without a majority it is not") {}
+  leader.replica_.has_quorum_ = majority;
+  leader.now_ = leader.now_ + Duration(500);
+  leader.service_.Tick();
+  CHECK_EQ(CountStarts(leader), majority ? 2 : 1);
+}
+
 TEST_CASE("an unknown failure domain is refused") {
   Leader leader;
   CHECK_EQ(leader.Send(Evacuate("nowhere", true)), GraphOutcome::kNoDomain);
--- a/flamingohollow/testing/graph_world.h
+++ b/flamingohollow/testing/graph_world.h
@@ -52,6 +52,8 @@
   // Makes tasks on the worker fail with this chance in a thousand; a member of
   // a gang that fails breaks its gang.
   void SetFailing(int worker, int per_mille);
+  // Delays commands that are sent from now on with this chance in a thousand.
+  void SetLate(int per_mille) { options_.late_ = per_mille; }
   void Cancel(std::uint64_t number);
   // Orders the evacuation of a rack's failure domain, or takes it back. Each
   // rack is a failure domain.
--- a/flamingohollow/testing/replica_group.h
+++ b/flamingohollow/testing/replica_group.h
@@ -83,8 +83,12 @@
     std::unique_ptr<Replica> replica_;
   };
 
-  explicit ReplicaGroup(std::size_t size, ReplicaOptions options = {})
-      : options_(std::move(options)) {
+  using MakeOwner = std::function<std::unique_ptr<RecordingOwner>()>;
+
+  explicit ReplicaGroup(
+      std::size_t size, ReplicaOptions options = {},
+      MakeOwner make_owner = [] { return std::make_unique<RecordingOwner>(); })
+      : options_(std::move(options)), make_owner_(std::move(make_owner)) {
     for (std::size_t i = 0; i < size; ++i) {
       nodes_.push_back({.name_ = "control-" + std::to_string(i),
                         .owner_ = nullptr,
@@ -107,7 +111,7 @@
     options.name_ = NodeName(node.name_);
     options.address_ = node.name_;
     options.data_folder_ = Folder(i);
-    node.owner_ = std::make_unique<RecordingOwner>();
+    node.owner_ = make_owner_();
     namespace leaf = boost::leaf;
     leaf::try_handle_all(
         [&]() -> leaf::result<void> {
@@ -204,6 +208,7 @@
 
   TempFolder folder_;
   ReplicaOptions options_;
+  MakeOwner make_owner_;
   std::vector<Node> nodes_;
   std::string error_;
   Time next_tick_;
