Gangs prefer workers that are warm

Cause: after an evacuation, or a restart of a domain, a third of the pool comes back cold. Its workers looked like all others, so urgent gangs started on them and ran as slow as the slowest member; and the slow progress there was learned as the workers' pace, which a worker keeps for long.

Change: a worker's report says how much longer it is slow. Gangs and urgent units go to cold workers last; other tasks take them as any other. Progress on a cold worker teaches no pace. The time is soft state of the leader; it travels behind the report in kReport, so neither log records nor the calls of nodes of the first version change their form.

--- a/flamingohollow/fleet.h
+++ b/flamingohollow/fleet.h
@@ -135,6 +135,8 @@
   std::map<AttemptRef, Time> unanswered_starts_;
   // It gets no new tasks before this.
   Time avoid_until_;
+  // Lately started workers are slow until then.
+  Time warm_at_;
   WorkerSuspicion suspicion_;
   WorkerPace pace_;
 };
@@ -171,6 +173,11 @@
 // yet to answer its first poll by this leader.
 bool IsAwaited(const FleetWorker& worker, Duration report_interval, Time now);
 
+// Whether the worker is still slow because it was started lately.
+inline bool IsCold(const FleetWorker& worker, Time now) {
+  return now < worker.warm_at_;
+}
+
 // Grants a lease and returns its end on the worker's clock, to be sent with a
 // command. The lease ends `lease` from now. If the worker did not answer the
 // last call, the earlier grant is returned unchanged, so that the lease of an
--- a/flamingohollow/graph_messages.h
+++ b/flamingohollow/graph_messages.h
@@ -14,9 +14,26 @@
 #include "flamingohollow/fleet.h"
 #include "flamingohollow/graph_types.h"
 #include "util/clock.h"
+#include "util/pack.h"
 
 namespace flamingohollow {
 
+// Archives a field at the end of a message that the first version lacks: its
+// messages end before the field, and its nodes ignore what follows the fields
+// they know.
+template <class Archive, class Value>
+void ArchiveIfPresent(Archive& archive, Value& value) {
+  if constexpr (Archive::is_loading::value) {
+    try {
+      archive(value);
+    } catch (const cereal::Exception&) {
+      value = Value();
+    }
+  } else {
+    archive(value);
+  }
+}
+
 enum class GraphCallKind : std::uint8_t {
   kSubmit = 1,
   // Reads a job's state or, if the path is only a queue's prefix, how many
@@ -72,6 +89,9 @@
   std::optional<GraphSpec> spec_;
   // kReport.
   PoolWorkerReport report_;
+  // How much longer the reporting worker is slow after its start. Not part of
+  // the report, which is stored in the log.
+  Duration cold_left_;
   // kLeave.
   WorkerId worker_;
   // kPutCatalog.
@@ -93,6 +113,7 @@
         break;
       case GraphCallKind::kReport:
         archive(report_);
+        ArchiveIfPresent(archive, cold_left_);
         break;
       case GraphCallKind::kLeave:
         archive(worker_);
--- a/flamingohollow/graph_placement_fit.cc
+++ b/flamingohollow/graph_placement_fit.cc
@@ -24,14 +24,18 @@
 
 // Urgent units have the least slack and prefer the fastest workers. Other units
 // only avoid very slow workers, which are likely to be faulty. Suspects come
-// after all others for urgent units and for gangs.
+// after all others for urgent units and for gangs. A cold worker counts as very
+// slow for these, since a gang is as slow as its slowest member, and not for
+// other tasks, so that these leave the warm workers to them.
 int RankWorker(const PassWorker& worker, const Unit& unit) {
   constexpr int kSuspectRank = 3;
   const bool urgent = unit.job_->terms_.priority_ == 0;
   const bool averse = urgent || (unit.spec_->gang_ && unit.tasks_.size() > 1);
   const int suspect = averse && worker.suspect_ ? kSuspectRank : 0;
-  if (urgent) return suspect + static_cast<int>(worker.pace_);
-  return suspect + (worker.pace_ == PaceClass::kVerySlow ? 1 : 0);
+  const PaceClass pace =
+      averse && worker.cold_ ? PaceClass::kVerySlow : worker.pace_;
+  if (urgent) return suspect + static_cast<int>(pace);
+  return suspect + (pace == PaceClass::kVerySlow ? 1 : 0);
 }
 
 }  // namespace
--- a/flamingohollow/graph_placement_pass.cc
+++ b/flamingohollow/graph_placement_pass.cc
@@ -108,6 +108,7 @@
     if (!worker.reported_) continue;
     PassWorker added;
     added.fleet_worker_ = &worker;
+    added.cold_ = IsCold(worker, pass.now_);
     const bool evacuated =
         IsEvacuated(pass.state_.evacuations_, worker.report_.failure_domain_);
     added.usable_ =
--- a/flamingohollow/graph_placement_pass.h
+++ b/flamingohollow/graph_placement_pass.h
@@ -87,6 +87,8 @@
   bool awaited_ = false;
   PaceClass pace_ = PaceClass::kFull;
   bool suspect_ = false;
+  // Slow because it was started lately.
+  bool cold_ = false;
   // Steps of the tasks that this pass has placed here or holds resources for;
   // only steps with `max_per_worker_`.
   std::vector<const StepRecord*> placed_;
--- a/flamingohollow/graph_scheduler.h
+++ b/flamingohollow/graph_scheduler.h
@@ -166,6 +166,15 @@
   WorkerId id_;
 };
 
+// How much longer a worker is slow after its start, as of one of its reports.
+// Follows the report.
+struct WorkerCold {
+  WorkerId id_;
+  WorkerIncarnation incarnation_;
+  std::uint64_t sequence_ = 0;
+  Duration left_;
+};
+
 // A record of the log was applied, whichever leader proposed it.
 struct RecordApplied {
   const GraphRecord* record_ = nullptr;
@@ -182,9 +191,9 @@
   Duration previous_cost_ = Duration();
 };
 
-using SchedulerEvent =
-    std::variant<PoolWorkerReport, WorkerLeft, StartResult, StopResult,
-                 PollResult, RecordApplied, RecordLost, SchedulerTick>;
+using SchedulerEvent = std::variant<PoolWorkerReport, WorkerLeft, StartResult,
+                                    StopResult, PollResult, RecordApplied,
+                                    RecordLost, SchedulerTick, WorkerCold>;
 
 struct Scheduler {
   SchedulerOptions options_;
--- a/flamingohollow/graph_scheduler_polls.cc
+++ b/flamingohollow/graph_scheduler_polls.cc
@@ -78,9 +78,9 @@
   if (job == nullptr) return;
   const StepSpec& spec = job->spec_.steps_[task.step_.value()];
   // A long-running task makes no progress towards an end, and a task away from
-  // its data is slow for that reason.
+  // its data or on a cold worker is slow for that reason.
   const bool away = IsAwayFromData(spec, worker.report_.rack_);
-  if (spec.long_running_ || away) return;
+  if (spec.long_running_ || away || IsCold(worker, ctx.now_)) return;
   StepPace& step = ctx.scheduler_.step_paces_[StepOf(task)];
   if (LearnPace(worker.pace_, step, *rate, spec.gang_, ctx.now_)) {
     LogDetail("worker_pace", {{"worker", worker.report_.id_.value()},
--- a/flamingohollow/graph_scheduler_step.h
+++ b/flamingohollow/graph_scheduler_step.h
@@ -68,6 +68,7 @@
                           CommandOutcome outcome);
 void On(Context& ctx, const PoolWorkerReport& report);
 void On(Context& ctx, const WorkerLeft& left);
+void On(Context& ctx, const WorkerCold& cold);
 void On(Context& ctx, const StartResult& result);
 void On(Context& ctx, const StopResult& result);
 
--- a/flamingohollow/graph_scheduler_workers.cc
+++ b/flamingohollow/graph_scheduler_workers.cc
@@ -124,6 +124,17 @@
   if (worker.runs_.empty()) ctx.scheduler_.fleet_.erase(found);
 }
 
+void On(Context& ctx, const WorkerCold& cold) {
+  FleetWorker* worker = FindIncarnation(ctx, cold.id_, cold.incarnation_);
+  // A delayed report would make the worker seem cold for longer than it is.
+  if (worker == nullptr || worker->report_.sequence_ != cold.sequence_) return;
+  if (!IsCold(*worker, ctx.now_) && cold.left_ > Duration()) {
+    LogEvent("worker_cold",
+             {{"worker", cold.id_.value()}, {"left_ms", cold.left_.ms()}});
+  }
+  worker->warm_at_ = ctx.now_ + cold.left_;
+}
+
 void RecordAnswer(Context& ctx, FleetWorker& worker, CommandOutcome outcome) {
   if (outcome == CommandOutcome::kNotSent) return;
   if (outcome == CommandOutcome::kNoAnswer) {
--- a/flamingohollow/graph_service.cc
+++ b/flamingohollow/graph_service.cc
@@ -244,6 +244,8 @@
 void GraphService::HandleReport(const GraphCall& call,
                                 const Responder& respond) {
   Feed(call.report_);
+  Feed(WorkerCold{call.report_.id_, call.report_.incarnation_,
+                  call.report_.sequence_, call.cold_left_});
   if (leadership_ == nullptr) return respond(NotLeader());
   if (IsReportSettled(call.report_)) return respond(Reply(GraphOutcome::kOk));
   if (leadership_->reports_.size() >= kMaxWaitingReports) {
--- a/flamingohollow/testing/graph_placement_test.cc
+++ b/flamingohollow/testing/graph_placement_test.cc
@@ -143,6 +143,34 @@
   }
 }
 
+// After an evacuation a third of the pool comes back cold.
+TEST_CASE("gangs get warm workers, and other tasks leave these to them") {
+  GraphState state;
+  Fleet fleet = MakeFleet(1, 3, kNow);
+  fleet.at(WorkerId("w0")).warm_at_ = kNow + Duration(1);
+  fleet.at(WorkerId("w1")).warm_at_ = kNow;
+  std::uint32_t priority = 1;
+  SUBCASE("an urgent gang") { priority = 0; }
+  SUBCASE("another gang") {}
+  Submit(state, 1, {MakeGang(2, 8, Duration(1000), true)},
+         {.priority_ = priority});
+  Submit(state, 2, {MakeStep(1, 8, Duration(1000))}, {.priority_ = 1});
+  const PlacementPlan plan = Plan(state, fleet);
+  REQUIRE_EQ(plan.open_.size(), 3);
+  for (const OpenedAttempt& opened : plan.open_) {
+    const bool gang = opened.attempt_.task_.job_ == MakeKey(1);
+    CHECK_EQ(gang, opened.worker_ != WorkerId("w0"));
+  }
+}
+
+TEST_CASE("an urgent gang starts on cold workers when no others have room") {
+  GraphState state;
+  Fleet fleet = MakeFleet(1, 2, kNow);
+  for (auto& [id, worker] : fleet) worker.warm_at_ = kNow + Duration(5000);
+  Submit(state, 1, {MakeGang(2, 8, Duration(1000), true)}, {.priority_ = 0});
+  CHECK_EQ(Plan(state, fleet).open_.size(), 2);
+}
+
 TEST_CASE("a worker on which tasks hardly progress gets no tasks") {
   GraphState state;
   Fleet fleet = MakeFleet(1, 5, kNow);
--- a/flamingohollow/testing/graph_service_test.cc
+++ b/flamingohollow/testing/graph_service_test.cc
@@ -170,6 +170,24 @@
   CHECK_EQ(evacuations.at(FailureDomain("north")).ordered_, first.now_);
 }
 
+// Fields that the first version knows come first, so its nodes read the call.
+TEST_CASE("the cold time follows a report that every version reads") {
+  GraphCall call;
+  call.kind_ = GraphCallKind::kReport;
+  call.report_ = MakeReport("w", "r");
+  call.cold_left_ = Duration(1500);
+  const std::string bytes = Pack(call);
+  const auto read = Unpack<GraphCall>(bytes);
+  REQUIRE(read.has_value());
+  CHECK_EQ(read->cold_left_, Duration(1500));
+  const std::size_t added = sizeof(std::int64_t);
+  const auto first_version = Unpack<GraphCall>(
+      std::string_view(bytes).substr(0, bytes.size() - added));
+  REQUIRE(first_version.has_value());
+  CHECK_EQ(first_version->report_, call.report_);
+  CHECK_EQ(first_version->cold_left_, Duration(0));
+}
+
 int CountStarts(const Leader& leader) {
   return static_cast<int>(std::count_if(
       leader.sent_.begin(), leader.sent_.end(), [](const Leader::Sent& sent) {
