--- a/flamingohollow/testing/graph_service_test.cc
+++ b/flamingohollow/testing/graph_service_test.cc
@@ -4,12 +4,14 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <cstdint>
 #include <functional>
 #include <list>
 #include <map>
 #include <optional>
 #include <random>
+#include <variant>
 #include <vector>
 
 #include "flamingohollow/testing/fake_replica.h"
@@ -139,6 +141,104 @@
   CHECK_EQ(order, GraphOutcome::kUnknown);
 }
 
+bool IsInForce(const Leader& leader) {
+  return IsEvacuated(leader.service_.state().evacuations_,
+                     FailureDomain("north"));
+}
+
+TEST_CASE("an order that was lost with its leader takes effect when repeated") {
+  Leader leader;
+  leader.Send(Evacuate("north", true));
+  leader.replica_.LoseLeadership(ProposeOutcome::kUnknown);
+  leader.replica_.GainLeadership();
+  CHECK_FALSE(IsInForce(leader));
+  auto& repeated = leader.Send(Evacuate("north", true));
+  leader.replica_.CommitAll();
+  CHECK_EQ(repeated, GraphOutcome::kOk);
+  CHECK(IsInForce(leader));
+}
+
+TEST_CASE("the next leader acknowledges an order that is in force already") {
+  Leader first;
+  first.Send(Evacuate("north", true));
+  first.replica_.CommitAll();
+  Leader next;
+  next.now_ = first.now_ + Duration(1000);
+  REQUIRE(next.service_.RestoreSnapshot(first.service_.EncodeSnapshot()));
+  CHECK(IsInForce(next));
+  auto& repeated = next.Send(Evacuate("north", true));
+  next.replica_.CommitAll();
+  CHECK_EQ(repeated, GraphOutcome::kOk);
+  const auto& evacuations = next.service_.state().evacuations_;
+  CHECK_EQ(evacuations.at(FailureDomain("north")).ordered_, first.now_);
+}
+
+// Fields that the first version knows come first, so its nodes read the call.
+TEST_CASE("the cold time follows a report that every version reads") {
+  GraphCall call;
+  call.kind_ = GraphCallKind::kReport;
+  call.report_ = MakeReport("w", "r");
+  call.cold_left_ = Duration(1500);
+  const std::string bytes = Pack(call);
+  const auto read = Unpack<GraphCall>(bytes);
+  REQUIRE(read.has_value());
+  CHECK_EQ(read->cold_left_, Duration(1500));
+  const std::size_t added = sizeof(std::int64_t);
+  const auto first_version = Unpack<GraphCall>(
+      std::string_view(bytes).substr(0, bytes.size() - added));
+  REQUIRE(first_version.has_value());
+  CHECK_EQ(first_version->report_, call.report_);
+  CHECK_EQ(first_version->cold_left_, Duration(0));
+}
+
+int CountStarts(const Leader& leader) {
+  return static_cast<int>(std::count_if(
+      leader.commands_.begin(), leader.commands_.end(),
+      [](const Leader::Command& sent) {
+        return std::holds_alternative<StartCommand>(sent.command_);
+      }));
+}
+
+// Answers the newest command.
+template <class Command, class Result>
+void AnswerLast(Leader& leader, Result result) {
+  const Leader::Command sent = leader.commands_.back();
+  REQUIRE(std::holds_alternative<Command>(sent.command_));
+  const CommandTarget& target = std::get<Command>(sent.command_).target_;
+  result.worker_ = target.worker_;
+  result.incarnation_ = target.incarnation_;
+  sent.done_(result);
+}
+
+// A domain may be evacuated by the next leader while this one was paused.
+TEST_CASE("a leader that hears from no majority repeats no start") {
+  Leader leader;
+  leader.replica_.completes_immediately_ = true;
+  leader.Report(false);
+  leader.service_.Tick();
+  PollResult poll;
+  poll.number_ = 1;
+  poll.outcome_ = CommandOutcome::kDone;
+  AnswerLast<PollCommand>(leader, poll);
+  leader.service_.ApplyCommitted(
+      LogIndex(1),
+      Pack(GraphRecord(MakeSubmit(1, {MakeStep(1, 8, Duration(1000))}, {}))));
+  leader.now_ = leader.now_ + Duration(100);
+  leader.service_.Tick();
+  REQUIRE_EQ(CountStarts(leader), 1);
+  StartResult unanswered;
+  unanswered.attempt_ =
+      std::get<StartCommand>(leader.commands_.back().command_).attempt_;
+  AnswerLast<StartCommand>(leader, unanswered);
+  bool majority = false;
+  SUBCASE("with a majority the start is repeated") { majority = true; }
+  SUBCASE("without a majority it is not") {}
+  leader.replica_.has_quorum_ = majority;
+  leader.now_ = leader.now_ + Duration(500);
+  leader.service_.Tick();
+  CHECK_EQ(CountStarts(leader), majority ? 2 : 1);
+}
+
 TEST_CASE("an unknown failure domain is refused") {
   Leader leader;
   CHECK_EQ(leader.Send(Evacuate("nowhere", true)), GraphOutcome::kNoDomain);
