Placement by learned speeds of workers

Cause: workers of one pool differ in speed by up to a factor of 2.7 and don't report it; urgent gangs landed on slow ones as often as on fast ones and were late there.

Change: worker_speed.h estimates each worker's speed with a variance, from the progress of gangs, the first progress of other tasks and the length of short ones. Once a pool is known to be uneven, urgent units prefer fast workers and others the slowest on which they end in time. Other pools are served as before.

--- a/flamingohollow/fleet.h
+++ b/flamingohollow/fleet.h
@@ -15,6 +15,7 @@
 
 #include "flamingohollow/graph_types.h"
 #include "flamingohollow/worker_pace.h"
+#include "flamingohollow/worker_speed.h"
 #include "flamingohollow/worker_suspicion.h"
 #include "util/clock.h"
 
@@ -91,6 +92,8 @@
   std::optional<ProgressPoint> progress_;
   // The first progress that the worker reported.
   std::optional<ProgressPoint> first_progress_;
+  // Its rate was used for its worker's speed.
+  bool speed_measured_ = false;
 };
 
 struct FleetWorker {
@@ -137,6 +140,7 @@
   Time avoid_until_;
   WorkerSuspicion suspicion_;
   WorkerPace pace_;
+  WorkerSpeed speed_;
 };
 
 using Fleet = std::map<WorkerId, FleetWorker>;
--- a/flamingohollow/graph_placement_fit.cc
+++ b/flamingohollow/graph_placement_fit.cc
@@ -1,6 +1,7 @@
 // Fits the tasks of a unit into the free resources of workers.
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 #include "flamingohollow/graph_placement_pass.h"
@@ -22,6 +23,26 @@
 
 namespace {
 
+// Rank of a worker in a pool whose speeds differ widely; from 0 to 2. Urgent
+// units prefer the fastest workers. Others leave these to them: they prefer the
+// slowest on which they end in time, and learn about unknown ones if they end
+// in time on slow ones.
+int RankSpeed(const PassWorker& worker, const Unit& unit) {
+  const SpeedClass speed = worker.speed_class_;
+  const bool urgent = unit.job_->terms_.priority_ == 0;
+  const bool hopeless = unit.required_speed_ > worker.spread_->fast_;
+  const auto rank = [speed](int slow, int typical, int fast, int unknown) {
+    const std::array ranks = {slow, typical, fast, unknown};
+    return ranks[static_cast<std::size_t>(speed)];
+  };
+  if (urgent) return rank(2, 1, 0, 1);
+  if (unit.required_speed_ <= worker.spread_->slow_ || hopeless) {
+    return rank(0, 1, 2, 0);
+  }
+  if (unit.required_speed_ <= 1) return rank(2, 0, 1, 0);
+  return rank(2, 1, 0, 1);
+}
+
 // Urgent units have the least slack and prefer the fastest workers. Other units
 // only avoid very slow workers, which are likely to be faulty. Suspects come
 // after all others for urgent units and for gangs.
@@ -30,6 +51,10 @@
   const bool urgent = unit.job_->terms_.priority_ == 0;
   const bool averse = urgent || (unit.spec_->gang_ && unit.tasks_.size() > 1);
   const int suspect = averse && worker.suspect_ ? kSuspectRank : 0;
+  if (worker.spread_ != nullptr) {
+    const bool faulty = worker.pace_ == PaceClass::kVerySlow;
+    return suspect + (faulty ? kSuspectRank : RankSpeed(worker, unit));
+  }
   if (urgent) return suspect + static_cast<int>(worker.pace_);
   return suspect + (worker.pace_ == PaceClass::kVerySlow ? 1 : 0);
 }
--- a/flamingohollow/graph_placement_pass.cc
+++ b/flamingohollow/graph_placement_pass.cc
@@ -87,6 +87,26 @@
   });
 }
 
+// Sets the workers' speeds if they are known to differ widely.
+void SetSpeeds(Pass& pass, const PoolName& name,
+               const std::vector<std::size_t>& pool) {
+  std::vector<double> known;
+  for (const std::size_t index : pool) {
+    const WorkerSpeed& speed = pass.workers_[index].fleet_worker_->speed_;
+    if (IsSpeedKnown(speed, pass.now_)) known.push_back(speed.log_speed_);
+  }
+  const auto spread = FindWideSpread(std::move(known));
+  if (!spread.has_value()) return;
+  const SpeedSpread& kept = pass.spreads_.emplace(name, *spread).first->second;
+  for (const std::size_t index : pool) {
+    PassWorker& worker = pass.workers_[index];
+    const WorkerSpeed& speed = worker.fleet_worker_->speed_;
+    worker.spread_ = &kept;
+    worker.speed_ = SpeedOf(speed, kept, pass.now_);
+    worker.speed_class_ = ClassOf(speed, kept, pass.now_);
+  }
+}
+
 void SetSuspects(Pass& pass, const std::vector<std::size_t>& pool) {
   if (!pass.options_.avoid_suspects_) return;
   for (const std::size_t index : pool) {
@@ -137,6 +157,7 @@
   // compared.
   for (const auto& [name, pool] : pools) {
     SetPaces(pass, pool);
+    SetSpeeds(pass, name, pool);
     SetSuspects(pass, pool);
   }
 }
--- a/flamingohollow/graph_placement_pass.h
+++ b/flamingohollow/graph_placement_pass.h
@@ -29,6 +29,7 @@
 #include "flamingohollow/graph_placement.h"
 #include "flamingohollow/graph_state.h"
 #include "flamingohollow/worker_pace.h"
+#include "flamingohollow/worker_speed.h"
 #include "util/clock.h"
 
 namespace flamingohollow::graph_placement_internal {
@@ -72,6 +73,10 @@
   Time deadline_;
   // Estimated run time of the rest of the job, if it starts now.
   Duration remaining_;
+  // Speed of a worker on which the rest of the job would end in time, also if
+  // it is longer than estimated by the usual error of estimates; infinite if
+  // the deadline has passed.
+  double required_speed_ = 0;
   Time queued_at_;
   // The job is within its customer's guarantee.
   bool guaranteed_ = false;
@@ -86,6 +91,11 @@
   // Not usable yet, but likely to be soon.
   bool awaited_ = false;
   PaceClass pace_ = PaceClass::kFull;
+  // Null unless the speeds of the worker's pool differ widely.
+  const SpeedSpread* spread_ = nullptr;
+  SpeedClass speed_class_ = SpeedClass::kUnknown;
+  // Relative to a typical worker of its pool (1).
+  double speed_ = 1;
   bool suspect_ = false;
   // Steps of the tasks that this pass has placed here or holds resources for;
   // only steps with `max_per_worker_`.
@@ -144,6 +154,8 @@
   std::vector<Resources> free_;
   std::vector<Resources> free_after_stops_;
   std::vector<PassRack> racks_;
+  // Of the pools whose workers' speeds differ widely.
+  std::map<PoolName, SpeedSpread> spreads_ = {};
   std::map<std::pair<PoolName, std::string>, EligibleWorkers> eligible_;
   // Jobs of priority 0 that are within their customer's guarantee.
   std::unordered_set<const GraphJob*> guaranteed_;
--- a/flamingohollow/graph_placement_units.cc
+++ b/flamingohollow/graph_placement_units.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <limits>
 #include <utility>
 
 #include "flamingohollow/graph_placement_pass.h"
@@ -52,6 +53,9 @@
   });
 }
 
+// Work takes up to this many times as long as estimated, unless it is odd.
+constexpr double kEstimateError = 1.5;
+
 void SetUrgency(Unit& unit, const OccurrenceRecord& occurrence, Time queued_at,
                 Time now) {
   const GraphJob& job = *unit.job_;
@@ -67,6 +71,11 @@
   const Time late = queued_at + allowed * 3;
   unit.queued_at_ = queued_at;
   unit.deadline_ = queued_at + allowed;
+  const Duration left = unit.deadline_ - now;
+  unit.required_speed_ =
+      left <= Duration() ? std::numeric_limits<double>::infinity()
+                         : static_cast<double>(unit.remaining_.ms()) *
+                               kEstimateError / static_cast<double>(left.ms());
   if (finish > unit.deadline_)
     unit.lateness_ = finish > late ? Lateness::kTooLate : Lateness::kLate;
 }
--- a/flamingohollow/graph_scheduler.h
+++ b/flamingohollow/graph_scheduler.h
@@ -194,6 +194,7 @@
   std::map<std::string, WorkerId> addresses_;
   // Progress per second of the tasks of each step.
   std::map<StepRef, StepPace> step_paces_;
+  std::map<StepRef, StepRate> step_rates_;
   // When this scheduler learned of each job; its waiting time starts then.
   std::map<GraphJobKey, Time> queued_since_;
   // Number of polls in flight that the workers may hold open. Counted anew at
--- a/flamingohollow/graph_scheduler_polls.cc
+++ b/flamingohollow/graph_scheduler_polls.cc
@@ -22,6 +22,54 @@
            {{"worker", worker.report_.id_.value()}, {"why", "its tasks fail"}});
 }
 
+// Returns the step if its tasks' rates on the worker tell of its speed. A
+// long-running task makes no progress towards an end, and a task away from its
+// data is slow for that reason.
+const StepSpec* FindComparableStep(const Context& ctx,
+                                   const FleetWorker& worker,
+                                   const TaskRef& task) {
+  const GraphJob* job = FindJob(ctx.state_, task.job_);
+  if (job == nullptr) return nullptr;
+  const StepSpec& spec = job->spec_.steps_[task.step_.value()];
+  if (spec.long_running_) return nullptr;
+  return IsAwayFromData(spec, worker.report_.rack_) ? nullptr : &spec;
+}
+
+void MeasureSpeed(Context& ctx, FleetWorker& worker, Run& run,
+                  const TaskRef& task, const StepSpec& spec, double log_rate) {
+  // The work of a single task is as uneven at its end as at its start.
+  if (run.speed_measured_ && !spec.gang_) return;
+  run.speed_measured_ = true;
+  LearnSpeed(worker.speed_, ctx.scheduler_.step_rates_[StepOf(task)], log_rate,
+             spec.gang_, ctx.now_);
+}
+
+// Returns when the attempt began its task from the start, if that is known. The
+// members of a gang begin when the last of them has been started.
+std::optional<Time> FindBegin(const AttemptRef& attempt, const Run& run,
+                              const StepSpec& spec) {
+  const bool first = attempt.attempt_ == Next(AttemptId());
+  const bool answered =
+      run.phase_ == RunPhase::kRunning && run.first_valid_poll_ > 0;
+  if (!first || !answered || spec.gang_) return std::nullopt;
+  return run.began_;
+}
+
+// Updates the worker's speed from the length of a whole task that was too short
+// to be measured by its progress.
+void MeasureLength(Context& ctx, FleetWorker& worker, const AttemptRef& attempt,
+                   Run& run) {
+  constexpr Duration kMinLength(400);
+  const StepSpec* spec = FindComparableStep(ctx, worker, attempt.task_);
+  if (spec == nullptr) return;
+  const auto began = FindBegin(attempt, run, *spec);
+  if (!began.has_value() || ctx.now_ - *began < kMinLength) return;
+  constexpr double kMsPerSecond = 1000;
+  const auto ms = static_cast<double>((ctx.now_ - *began).ms());
+  MeasureSpeed(ctx, worker, run, attempt.task_, *spec,
+               std::log(kMsPerSecond / ms));
+}
+
 void HandleEnds(Context& ctx, FleetWorker& worker, const PollResult& result) {
   EndRecord record{.attempts_ = {},
                    .ended_ = ctx.scheduler_.wall_time_,
@@ -38,6 +86,9 @@
       ctx.scheduler_.placement_due_ = true;
       continue;
     }
+    if (row.end_ == AttemptEnd::kDone) {
+      MeasureLength(ctx, worker, row.attempt_, *run);
+    }
     run->end_proposed_ = true;
     const Checkpoint checkpoint =
         row.checkpoint_ != Checkpoint() ? row.checkpoint_ : run->checkpoint_;
@@ -70,19 +121,21 @@
   // A gang member that has finished its work waits for the others, so its rate
   // says nothing.
   if (point.percent_ >= kWhole) return;
+  const TaskRef& task = row.attempt_.task_;
+  const StepSpec* spec = FindComparableStep(ctx, worker, task);
+  if (spec != nullptr && !run.speed_measured_) {
+    if (const auto began = FindBegin(row.attempt_, run, *spec)) {
+      const auto rate = RateBetween({0, *began}, point);
+      if (rate.has_value()) MeasureSpeed(ctx, worker, run, task, *spec, *rate);
+    }
+  }
   const auto rate = RateBetween(*run.measured_from_, point);
   if (!rate.has_value()) return;
   run.measured_from_ = point;
-  const TaskRef& task = row.attempt_.task_;
-  const GraphJob* job = FindJob(ctx.state_, task.job_);
-  if (job == nullptr) return;
-  const StepSpec& spec = job->spec_.steps_[task.step_.value()];
-  // A long-running task makes no progress towards an end, and a task away from
-  // its data is slow for that reason.
-  const bool away = IsAwayFromData(spec, worker.report_.rack_);
-  if (spec.long_running_ || away) return;
+  if (spec == nullptr) return;
+  MeasureSpeed(ctx, worker, run, task, *spec, *rate);
   StepPace& step = ctx.scheduler_.step_paces_[StepOf(task)];
-  if (LearnPace(worker.pace_, step, *rate, spec.gang_, ctx.now_)) {
+  if (LearnPace(worker.pace_, step, *rate, spec->gang_, ctx.now_)) {
     LogDetail("worker_pace", {{"worker", worker.report_.id_.value()},
                               {"attempt", Describe(row.attempt_)},
                               {"percent", point.percent_},
--- a/flamingohollow/graph_scheduler_records.cc
+++ b/flamingohollow/graph_scheduler_records.cc
@@ -82,11 +82,14 @@
   for (const GraphJobKey& key : record.keys_) {
     ctx.scheduler_.forget_proposed_.erase(key);
     ctx.scheduler_.queued_since_.erase(key);
-    auto& paces = ctx.scheduler_.step_paces_;
-    auto pace = paces.lower_bound({key, Occurrence(), StepIndex()});
-    while (pace != paces.end() && pace->first.job_ == key) {
-      pace = paces.erase(pace);
-    }
+    const auto forget = [&key](auto& steps) {
+      auto step = steps.lower_bound({key, Occurrence(), StepIndex()});
+      while (step != steps.end() && step->first.job_ == key) {
+        step = steps.erase(step);
+      }
+    };
+    forget(ctx.scheduler_.step_paces_);
+    forget(ctx.scheduler_.step_rates_);
   }
 }
 
--- a/flamingohollow/testing/graph_fixture.cc
+++ b/flamingohollow/testing/graph_fixture.cc
@@ -71,7 +71,7 @@
   record.queue_ = QueueName("queue");
   record.customer_ = CustomerId(options.customer_);
   record.terms_ = {PoolName("pool"), options.priority_, options.max_attempts_,
-                   3.0, Duration(1000)};
+                   options.slack_, Duration(1000)};
   record.spec_.payload_ = "payload";
   record.spec_.steps_ = std::move(steps);
   record.accepted_ = options.accepted_;
--- a/flamingohollow/testing/graph_fixture.h
+++ b/flamingohollow/testing/graph_fixture.h
@@ -32,6 +32,7 @@
   std::uint32_t priority_ = 1;
   std::uint32_t max_attempts_ = 3;
   std::string customer_ = "acme";
+  double slack_ = 3;
   Time accepted_ = Time(1);
 };
 
--- a/flamingohollow/testing/graph_placement_test.cc
+++ b/flamingohollow/testing/graph_placement_test.cc
@@ -6,9 +6,13 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <array>
+#include <cmath>
+#include <cstddef>
 #include <map>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "flamingohollow/testing/graph_fixture.h"
 
@@ -143,6 +147,72 @@
   }
 }
 
+// Makes a pool of one rack, a third each of whose workers is `factor` times as
+// slow (w0, w3, ..), typical (w1, ..) and `factor` times as fast (w2, ..).
+Fleet MakeUnevenFleet(double factor) {
+  Fleet fleet = MakeFleet(1, 15, kNow);
+  for (int i = 0; i < 15; ++i) {
+    fleet.at(WorkerId("w" + std::to_string(i))).speed_ = {
+        (i % 3 - 1) * std::log(factor), 0.01, kNow};
+  }
+  return fleet;
+}
+
+// Returns how many tasks were placed on slow, typical and fast workers.
+std::array<int, 3> CountBySpeed(const PlacementPlan& plan) {
+  std::array<int, 3> counts{};
+  for (const OpenedAttempt& opened : plan.open_) {
+    const int worker = std::stoi(opened.worker_.value().substr(1));
+    ++counts.at(static_cast<std::size_t>(worker % 3));
+  }
+  return counts;
+}
+
+// A third each of the workers is 0.6, 1 and 1.6 times as fast.
+TEST_CASE("urgent gangs get fast workers, work with much slack slow ones") {
+  GraphState state;
+  const Fleet fleet = MakeUnevenFleet(1.6);
+  StepSpec gang = MakeGang(4, 8, Duration(2000), true);
+  SUBCASE("urgent") {
+    Submit(state, 1, {gang}, {.priority_ = 0});
+    CHECK_EQ(CountBySpeed(Plan(state, fleet)), std::array{0, 0, 4});
+  }
+  SUBCASE("much slack") {
+    Submit(state, 1, {gang}, {.priority_ = 1, .slack_ = 4});
+    CHECK_EQ(CountBySpeed(Plan(state, fleet)), std::array{4, 0, 0});
+  }
+  SUBCASE("little slack") {
+    Submit(state, 1, {gang}, {.priority_ = 1, .slack_ = 1.8});
+    CHECK_EQ(CountBySpeed(Plan(state, fleet)), std::array{0, 4, 0});
+  }
+  SUBCASE("no worker is left idle") {
+    Submit(state, 1, {MakeStep(15, 8, Duration(2000))}, {.slack_ = 4});
+    CHECK_EQ(CountBySpeed(Plan(state, fleet)), std::array{5, 5, 5});
+  }
+}
+
+std::vector<WorkerId> WorkersOf(const PlacementPlan& plan) {
+  std::vector<WorkerId> workers;
+  for (const OpenedAttempt& opened : plan.open_) {
+    workers.push_back(opened.worker_);
+  }
+  return workers;
+}
+
+TEST_CASE("the plan ignores speeds that don't differ widely") {
+  for (const std::uint32_t priority : {0U, 1U}) {
+    GraphState state;
+    Submit(state, 1, {MakeGang(4, 3, Duration(2000), true)},
+           {.priority_ = priority, .slack_ = 4});
+    Submit(state, 2, {MakeStep(9, 1, Duration(2000))},
+           {.priority_ = priority, .slack_ = 4});
+    const PlacementPlan equal = Plan(state, MakeUnevenFleet(1));
+    CHECK_EQ(WorkersOf(Plan(state, MakeUnevenFleet(1.25))), WorkersOf(equal));
+    CHECK_EQ(WorkersOf(Plan(state, MakeFleet(1, 15, kNow))), WorkersOf(equal));
+    CHECK_NE(WorkersOf(Plan(state, MakeUnevenFleet(1.6))), WorkersOf(equal));
+  }
+}
+
 TEST_CASE("a worker on which tasks hardly progress gets no tasks") {
   GraphState state;
   Fleet fleet = MakeFleet(1, 5, kNow);
--- a/flamingohollow/testing/placement_oracle_test.cc
+++ b/flamingohollow/testing/placement_oracle_test.cc
@@ -47,6 +47,7 @@
     workers_ = racks * per_rack;
     fleet_ = MakeFleet(racks, per_rack, kNow);
     for (auto& [id, worker] : fleet_) Vary(worker);
+    if (Chance(40)) VarySpeeds();
     SetGuarantee(state_, "c0", Below(40));
     SetGuarantee(state_, "c1", Below(40));
     const int running = Below(4 * workers_);
@@ -74,6 +75,11 @@
       worker.pace_ = {-0.3 * Below(4), 5, kNow - Duration(100)};
     }
   }
+  void VarySpeeds() {
+    for (auto& [id, worker] : fleet_) {
+      worker.speed_ = {0.47 * (Below(3) - 1), Chance(80) ? 0.02 : 0.1, kNow};
+    }
+  }
   JobOptions Options() {
     JobOptions options;
     options.priority_ = static_cast<std::uint32_t>(Below(3));
--- a/flamingohollow/testing/slow_placement.cc
+++ b/flamingohollow/testing/slow_placement.cc
@@ -15,6 +15,7 @@
 #include <vector>
 
 #include "flamingohollow/worker_pace.h"
+#include "flamingohollow/worker_speed.h"
 
 namespace flamingohollow::testing {
 namespace {
@@ -40,6 +41,9 @@
   Time deadline_;
   // Estimated run time of the rest of the job, if it starts now.
   Duration remaining_;
+  // Speed of a worker on which the job would end in time, also if it is half as
+  // long again as estimated.
+  double required_speed_ = 0;
   Time queued_at_;
 };
 
@@ -48,6 +52,9 @@
   const FleetWorker* fleet_worker_ = nullptr;
   bool usable_ = false;
   PaceClass pace_ = PaceClass::kFull;
+  // Set if the speeds of the worker's pool differ widely.
+  std::optional<SpeedSpread> spread_;
+  SpeedClass speed_class_ = SpeedClass::kUnknown;
   bool suspect_ = false;
   // Resources that are free now and not held for a unit.
   Resources free_;
@@ -230,6 +237,21 @@
   }
 }
 
+void SetSpeeds(Pass& pass, const std::vector<std::size_t>& pool) {
+  std::vector<double> known;
+  for (const std::size_t worker : pool) {
+    const WorkerSpeed& speed = pass.workers_[worker].fleet_worker_->speed_;
+    if (IsSpeedKnown(speed, pass.now_)) known.push_back(speed.log_speed_);
+  }
+  for (const std::size_t index : pool) {
+    PassWorker& worker = pass.workers_[index];
+    worker.spread_ = FindWideSpread(known);
+    if (!worker.spread_.has_value()) continue;
+    worker.speed_class_ =
+        ClassOf(worker.fleet_worker_->speed_, *worker.spread_, pass.now_);
+  }
+}
+
 void SetSuspects(Pass& pass, const std::vector<std::size_t>& pool) {
   if (!pass.options_.avoid_suspects_) return;
   std::size_t faulty = 0;
@@ -273,6 +295,7 @@
   // compared.
   for (const auto& [name, pool] : pools) {
     SetPaces(pass, pool);
+    SetSpeeds(pass, pool);
     SetSuspects(pass, pool);
   }
 }
@@ -374,12 +397,33 @@
                      unit.job_->terms_.pool_);
 }
 
+// Urgent units prefer the fastest workers. Others prefer the slowest on which
+// they end in time, and those that end in time on slow ones, or never, also
+// unknown ones.
+int RankSpeed(const PassWorker& worker, const Unit& unit) {
+  const SpeedClass speed = worker.speed_class_;
+  const bool slow = speed == SpeedClass::kSlow;
+  const bool fast = speed == SpeedClass::kFast;
+  const bool unknown = speed == SpeedClass::kUnknown;
+  const double required = unit.required_speed_;
+  if (unit.job_->terms_.priority_ == 0) return slow ? 2 : (fast ? 0 : 1);
+  if (required <= worker.spread_->slow_ || required > worker.spread_->fast_) {
+    return slow || unknown ? 0 : (fast ? 2 : 1);
+  }
+  if (required <= 1) return slow ? 2 : (fast ? 1 : 0);
+  return slow ? 2 : (fast ? 0 : 1);
+}
+
 // Urgent units have the least slack and prefer the fastest workers. Other units
 // only avoid very slow workers, which are likely to be faulty.
 int RankPace(const PassWorker& worker, const Unit& unit) {
   const bool urgent = unit.job_->terms_.priority_ == 0;
   const bool averse = urgent || (unit.spec_->gang_ && unit.tasks_.size() > 1);
   const int suspect = averse && worker.suspect_ ? 3 : 0;
+  if (worker.spread_.has_value()) {
+    const bool faulty = worker.pace_ == PaceClass::kVerySlow;
+    return suspect + (faulty ? 3 : RankSpeed(worker, unit));
+  }
   if (urgent) return suspect + static_cast<int>(worker.pace_);
   return suspect + (worker.pace_ == PaceClass::kVerySlow ? 1 : 0);
 }
@@ -753,6 +797,10 @@
   const Time late = queued_at + allowed * 3;
   unit.queued_at_ = queued_at;
   unit.deadline_ = queued_at + allowed;
+  const auto left = static_cast<double>((unit.deadline_ - now).ms());
+  unit.required_speed_ =
+      left > 0 ? static_cast<double>(unit.remaining_.ms()) * 1.5 / left
+               : std::numeric_limits<double>::infinity();
   if (finish > unit.deadline_)
     unit.lateness_ = finish > late ? Lateness::kTooLate : Lateness::kLate;
 }
