Under contention, keep room free for urgent jobs

Cause: small long tasks of lower priority take all gaps between two urgent jobs, and urgent gangs, which need whole workers, stop them again; single tasks were stopped up to eight times.

Change: urgent_demand.h learns from the running and waiting tasks of priority 0 how much room they needed at most in the last seconds. While many tasks are being preempted and the pool is busy, the placement pass leaves the part beyond the present need free on the emptiest workers, at most a quarter of the pool. Without preempted tasks the plan is as before. The slow pass of the oracle follows the rule.

--- a/flamingohollow/graph_placement.cc
+++ b/flamingohollow/graph_placement.cc
@@ -215,6 +215,57 @@
   }
 }
 
+// Room that other jobs leave free is at most one part in this many of a pool.
+constexpr std::int64_t kKeptShareDivisor = 4;
+
+void KeepFreeIn(Pass& pass, std::vector<std::size_t> workers, Resources room) {
+  Resources total;
+  for (const std::size_t worker : workers) {
+    total = total + pass.capacity_[worker];
+  }
+  room.accelerators_ =
+      std::min(room.accelerators_, total.accelerators_ / kKeptShareDivisor);
+  room.millicores_ =
+      std::min(room.millicores_, total.millicores_ / kKeptShareDivisor);
+  std::map<Rack, std::int64_t> on_rack;
+  const auto rack_of = [&pass](std::size_t worker) -> const Rack& {
+    return pass.workers_[worker].fleet_worker_->report_.rack_;
+  };
+  for (const std::size_t worker : workers) {
+    on_rack[rack_of(worker)] += pass.free_after_stops_[worker].accelerators_;
+  }
+  const auto order = [&](std::size_t worker) {
+    return std::tuple(-pass.free_after_stops_[worker].accelerators_,
+                      -on_rack[rack_of(worker)], worker);
+  };
+  std::sort(workers.begin(), workers.end(),
+            [&](std::size_t a, std::size_t b) { return order(a) < order(b); });
+  for (const std::size_t worker : workers) {
+    if (room.accelerators_ <= 0 && room.millicores_ <= 0) return;
+    Resources& after_stops = pass.free_after_stops_[worker];
+    room = room - after_stops;
+    after_stops = ElementwiseMin(after_stops, Resources());
+    pass.free_[worker] = ElementwiseMin(pass.free_[worker], after_stops);
+  }
+}
+
+// Withholds room for urgent jobs from the units that follow, on the workers
+// with the most free accelerators. Most of these are whole workers, as urgent
+// gangs need them. A pool that is not busy has room enough.
+void KeepFree(Pass& pass, const ResourcesByPool& keep_free) {
+  if (!pass.busy_) return;
+  for (const auto& [pool, room] : keep_free) {
+    std::vector<std::size_t> workers;
+    for (std::size_t i = 0; i < pass.workers_.size(); ++i) {
+      const PassWorker& worker = pass.workers_[i];
+      if (worker.usable_ && worker.fleet_worker_->report_.pool_ == pool) {
+        workers.push_back(i);
+      }
+    }
+    KeepFreeIn(pass, std::move(workers), room);
+  }
+}
+
 }  // namespace
 
 bool CouldEverRun(const GraphSpec& spec, const PoolName& pool,
@@ -238,7 +289,8 @@
 
 PlacementPlan PlanPlacement(const GraphState& state, const Fleet& fleet,
                             const GraphPlacementOptions& options,
-                            const JobQueuedAt& queued_at, Time now) {
+                            const JobQueuedAt& queued_at, Time now,
+                            const ResourcesByPool& keep_free) {
   Pass pass{.state_ = state,
             .fleet_ = fleet,
             .options_ = options,
@@ -263,7 +315,10 @@
   pass.reservations_ =
       std::clamp(pass.workers_.size() / options.workers_per_reservation_,
                  options.min_reservations_, options.max_reservations_);
+  bool kept = false;
   for (Unit& unit : units) {
+    const bool urgent = unit.job_->terms_.priority_ == 0;
+    if (!urgent && !std::exchange(kept, true)) KeepFree(pass, keep_free);
     unit.eligible_ = &FindEligible(pass, unit);
     if (unit.spec_->gang_) {
       PlaceGang(pass, unit);
--- a/flamingohollow/graph_placement.h
+++ b/flamingohollow/graph_placement.h
@@ -23,6 +23,8 @@
 //   own customer's guarantee. Preemption happens as late as the deadline or the
 //   guarantee allows, and where it loses the least work. A gang is counted and
 //   stopped as a whole.
+// - In a busy pool, jobs of lower priority leave the room free that urgent jobs
+//   are expected to need (see urgent_demand.h), on the emptiest workers.
 // - Resources that are being freed for a unit of priority 0 are held for it. A
 //   few gangs and units of priority 0 that don't fit hold the resources that
 //   are likely to become free first, so that small tasks can't starve them.
@@ -39,6 +41,7 @@
 
 #include "flamingohollow/fleet.h"
 #include "flamingohollow/graph_state.h"
+#include "flamingohollow/urgent_demand.h"
 #include "util/clock.h"
 
 namespace flamingohollow {
@@ -85,9 +88,12 @@
 // Returns when a job became known, on the leader's steady clock.
 using JobQueuedAt = std::function<Time(const GraphJob&)>;
 
+// Only jobs of priority 0 use the room that `keep_free` names, up to a share of
+// each pool.
 PlacementPlan PlanPlacement(const GraphState& state, const Fleet& fleet,
                             const GraphPlacementOptions& options,
-                            const JobQueuedAt& queued_at, Time now);
+                            const JobQueuedAt& queued_at, Time now,
+                            const ResourcesByPool& keep_free = {});
 
 // Returns the total estimate of the longest chain of dependent steps.
 Duration LongestChain(const GraphSpec& spec);
--- a/flamingohollow/graph_scheduler.cc
+++ b/flamingohollow/graph_scheduler.cc
@@ -273,11 +273,15 @@
     return found == ctx.scheduler_.queued_since_.end() ? ctx.now_
                                                        : found->second;
   };
-  const PlacementPlan plan =
-      PlanPlacement(ctx.state_, ctx.scheduler_.fleet_,
-                    ctx.scheduler_.options_.placement_, since, ctx.now_);
+  UrgentDemands& demands = ctx.scheduler_.urgent_demands_;
+  const ResourcesByPool need = UrgentNeed(ctx.state_);
+  RecordNeed(demands, need, ctx.now_);
+  const PlacementPlan plan = PlanPlacement(
+      ctx.state_, ctx.scheduler_.fleet_, ctx.scheduler_.options_.placement_,
+      since, ctx.now_, RoomToKeep(demands, need, ctx.now_));
   for (const PlacementPlan::Stop& stop : plan.stop_) {
     FleetWorker& worker = ctx.scheduler_.fleet_.at(stop.worker_);
+    RecordPreempted(demands, worker.report_.pool_, 1, ctx.now_);
     Run* run = FindRun(worker, stop.attempt_);
     if (run != nullptr) {
       StopRun(ctx, worker, stop.attempt_, *run, "more urgent work");
--- a/flamingohollow/testing/graph_placement_test.cc
+++ b/flamingohollow/testing/graph_placement_test.cc
@@ -366,6 +366,38 @@
   CHECK_EQ(Plan(state, fleet, kNow - Duration(2500)).open_.size(), 3);
 }
 
+// Three of four workers have one accelerator free each; the fourth is empty, so
+// the room is kept there.
+TEST_CASE("room kept for urgent jobs is used by no other job") {
+  const ResourcesByPool room = {{PoolName("pool"), {.accelerators_ = 8}}};
+  const auto plan = [&room](const GraphState& state, const Fleet& fleet) {
+    return PlanPlacement(
+        state, fleet, {}, [](const GraphJob&) { return kNow; }, kNow, room);
+  };
+  GraphState state;
+  Fleet fleet = MakeFleet(1, 4, kNow);
+  Submit(state, 1, {MakeStep(3, 7, Duration(5000))}, {});
+  const int busy = 3;
+  for (int i = 0; i < busy; ++i) {
+    RunTask(state, fleet, 1, i, "w" + std::to_string(i), kNow);
+  }
+  SUBCASE("other jobs get what is left") {
+    Submit(state, 2, {MakeStep(9, 1, Duration(5000))}, {.priority_ = 2});
+    CHECK_EQ(plan(state, fleet).open_.size(), 3);
+    CHECK_EQ(Plan(state, fleet).open_.size(), 9);
+  }
+  SUBCASE("an urgent job gets it") {
+    Submit(state, 2, {MakeStep(1, 8, Duration(5000))}, {.priority_ = 0});
+    CHECK_EQ(plan(state, fleet).open_.size(), 1);
+  }
+  SUBCASE("a pool that is not busy keeps none") {
+    fleet.at(WorkerId("w0")) = MakeFleetWorker("w0", "r0", kNow);
+    fleet.at(WorkerId("w1")) = MakeFleetWorker("w1", "r0", kNow);
+    Submit(state, 2, {MakeStep(3, 8, Duration(5000))}, {.priority_ = 2});
+    CHECK_EQ(plan(state, fleet).open_.size(), 3);
+  }
+}
+
 TEST_CASE("CouldEverRun is false only if a job does not fit on empty workers") {
   const Fleet fleet = MakeFleet(1, 2, kNow);
   GraphSpec spec;
--- a/flamingohollow/testing/placement_oracle_test.cc
+++ b/flamingohollow/testing/placement_oracle_test.cc
@@ -141,10 +141,16 @@
     const JobQueuedAt queued_at = [&](const GraphJob& job) {
       return job.accepted_ - age;
     };
-    const PlacementPlan plan =
-        PlanPlacement(pool.state_, pool.fleet_, options, queued_at, kNow);
-    const PlacementPlan slow =
-        SlowPlanPlacement(pool.state_, pool.fleet_, options, queued_at, kNow);
+    ResourcesByPool keep_free;
+    if (pool.Chance(40)) {
+      const std::int64_t size = pool.Below(60);
+      keep_free[PoolName("pool")] = {.millicores_ = 4000 * size,
+                                     .accelerators_ = size};
+    }
+    const PlacementPlan plan = PlanPlacement(pool.state_, pool.fleet_, options,
+                                             queued_at, kNow, keep_free);
+    const PlacementPlan slow = SlowPlanPlacement(
+        pool.state_, pool.fleet_, options, queued_at, kNow, keep_free);
     REQUIRE_EQ(Describe(plan), Describe(slow));
     opened += plan.open_.size();
     stopped += plan.stop_.size();
--- a/flamingohollow/testing/slow_placement.cc
+++ b/flamingohollow/testing/slow_placement.cc
@@ -956,11 +956,53 @@
   return false;
 }
 
+// Withholds room for urgent jobs, each time from the worker with the most free
+// accelerators; among equals the one in the rack with the most.
+void KeepFree(Pass& pass, const ResourcesByPool& keep_free) {
+  if (!pass.busy_) return;
+  for (const auto& [pool, limit] : keep_free) {
+    std::set<std::size_t> left;
+    std::map<Rack, std::int64_t> on_rack;
+    Resources total;
+    for (std::size_t i = 0; i < pass.workers_.size(); ++i) {
+      const PassWorker& worker = pass.workers_[i];
+      const PoolWorkerReport& report = worker.fleet_worker_->report_;
+      if (!worker.usable_ || report.pool_ != pool) continue;
+      left.insert(i);
+      on_rack[report.rack_] += worker.free_after_stops_.accelerators_;
+      total = total + report.capacity_;
+    }
+    std::int64_t accelerators =
+        std::min(limit.accelerators_, total.accelerators_ / 4);
+    std::int64_t millicores =
+        std::min(limit.millicores_, total.millicores_ / 4);
+    while (!left.empty() && (accelerators > 0 || millicores > 0)) {
+      std::size_t best = *left.begin();
+      const auto rank = [&](std::size_t i) {
+        const PassWorker& worker = pass.workers_[i];
+        return std::pair(worker.free_after_stops_.accelerators_,
+                         on_rack[worker.fleet_worker_->report_.rack_]);
+      };
+      for (const std::size_t i : left) {
+        if (rank(i) > rank(best)) best = i;
+      }
+      left.erase(best);
+      PassWorker& worker = pass.workers_[best];
+      accelerators -= worker.free_after_stops_.accelerators_;
+      millicores -= worker.free_after_stops_.millicores_;
+      worker.free_after_stops_ =
+          ElementwiseMin(worker.free_after_stops_, Resources());
+      worker.free_ = ElementwiseMin(worker.free_, worker.free_after_stops_);
+    }
+  }
+}
+
 }  // namespace
 
 PlacementPlan SlowPlanPlacement(const GraphState& state, const Fleet& fleet,
                                 const GraphPlacementOptions& options,
-                                const JobQueuedAt& queued_at, Time now) {
+                                const JobQueuedAt& queued_at, Time now,
+                                const ResourcesByPool& keep_free) {
   Pass pass{.state_ = state,
             .fleet_ = fleet,
             .options_ = options,
@@ -985,7 +1027,11 @@
   // Equal tasks of a step are adjacent in the order: if one does not fit, the
   // others don't either.
   const StepRecord* full_step = nullptr;
+  bool kept = false;
   for (const Unit& unit : units) {
+    if (unit.job_->terms_.priority_ != 0 && !std::exchange(kept, true)) {
+      KeepFree(pass, keep_free);
+    }
     if (unit.step_ == full_step) continue;
     if (!PlaceUnit(pass, unit)) full_step = unit.step_;
   }
--- a/flamingohollow/testing/slow_placement.h
+++ b/flamingohollow/testing/slow_placement.h
@@ -9,7 +9,8 @@
 
 PlacementPlan SlowPlanPlacement(const GraphState& state, const Fleet& fleet,
                                 const GraphPlacementOptions& options,
-                                const JobQueuedAt& queued_at, Time now);
+                                const JobQueuedAt& queued_at, Time now,
+                                const ResourcesByPool& keep_free);
 
 }  // namespace flamingohollow::testing
 
