--- a/flamingohollow/graph_records.h
+++ b/flamingohollow/graph_records.h
@@ -10,8 +10,10 @@
 #ifndef FLAMINGOHOLLOW_GRAPH_RECORDS_H_
 #define FLAMINGOHOLLOW_GRAPH_RECORDS_H_
 
+#include <cereal/types/map.hpp>
 #include <cereal/types/variant.hpp>
 #include <cstdint>
+#include <map>
 #include <variant>
 #include <vector>
 
@@ -170,10 +172,22 @@
   }
 };
 
+// Speeds that have changed since they were last recorded. Nothing waits for
+// this record, and the leader learns the speeds again if it is lost.
+struct WorkerSpeedsRecord {
+  std::map<WorkerId, LearnedSpeed> speeds_;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(speeds_);
+  }
+};
+
 // The log stores the position of the alternative, so new kinds are appended.
-using GraphRecord = std::variant<CatalogRecord, SubmitRecord, CancelRecord,
-                                 OpenRecord, EndRecord, DueRecord, ForgetRecord,
-                                 WorkerRecord, EvacuationRecord>;
+using GraphRecord =
+    std::variant<CatalogRecord, SubmitRecord, CancelRecord, OpenRecord,
+                 EndRecord, DueRecord, ForgetRecord, WorkerRecord,
+                 EvacuationRecord, WorkerSpeedsRecord>;
 
 }  // namespace flamingohollow
 
--- a/flamingohollow/graph_scheduler.cc
+++ b/flamingohollow/graph_scheduler.cc
@@ -211,6 +211,33 @@
   Propose(ctx, std::move(record));
 }
 
+// Speeds are recorded this often at most.
+constexpr Duration kSpeedsRecordInterval = Duration(2000);
+// Workers in one record; a record takes some 40 bytes for each.
+constexpr std::size_t kMaxSpeedsInRecord = 250;
+
+// Records the speeds that have become known or have changed, so that the next
+// leader begins with them.
+void ProposeSpeeds(Context& ctx) {
+  if (ctx.now_ < ctx.scheduler_.next_speeds_record_) return;
+  ctx.scheduler_.next_speeds_record_ = ctx.now_ + kSpeedsRecordInterval;
+  WorkerSpeedsRecord record;
+  for (const auto& [id, worker] : ctx.scheduler_.fleet_) {
+    if (record.speeds_.size() >= kMaxSpeedsInRecord) break;
+    const auto listed = ctx.state_.worker_speeds_.find(id);
+    const bool is_listed =
+        listed != ctx.state_.worker_speeds_.end() &&
+        listed->second.incarnation_ == worker.report_.incarnation_;
+    const auto speed = SpeedToRecord(
+        worker.speed_, is_listed ? &listed->second : nullptr, ctx.now_);
+    if (!worker.reported_ || !speed.has_value()) continue;
+    LearnedSpeed& added = record.speeds_[id];
+    added = *speed;
+    added.incarnation_ = worker.report_.incarnation_;
+  }
+  if (!record.speeds_.empty()) Propose(ctx, std::move(record));
+}
+
 // Logs one event per group of tasks of a step that start together.
 void LogPlaced(const std::vector<OpenedAttempt>& attempts) {
   for (std::size_t begin = 0; begin < attempts.size();) {
@@ -303,6 +330,7 @@
   ProposeDue(ctx);
   ProposeForget(ctx);
   ForgetWorkers(ctx);
+  ProposeSpeeds(ctx);
   PlaceTasks(ctx);
 }
 
@@ -334,6 +362,10 @@
     worker.last_heard_at_ = now;
     worker.lease_end_ = EarlierLeasesEnd(scheduler, now);
     scheduler.addresses_[report.address_] = id;
+    const auto speed = state.worker_speeds_.find(id);
+    const bool same = speed != state.worker_speeds_.end() &&
+                      speed->second.incarnation_ == report.incarnation_;
+    if (same) worker.speed_ = SpeedFromRecord(speed->second, now);
   }
 }
 
--- a/flamingohollow/graph_scheduler.h
+++ b/flamingohollow/graph_scheduler.h
@@ -195,6 +195,8 @@
   // Progress per second of the tasks of each step.
   std::map<StepRef, StepPace> step_paces_;
   std::map<StepRef, StepRate> step_rates_;
+  // No speeds are recorded before this.
+  Time next_speeds_record_;
   // When this scheduler learned of each job; its waiting time starts then.
   std::map<GraphJobKey, Time> queued_since_;
   // Number of polls in flight that the workers may hold open. Counted anew at
--- a/flamingohollow/graph_state.cc
+++ b/flamingohollow/graph_state.cc
@@ -193,18 +193,29 @@
         std::pair(known->second.incarnation_, known->second.sequence_) >
             std::pair(report.incarnation_, report.sequence_);
     if (stale) continue;
-    std::erase_if(state.workers_, [&report](const auto& item) {
-      return item.second.address_ == report.address_;
+    std::erase_if(state.workers_, [&state, &report](const auto& item) {
+      if (item.second.address_ != report.address_) return false;
+      if (item.first != report.id_) state.worker_speeds_.erase(item.first);
+      return true;
     });
     state.workers_[report.id_] = report;
   }
-  for (const WorkerId& id : record.gone_) state.workers_.erase(id);
+  for (const WorkerId& id : record.gone_) {
+    state.workers_.erase(id);
+    state.worker_speeds_.erase(id);
+  }
 }
 
 void Apply(GraphState& state, const EvacuationRecord& record) {
   ApplyEvacuation(state.evacuations_, record.order_);
 }
 
+void Apply(GraphState& state, const WorkerSpeedsRecord& record) {
+  for (const auto& [id, speed] : record.speeds_) {
+    if (state.workers_.contains(id)) state.worker_speeds_[id] = speed;
+  }
+}
+
 // The parts of a snapshot that every version knows.
 template <class State>
 struct BaseParts {
@@ -217,7 +228,7 @@
 };
 
 // The numbers of the other parts in a snapshot. They never change.
-enum class SnapshotPart : std::uint32_t { kEvacuations = 1 };
+enum class SnapshotPart : std::uint32_t { kEvacuations = 1, kWorkerSpeeds = 2 };
 
 using SnapshotParts = std::map<std::uint32_t, std::string>;
 
@@ -238,6 +249,8 @@
   SnapshotParts parts;
   parts[static_cast<std::uint32_t>(SnapshotPart::kEvacuations)] =
       Pack(state.evacuations_);
+  parts[static_cast<std::uint32_t>(SnapshotPart::kWorkerSpeeds)] =
+      Pack(state.worker_speeds_);
   return Pack(BaseParts<const GraphState>{state}) + Pack(parts);
 }
 
@@ -254,7 +267,8 @@
   } catch (const std::exception&) {
     return std::nullopt;
   }
-  if (!ReadPart(parts, SnapshotPart::kEvacuations, state.evacuations_)) {
+  if (!ReadPart(parts, SnapshotPart::kEvacuations, state.evacuations_) ||
+      !ReadPart(parts, SnapshotPart::kWorkerSpeeds, state.worker_speeds_)) {
     return std::nullopt;
   }
   return state;
--- a/flamingohollow/graph_state.h
+++ b/flamingohollow/graph_state.h
@@ -115,6 +115,8 @@
   // The last report of each worker; at most one worker per address.
   std::map<WorkerId, PoolWorkerReport> workers_;
   Evacuations evacuations_;
+  // Of workers in `workers_`.
+  std::map<WorkerId, LearnedSpeed> worker_speeds_;
 };
 
 // A snapshot of the state. Parts that a version of the program does not know
--- a/flamingohollow/testing/graph_scheduler_test.cc
+++ b/flamingohollow/testing/graph_scheduler_test.cc
@@ -4,6 +4,8 @@
 
 #include <doctest/doctest.h>
 
+#include <cmath>
+#include <cstdint>
 #include <cstdlib>
 #include <iterator>
 #include <optional>
@@ -107,6 +109,31 @@
   CHECK_EQ(Broken(world), "");
 }
 
+// A third each of the workers is 0.6, 1 and 1.6 times as fast.
+TEST_CASE("a new leader knows which workers are fast") {
+  GraphWorld world({.racks_ = 1, .per_rack_ = 15});
+  for (int i = 0; i < 15; ++i) world.SlowDown(i, std::pow(1.6, 1 - i % 3));
+  world.RunFor(Duration(2000));
+  for (std::uint64_t job = 1; job <= 3; ++job) {
+    world.Submit(job, {MakeStep(30, 4, Duration(3000))}, {});
+  }
+  world.RunFor(Duration(20'000));
+  CHECK_EQ(world.state().worker_speeds_.size(), 15);
+  world.ChangeLeader();
+  world.RunFor(Duration(2000));
+  world.Submit(4, {MakeGang(4, 8, Duration(3000), true)}, {.priority_ = 0});
+  world.RunFor(Duration(500));
+  const GraphJob& urgent = *FindJob(world.state(), MakeKey(4));
+  for (std::uint32_t i = 0; i < 4; ++i) {
+    const StepRecord* step = FindStep(urgent, Occurrence(), StepIndex());
+    REQUIRE(step != nullptr);
+    REQUIRE(step->tasks_[i].open_);
+    const int worker = std::stoi(step->tasks_[i].worker_.value().substr(1));
+    CHECK_EQ(worker % 3, 2);
+  }
+  CHECK_EQ(Broken(world), "");
+}
+
 // Workers report only every 1.5 s, so a new leader that waited for reports
 // would record ends late.
 TEST_CASE("a new leader records ends before the workers report again") {
--- a/flamingohollow/testing/graph_state_test.cc
+++ b/flamingohollow/testing/graph_state_test.cc
@@ -155,12 +155,23 @@
   CHECK(state.jobs_.empty());
 }
 
+PoolWorkerReport MakeReport(const std::string& id) {
+  PoolWorkerReport report;
+  report.id_ = WorkerId(id);
+  report.address_ = "10.0.0.1:1";
+  report.incarnation_ = WorkerIncarnation(1);
+  report.sequence_ = 1;
+  return report;
+}
+
 TEST_CASE("a snapshot restores the state, and a truncated one is rejected") {
   GraphState state;
   ApplyRecord(state, CatalogRecord{MakeCatalog(5)});
   Submit(state, 1, {MakeGang(2, 8, Duration(1), true)}, {});
   Open(state, Attempt(0, 0, 1));
   ApplyRecord(state, EvacuationRecord{{FailureDomain("a"), true, 0, {}}});
+  ApplyRecord(state, WorkerRecord{{MakeReport("w0")}, {}});
+  ApplyRecord(state, WorkerSpeedsRecord{{{WorkerId("w0"), {{}, 47, 9}}}});
   const std::string bytes = EncodeState(state);
   const auto copy = DecodeState(bytes);
   REQUIRE(copy.has_value());
@@ -168,6 +179,7 @@
   CHECK_EQ(copy->catalog_.text_, "text 5");
   CHECK(IsOpen(*copy, Attempt(0, 0, 1)));
   CHECK(IsEvacuated(copy->evacuations_, FailureDomain("a")));
+  CHECK_EQ(copy->worker_speeds_.at(WorkerId("w0")).centilogs_, 47);
   // The first versions wrote no further parts.
   const std::size_t first_version =
       Pack(std::tie(state.catalog_, state.jobs_, state.workers_)).size();
@@ -177,6 +189,23 @@
   }
 }
 
+TEST_CASE("the speed of a worker that left is forgotten") {
+  GraphState state;
+  const WorkerSpeedsRecord speeds{{{WorkerId("w0"), {{}, 47, 9}}}};
+  ApplyRecord(state, speeds);
+  CHECK(state.worker_speeds_.empty());
+  ApplyRecord(state, WorkerRecord{{MakeReport("w0")}, {}});
+  ApplyRecord(state, speeds);
+  CHECK_EQ(state.worker_speeds_.size(), 1);
+  SUBCASE("it is gone") {
+    ApplyRecord(state, WorkerRecord{{}, {WorkerId("w0")}});
+  }
+  SUBCASE("another uses its address") {
+    ApplyRecord(state, WorkerRecord{{MakeReport("w1")}, {}});
+  }
+  CHECK(state.worker_speeds_.empty());
+}
+
 TEST_CASE("a snapshot of the first version is read, and the other way round") {
   GraphState state;
   ApplyRecord(state, CatalogRecord{MakeCatalog(5)});
--- a/flamingohollow/testing/worker_speed_test.cc
+++ b/flamingohollow/testing/worker_speed_test.cc
@@ -106,5 +106,21 @@
   CHECK_FALSE(IsSpeedKnown(worker, kNow + Duration(300'000)));
 }
 
+TEST_CASE("a known speed is recorded again only if it changes") {
+  WorkerSpeed worker{0.47, 0.02, kNow};
+  const auto recorded = SpeedToRecord(worker, nullptr, kNow);
+  REQUIRE(recorded.has_value());
+  const WorkerSpeed read = SpeedFromRecord(*recorded, kNow);
+  CHECK_EQ(read.log_speed_, doctest::Approx(0.47));
+  CHECK_EQ(read.variance_, doctest::Approx(0.02));
+  CHECK_FALSE(SpeedToRecord(worker, &*recorded, kNow).has_value());
+  SUBCASE("far faster") { worker.log_speed_ = 0.7; }
+  SUBCASE("far surer") { worker.variance_ = 0.005; }
+  CHECK_EQ(SpeedToRecord(worker, &*recorded, kNow).has_value(),
+           worker.log_speed_ != 0.47 || worker.variance_ != 0.02);
+  worker.variance_ = kUnknownSpeedVariance;
+  CHECK_FALSE(SpeedToRecord(worker, nullptr, kNow).has_value());
+}
+
 }  // namespace
 }  // namespace flamingohollow::testing
--- a/flamingohollow/worker_speed.cc
+++ b/flamingohollow/worker_speed.cc
@@ -28,6 +28,12 @@
 // slow workers most of it ends in time on any worker.
 constexpr double kWideSpread = 1.9;
 
+// Units of a recorded speed.
+constexpr double kPerLog = 100;
+constexpr double kPerVariance = 1000;
+// A change of a speed by less than 15% is not recorded.
+constexpr std::int32_t kRecordedCentilogs = 15;
+
 double VarianceAt(const WorkerSpeed& worker, Time now) {
   if (worker.at_ == Time()) return worker.variance_;
   constexpr double kMsPerSecond = 1000;
@@ -64,6 +70,31 @@
   step.variance_ -= step.variance_ * step.variance_ / total;
 }
 
+std::optional<LearnedSpeed> SpeedToRecord(const WorkerSpeed& worker,
+                                          const LearnedSpeed* recorded,
+                                          Time now) {
+  if (!IsSpeedKnown(worker, now)) return std::nullopt;
+  const LearnedSpeed speed{
+      .incarnation_ = {},
+      .centilogs_ =
+          static_cast<std::int32_t>(std::lround(worker.log_speed_ * kPerLog)),
+      .milli_variance_ = static_cast<std::uint32_t>(
+          std::ceil(VarianceAt(worker, now) * kPerVariance))};
+  if (recorded == nullptr) return speed;
+  const bool changed =
+      std::abs(speed.centilogs_ - recorded->centilogs_) >= kRecordedCentilogs;
+  const bool surer = speed.milli_variance_ * 2 < recorded->milli_variance_;
+  if (!changed && !surer) return std::nullopt;
+  return speed;
+}
+
+WorkerSpeed SpeedFromRecord(const LearnedSpeed& recorded, Time now) {
+  return {
+      recorded.centilogs_ / kPerLog,
+      std::min(recorded.milli_variance_ / kPerVariance, kUnknownSpeedVariance),
+      now};
+}
+
 bool IsSpeedKnown(const WorkerSpeed& worker, Time now) {
   return VarianceAt(worker, now) <= kKnownVariance;
 }
--- a/flamingohollow/worker_speed.h
+++ b/flamingohollow/worker_speed.h
@@ -20,6 +20,7 @@
 #include <optional>
 #include <vector>
 
+#include "flamingohollow/graph_types.h"
 #include "util/clock.h"
 
 namespace flamingohollow {
@@ -35,6 +36,20 @@
   Time at_;
 };
 
+// The speed of one incarnation of a worker as its leader knew it, rounded.
+struct LearnedSpeed {
+  WorkerIncarnation incarnation_;
+  // Natural logarithm of the speed, in hundredths.
+  std::int32_t centilogs_ = 0;
+  // Variance of the logarithm, in thousandths.
+  std::uint32_t milli_variance_ = 0;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(incarnation_, centilogs_, milli_variance_);
+  }
+};
+
 // The share of their work that a step's tasks do per second on a worker of
 // speed 1.
 struct StepRate {
@@ -51,6 +66,14 @@
 void LearnSpeed(WorkerSpeed& worker, StepRate& step, double log_rate,
                 bool equal_work, Time now);
 
+// Returns the speed as it is recorded in the log, without an incarnation, or
+// nothing if it is not known or hardly differs from `recorded`, which may be
+// null.
+std::optional<LearnedSpeed> SpeedToRecord(const WorkerSpeed& worker,
+                                          const LearnedSpeed* recorded,
+                                          Time now);
+WorkerSpeed SpeedFromRecord(const LearnedSpeed& recorded, Time now);
+
 // Whether enough was measured on the worker to tell slow workers from fast
 // ones. Knowledge is lost slowly without new measurements.
 bool IsSpeedKnown(const WorkerSpeed& worker, Time now);
