Decoders: a list can't claim more elements than bytes are left

Cause: reading our own binary form resized lists and texts to the length that the bytes claim.

Change: an archive of our own checks each length against the bytes that are left. What is written is unchanged.

--- a/flamingohollow/graph_state.cc
+++ b/flamingohollow/graph_state.cc
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <istream>
-#include <sstream>
 #include <utility>
 
 #include "util/pack.h"
@@ -245,12 +244,10 @@
   GraphState state;
   SnapshotParts parts;
   try {
-    std::istringstream in{std::string(bytes), std::ios::binary};
-    cereal::BinaryInputArchive archive(in);
+    UnpackArchive archive(bytes);
     BaseParts<GraphState> base{state};
     archive(base);
-    const bool has_parts = in.peek() != std::istream::traits_type::eof();
-    if (has_parts) archive(parts);
+    if (!archive.at_end()) archive(parts);
   } catch (const std::exception&) {
     return std::nullopt;
   }
--- a/util/pack.h
+++ b/util/pack.h
@@ -22,11 +22,13 @@
 #include <cereal/types/string.hpp>
 #include <cereal/types/vector.hpp>
 #include <cstdint>
+#include <cstring>
 #include <exception>
 #include <optional>
 #include <sstream>
 #include <string>
 #include <string_view>
+#include <type_traits>
 
 #include "util/clock.h"
 #include "util/strong.h"
@@ -77,12 +79,60 @@
   return std::move(out).str();
 }
 
+// Reads what Pack wrote, from bytes that need not be valid. A list or text that
+// claims more elements than bytes are left is an error, so that a few damaged
+// bytes can't make it allocate gigabytes. Each element takes a byte or more.
+class UnpackArchive
+    : public cereal::InputArchive<UnpackArchive,
+                                  cereal::AllowEmptyClassElision> {
+ public:
+  // `bytes` must outlive this object.
+  explicit UnpackArchive(std::string_view bytes)
+      : InputArchive(this), bytes_(bytes) {}
+
+  bool at_end() const { return bytes_.empty(); }
+
+  void Read(void* data, std::size_t size) {
+    if (size > bytes_.size()) throw cereal::Exception("the bytes end early");
+    if (size > 0) std::memcpy(data, bytes_.data(), size);
+    bytes_.remove_prefix(size);
+  }
+
+  void CheckCount(std::uint64_t count) const {
+    if (count > bytes_.size()) throw cereal::Exception("a list is too long");
+  }
+
+ private:
+  std::string_view bytes_;
+};
+
+template <class T>
+std::enable_if_t<std::is_arithmetic_v<T>> load(UnpackArchive& archive,
+                                               T& value) {
+  archive.Read(&value, sizeof(value));
+}
+
+template <class T>
+void load(UnpackArchive& archive, cereal::BinaryData<T>& data) {
+  archive.Read(data.data, static_cast<std::size_t>(data.size));
+}
+
+template <class T>
+void load(UnpackArchive& archive, cereal::NameValuePair<T>& pair) {
+  archive(pair.value);
+}
+
+template <class T>
+void load(UnpackArchive& archive, cereal::SizeTag<T>& tag) {
+  archive(tag.size);
+  archive.CheckCount(tag.size);
+}
+
 // Nothing when the bytes are no T.
 template <class T>
 std::optional<T> Unpack(std::string_view bytes) {
   try {
-    std::istringstream in{std::string(bytes), std::ios::binary};
-    cereal::BinaryInputArchive archive(in);
+    UnpackArchive archive(bytes);
     T value;
     archive(value);
     return value;
@@ -93,4 +143,11 @@
 
 }  // namespace flamingohollow
 
+// Tells cereal which archive writes what UnpackArchive reads.
+template <>
+struct cereal::traits::detail::get_output_from_input<
+    flamingohollow::UnpackArchive> {
+  using type = cereal::BinaryOutputArchive;
+};
+
 #endif  // UTIL_PACK_H_
