HTTP client: a request whose time is over is not sent

Cause: a request that was queued when the process was suspended was written after it resumed, with a deadline in the past: commands of a leader that has been replaced meanwhile reached the workers, where only the token or the lease's end could stop them.

Change: such a request ends as not sent.

Test: a client request whose time is over is not sent; fails without the change.

--- a/flamingohollow/http_client.cc
+++ b/flamingohollow/http_client.cc
@@ -157,9 +157,20 @@
   const std::string address = request.post_.address_;
   HttpResult result;
   bool reusable = false;
-  connection->stream_.expires_after(Ms(request.deadline_ - MonotonicNow()));
-  if (!connection->connected_) {
+  const auto expired = [&request] {
+    return MonotonicNow() >= request.deadline_;
+  };
+  // The time is over if the process was suspended meanwhile. The request may be
+  // obsolete then: a command of a leader that has been replaced.
+  if (expired()) {
+    result.error_ = HttpClientError::kOverloaded;
+  } else {
+    connection->stream_.expires_after(Ms(request.deadline_ - MonotonicNow()));
+  }
+  if (result.error_ == HttpClientError::kNone && !connection->connected_) {
     result.error_ = co_await Connect(*connection, address);
+    const bool connected = result.error_ == HttpClientError::kNone;
+    if (connected && expired()) result.error_ = HttpClientError::kOverloaded;
   }
   if (result.error_ == HttpClientError::kNone) {
     result.error_ = HttpClientError::kNoAnswer;
--- a/flamingohollow/http_client.h
+++ b/flamingohollow/http_client.h
@@ -35,8 +35,8 @@
 enum class HttpClientError : std::uint8_t {
   kNone,
   kBadAddress,
-  // Too many requests to this address wait, or no connection was free in time;
-  // nothing was sent.
+  // Too many requests to this address wait, no connection was free in time, or
+  // the process was suspended until the time was over; nothing was sent.
   kOverloaded,
   // Connecting failed; nothing was sent.
   kConnectFailed,
--- a/flamingohollow/testing/http_server_test.cc
+++ b/flamingohollow/testing/http_server_test.cc
@@ -262,6 +262,22 @@
   CHECK(client.delayed_addresses() >= 1);
 }
 
+// A command of a process that was suspended may be obsolete.
+TEST_CASE("a client request whose time is over is not sent") {
+  Fixture fixture;
+  IoThreads threads(1);
+  HttpClient client({}, threads, 0);
+  HttpPost post = MakePost(fixture.server_->port(), "/", "hi");
+  REQUIRE(Send(client, post).get().body_ == "hi");
+  const std::uint64_t before = fixture.server_->Counts().requests_;
+  threads.Post(
+      0, [] { std::this_thread::sleep_for(std::chrono::milliseconds(300)); });
+  post.timeout_ = Duration(50);
+  CHECK(Send(client, post).get().error_ == HttpClientError::kOverloaded);
+  std::this_thread::sleep_for(std::chrono::milliseconds(50));
+  CHECK(fixture.server_->Counts().requests_ == before);
+}
+
 TEST_CASE("each client request ends in time with the right error") {
   Fixture fixture;
   IoThreads threads(1);
