A full disk no longer ends a control node

Change: the disk thread removes what was written in part and tries again every 200 ms until there is room. Nothing is reported as synced meanwhile, so votes and acknowledgements wait. A leader refuses proposals (503) and tries to hand over. Other errors, and a sync that fails, end the process as before.

Tests: two cases of storage_test with a fake disk. Not tested: the leader's refusals and hand-over; a real process.

--- a/flamingohollow/disk_thread.cc
+++ b/flamingohollow/disk_thread.cc
@@ -3,12 +3,22 @@
 #include "flamingohollow/disk_thread.h"
 
 #include <boost/leaf/handle_errors.hpp>
+#include <chrono>
 #include <utility>
 
+#include "util/event_log.h"
+
 namespace flamingohollow {
 
 namespace leaf = boost::leaf;
 
+namespace {
+
+// A full disk is tried again this often.
+constexpr std::chrono::milliseconds kRoomCheckInterval(200);
+
+}  // namespace
+
 DiskThread::DiskThread(std::unique_ptr<Storage> storage,
                        std::function<void(std::size_t)> synced,
                        std::function<void(const std::string&)> failed)
@@ -16,7 +26,10 @@
       synced_(std::move(synced)),
       failed_(std::move(failed)),
       bytes_on_disk_(storage_->bytes_on_disk()),
-      thread_([this] { Loop(); }) {}
+      thread_([this] {
+        storage_->SetWaitForRoom([this] { return WaitForRoom(); });
+        Loop();
+      }) {}
 
 DiskThread::~DiskThread() {
   {
@@ -45,11 +58,19 @@
       batches.swap(queue_);
     }
     if (!WriteBatches(batches)) return;
+    if (full_.exchange(false)) LogEvent("disk_has_room", {});
     bytes_on_disk_ = storage_->bytes_on_disk();
     synced_(batches.size());
   }
 }
 
+bool DiskThread::WaitForRoom() {
+  if (!full_.exchange(true)) LogEvent("disk_full", {});
+  std::unique_lock<std::mutex> lock(mutex_);
+  return !changed_.wait_for(lock, kRoomCheckInterval,
+                            [this] { return stopping_; });
+}
+
 bool DiskThread::WriteBatches(const std::vector<StorageBatch>& batches) {
   return leaf::try_handle_all(
       [this, &batches]() -> leaf::result<bool> {
--- a/flamingohollow/disk_thread.h
+++ b/flamingohollow/disk_thread.h
@@ -1,7 +1,8 @@
 // The thread that writes and syncs the data folder.
 //
 // Batches that queue up while a sync runs are then written together and share
-// one sync. Batches are written and reported in the order of Enqueue.
+// one sync. Batches are written and reported in the order of Enqueue. While the
+// disk is full, the thread waits for room and reports nothing.
 
 #ifndef FLAMINGOHOLLOW_DISK_THREAD_H_
 #define FLAMINGOHOLLOW_DISK_THREAD_H_
@@ -35,9 +36,13 @@
 
   void Enqueue(StorageBatch batch);
   std::uint64_t bytes_on_disk() const { return bytes_on_disk_; }
+  // Whether batches wait because the disk is full.
+  bool full() const { return full_; }
 
  private:
   void Loop();
+  // Returns false if the thread is to stop.
+  bool WaitForRoom();
   // Returns false if writing failed.
   bool WriteBatches(const std::vector<StorageBatch>& batches);
 
@@ -46,6 +51,7 @@
   const std::function<void(std::size_t)> synced_;
   const std::function<void(const std::string&)> failed_;
   std::atomic<std::uint64_t> bytes_on_disk_;
+  std::atomic<bool> full_ = false;
 
   std::mutex mutex_;
   std::condition_variable changed_;
--- a/flamingohollow/graph_control.cc
+++ b/flamingohollow/graph_control.cc
@@ -41,6 +41,8 @@
 // commands.
 constexpr std::size_t kHeldPollFactor = 3;
 constexpr std::size_t kHeldPollDivisor = 4;
+// A leader whose disk is full tries to hand over this often.
+constexpr Duration kFullDiskHandOverInterval = Duration(2000);
 // Limit on messages that wait for loop 0; further ones are rejected.
 constexpr std::size_t kMaxQueuedMessages = 8192;
 
@@ -121,6 +123,7 @@
   void HandleLocal(const GraphCall& call, const GraphReplyCallback& done);
   void ScheduleTick();
   void Tick();
+  void HandOverIfFull(Time now);
   void TryFounding(Time now);
   void Announce(Time now);
 
@@ -143,6 +146,7 @@
   bool may_found_ = false;
   bool founding_ = false;
   Time next_founding_;
+  Time next_hand_over_;
   Time next_announce_;
   bool announcing_ = false;
   std::atomic<bool> stopped_ = false;
@@ -246,10 +250,21 @@
     std::_Exit(kDiskFailed);
   }
   service_.Tick();
+  HandOverIfFull(now);
   if (may_found_) TryFounding(now);
   Announce(now);
 }
 
+// Another voter may have room.
+void GraphControl::Impl::HandOverIfFull(Time now) {
+  const ReplicaStatus status = replica_->Status();
+  if (!status.disk_full_ || !status.is_leader_ || now < next_hand_over_) return;
+  next_hand_over_ = now + kFullDiskHandOverInterval;
+  replica_->TransferLeadership([](bool ok, const std::string& reason) {
+    LogEvent("hand_over", {{"ok", ok}, {"reason", reason}});
+  });
+}
+
 void GraphControl::Impl::TryFounding(Time now) {
   if (replica_->Status().formed_) {
     may_found_ = false;
--- a/flamingohollow/graph_service.cc
+++ b/flamingohollow/graph_service.cc
@@ -420,7 +420,7 @@
         return respond(NotLeader());
       case ProposeOutcome::kOverloaded:
         return respond(
-            Unavailable("too many changes at once", kUnavailableRetryAfter));
+            Unavailable("changes can't be stored now", kUnavailableRetryAfter));
       case ProposeOutcome::kUnknown:
         return respond(
             Reply(GraphOutcome::kUnknown,
--- a/flamingohollow/replica.cc
+++ b/flamingohollow/replica.cc
@@ -240,6 +240,7 @@
 
 void LogReplica::DoPropose(std::string command, ProposeCallback done) {
   if (failed()) return done({ProposeOutcome::kNotLeader, LogIndex()});
+  if (disk_->full()) return done({ProposeOutcome::kOverloaded, LogIndex()});
   const Time now = MonotonicNow();
   Actions actions = Step(&state_, ProposeEvent{std::move(command)}, now);
   Write(&actions);
@@ -442,6 +443,7 @@
   status.committed_ = state_.commit_;
   status.applied_ = state_.applied_;
   status.failure_ = failure_;
+  status.disk_full_ = disk_->full();
   status.bytes_on_disk_ = disk_->bytes_on_disk();
   for (const Member& member : membership) {
     if (!failed() && member.id_ == state_.leader_) {
--- a/flamingohollow/replica.h
+++ b/flamingohollow/replica.h
@@ -55,8 +55,11 @@
   LogIndex committed_;
   LogIndex applied_;
   std::vector<VoterStatus> voters_;
-  // Why this voter stopped voting, such as a full disk; empty while it works.
+  // Why this voter stopped voting, such as a failed sync; empty while it works.
   std::string failure_;
+  // The disk is full: this voter stores and acknowledges nothing, and refuses
+  // proposals, until there is room.
+  bool disk_full_ = false;
   // Log and snapshot in the data folder.
   std::uint64_t bytes_on_disk_ = 0;
 };
--- a/flamingohollow/storage.cc
+++ b/flamingohollow/storage.cc
@@ -48,6 +48,21 @@
       [](const DiskError& error) -> Result { return Error(Describe(error)); });
 }
 
+bool IsFull(const DiskError& error) {
+  return error.code_ == ENOSPC || error.code_ == EDQUOT;
+}
+
+leaf::result<void> TruncateIfPresent(Disk& disk, const std::string& path,
+                                     std::uint64_t size) {
+  return leaf::try_handle_some(
+      [&] { return disk.Truncate(path, size); },
+      [](const DiskError& error,
+         const leaf::error_info& info) -> leaf::result<void> {
+        if (error.code_ != ENOENT) return info.error();
+        return {};
+      });
+}
+
 // The number in a name like "log-00000000000000000012"; empty if the name has
 // another form.
 std::optional<std::uint64_t> ParseFileNumber(std::string_view name,
@@ -408,16 +423,38 @@
   Segment& segment = segments_.back();
   const std::string frame = MakeFrame(next_frame_, pending_records_);
   pending_records_.clear();
-  BOOST_LEAF_CHECK(disk_->Append(SegmentPath(segment.sequence_), frame));
+  BOOST_LEAF_CHECK(
+      AppendWhole(SegmentPath(segment.sequence_), segment.bytes_, frame));
   ++next_frame_;
   segment.bytes_ += frame.size();
   return {};
 }
 
+leaf::result<void> Storage::AppendWhole(const std::string& path,
+                                        std::uint64_t size,
+                                        std::string_view bytes) {
+  while (true) {
+    bool full = false;
+    BOOST_LEAF_CHECK(leaf::try_handle_some(
+        [&] { return disk_->Append(path, bytes); },
+        [&](const DiskError& error,
+            const leaf::error_info& info) -> leaf::result<void> {
+          full = IsFull(error) && wait_for_room_;
+          if (!full) return info.error();
+          return {};
+        }));
+    if (!full) return {};
+    BOOST_LEAF_CHECK(TruncateIfPresent(*disk_, path, size));
+    if (!wait_for_room_()) {
+      return Error(fmt::format("no room to write {}", path));
+    }
+  }
+}
+
 leaf::result<void> Storage::WriteFileAtomically(const std::string& name,
                                                 std::string_view bytes) {
   const std::string unfinished = Path(name) + std::string(kUnfinishedSuffix);
-  BOOST_LEAF_CHECK(disk_->Append(unfinished, bytes));
+  BOOST_LEAF_CHECK(AppendWhole(unfinished, 0, bytes));
   BOOST_LEAF_CHECK(disk_->Sync(unfinished));
   BOOST_LEAF_CHECK(disk_->Rename(unfinished, Path(name)));
   return disk_->SyncFolder(options_.folder_);
--- a/flamingohollow/storage.h
+++ b/flamingohollow/storage.h
@@ -28,6 +28,7 @@
 #include <boost/leaf/result.hpp>
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -84,6 +85,12 @@
   // The state found by Open; the caller may move it out.
   StoredState& stored() { return stored_; }
 
+  // Called while the disk is full, on the thread that writes. True to try
+  // again, false to give up. Without it a full disk is an error.
+  void SetWaitForRoom(std::function<bool()> wait) {
+    wait_for_room_ = std::move(wait);
+  }
+
   // Writes the batches in order and syncs once. On an error none of them may
   // be acknowledged, and every later call fails: the disk's state is
   // unknown from then on.
@@ -125,6 +132,11 @@
   // Writes the frame that opens the newest segment.
   boost::leaf::result<void> OpenSegment();
   boost::leaf::result<void> Flush();
+  // Appends to a file that holds `size` bytes. While the disk is full, waits
+  // for room and leaves no part of `bytes` behind.
+  boost::leaf::result<void> AppendWhole(const std::string& path,
+                                        std::uint64_t size,
+                                        std::string_view bytes);
   boost::leaf::result<void> WriteFileAtomically(const std::string& name,
                                                 std::string_view bytes);
   boost::leaf::result<void> RemoveCoveredSegments();
@@ -145,6 +157,7 @@
   LogIndex snapshot_index_;
   std::uint64_t snapshot_bytes_ = 0;
   bool failed_ = false;
+  std::function<bool()> wait_for_room_;
 
   // While loading: the entry just before the log read so far.
   LogIndex base_index_;
--- a/flamingohollow/testing/fake_disk.cc
+++ b/flamingohollow/testing/fake_disk.cc
@@ -67,6 +67,10 @@
                                     std::string_view bytes) {
   std::shared_ptr<FakeFiles::File>& file = files_->names_[path];
   if (file == nullptr) file = std::make_shared<FakeFiles::File>();
+  if (files_->full_) {
+    file->data_ += bytes.substr(0, bytes.size() / 2);
+    return leaf::new_error(DiskError{"append", path, ENOSPC});
+  }
   // A failing write leaves the first half of its bytes.
   if (files_->fail_in_ == 0) bytes = bytes.substr(0, bytes.size() / 2);
   file->data_ += bytes;
--- a/flamingohollow/testing/fake_disk.h
+++ b/flamingohollow/testing/fake_disk.h
@@ -3,6 +3,7 @@
 #ifndef FLAMINGOHOLLOW_TESTING_FAKE_DISK_H_
 #define FLAMINGOHOLLOW_TESTING_FAKE_DISK_H_
 
+#include <atomic>
 #include <boost/leaf/result.hpp>
 #include <cstdint>
 #include <functional>
@@ -32,6 +33,9 @@
   // Number of operations before one fails; none fails while negative.
   int fail_in_ = -1;
   int fail_code_ = 0;
+  // While set, appends leave the first half of their bytes and find the disk
+  // full. May be set on any thread.
+  std::atomic<bool> full_ = false;
   std::uint64_t syncs_ = 0;
 
   // Simulates a machine crash. `random(n)` returns a number below n, which
--- a/flamingohollow/testing/storage_test.cc
+++ b/flamingohollow/testing/storage_test.cc
@@ -5,12 +5,18 @@
 
 #include <doctest/doctest.h>
 
+#include <atomic>
 #include <boost/leaf/handle_errors.hpp>
 #include <cerrno>
+#include <chrono>
+#include <functional>
 #include <memory>
 #include <string>
+#include <thread>
+#include <utility>
 #include <vector>
 
+#include "flamingohollow/disk_thread.h"
 #include "flamingohollow/testing/fake_disk.h"
 
 namespace flamingohollow::testing {
@@ -326,5 +332,69 @@
   }
 }
 
+StorageBatch BatchOf(std::uint64_t index) {
+  StorageBatch batch;
+  batch.append_.push_back({.index_ = LogIndex(index),
+                           .term_ = Term(1),
+                           .command_ = "x",
+                           .membership_ = {}});
+  return batch;
+}
+
+TEST_CASE("a full disk delays writes, and nothing is lost or left in part") {
+  auto files = std::make_shared<FakeFiles>();
+  StorageOptions options;
+  options.folder_ = "data";
+  options.name_ = NodeName("control-0");
+  options.new_voter_id_ = VoterId(1);
+  const auto open = [&]() -> std::unique_ptr<Storage> {
+    auto storage = Storage::Open(std::make_unique<FakeDisk>(files), options);
+    return storage ? std::move(*storage) : nullptr;
+  };
+  auto storage = open();
+  REQUIRE(storage != nullptr);
+  std::atomic<std::size_t> synced = 0;
+  std::atomic<int> failures = 0;
+  const auto reaches = [](const std::function<bool()>& done) {
+    for (int i = 0; i < 500 && !done(); ++i) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    }
+    return done();
+  };
+  {
+    DiskThread disk(
+        std::move(storage), [&](std::size_t count) { synced += count; },
+        [&](const std::string&) { ++failures; });
+    disk.Enqueue(BatchOf(1));
+    REQUIRE(reaches([&] { return synced == 1; }));
+    files->full_ = true;
+    disk.Enqueue(BatchOf(2));
+    REQUIRE(reaches([&] { return disk.full(); }));
+    disk.Enqueue(BatchOf(3));
+    std::this_thread::sleep_for(std::chrono::milliseconds(300));
+    CHECK(synced == 1);
+    files->full_ = false;
+    CHECK(reaches([&] { return synced == 3; }));
+    CHECK_FALSE(disk.full());
+  }
+  CHECK(failures == 0);
+  storage = open();
+  REQUIRE(storage != nullptr);
+  CHECK(storage->stored().entries_.size() == 3);
+}
+
+TEST_CASE("a node with a full disk can stop") {
+  auto files = std::make_shared<FakeFiles>();
+  StorageOptions options;
+  options.folder_ = "data";
+  options.new_voter_id_ = VoterId(1);
+  auto storage = Storage::Open(std::make_unique<FakeDisk>(files), options);
+  REQUIRE(storage);
+  DiskThread disk(
+      std::move(*storage), [](std::size_t) {}, [](const std::string&) {});
+  files->full_ = true;
+  disk.Enqueue(BatchOf(1));
+}
+
 }  // namespace
 }  // namespace flamingohollow::testing
