Preempt tasks with several earlier attempts last

Cause: a task that has just begun is always the cheapest to stop, so the same task was stopped up to eight times and its job ended late or not at all.

--- a/flamingohollow/graph_placement_pass.cc
+++ b/flamingohollow/graph_placement_pass.cc
@@ -180,6 +180,9 @@
 // Stopping a task costs this much of its work in addition to the work lost: it
 // must be restored from its checkpoint, and its job is delayed.
 constexpr std::int64_t kStopCostMs = 1500;
+// A task with this many earlier attempts is stopped only if no others can be.
+constexpr std::uint64_t kMaxRepeats = 3;
+constexpr std::int64_t kLastResortMs = 1'000'000;
 
 std::int64_t WeightOf(const Resources& need) {
   return need.accelerators_ * kCoresPerAccelerator + need.millicores_ / 1000;
@@ -193,7 +196,8 @@
   const std::int64_t left = RemainingTime(run, spec.estimate_, now).ms();
   group.members_.push_back({worker, &attempt, run.need_});
   // A task that takes checkpoints also takes one when it is stopped.
-  const std::int64_t lost = spec.checkpoints_ ? 0 : (now - began).ms();
+  std::int64_t lost = spec.checkpoints_ ? 0 : (now - began).ms();
+  if (attempt.attempt_.value() > kMaxRepeats) lost += kLastResortMs;
   group.lost_work_ += (lost + kStopCostMs) * WeightOf(run.need_);
   group.remaining_ms_ = std::max(group.remaining_ms_, left);
   const bool runs = run.phase_ == RunPhase::kRunning && !run.end_proposed_;
--- a/flamingohollow/testing/graph_placement_test.cc
+++ b/flamingohollow/testing/graph_placement_test.cc
@@ -291,6 +291,31 @@
            std::set<std::string>{MakeKey(2).value()});
 }
 
+void SetAttempt(FleetWorker& worker, AttemptId attempt) {
+  auto run = worker.runs_.extract(worker.runs_.begin());
+  run.key().attempt_ = attempt;
+  worker.runs_.insert(std::move(run));
+}
+
+// A task that is stopped whenever it has just begun would never end.
+TEST_CASE("a task with several earlier attempts is stopped last") {
+  GraphState state;
+  Fleet fleet = MakeFleet(1, 2, kNow);
+  Submit(state, 1, {MakeStep(1, 8, Duration(9000))}, {});
+  RunTask(state, fleet, 1, 0, "w0", kNow - Duration(500));
+  Submit(state, 2, {MakeStep(1, 8, Duration(9000))}, {});
+  RunTask(state, fleet, 2, 0, "w1", kNow - Duration(5000));
+  Submit(state, 3, {MakeStep(1, 8, Duration(1000))}, {.priority_ = 0});
+  const auto stopped = [&] {
+    return StoppedJobs(Plan(state, fleet, kUrgentQueuedAt));
+  };
+  CHECK_EQ(stopped(), std::set<std::string>{MakeKey(1).value()});
+  SetAttempt(fleet.at(WorkerId("w0")), AttemptId(4));
+  CHECK_EQ(stopped(), std::set<std::string>{MakeKey(2).value()});
+  SetAttempt(fleet.at(WorkerId("w1")), AttemptId(4));
+  CHECK_EQ(stopped(), std::set<std::string>{MakeKey(1).value()});
+}
+
 TEST_CASE("a gang is stopped as a whole") {
   GraphState state;
   Fleet fleet = MakeFleet(1, 2, kNow);
