--- a/app/flamingohollow.cc
+++ b/app/flamingohollow.cc
@@ -55,6 +55,8 @@
 ABSL_FLAG(std::vector<std::string>, logs, {},
           "explain: log files, FILE,FILE; standard input when empty");
 ABSL_FLAG(bool, dry_run, false, "table apply: check, change nothing");
+ABSL_FLAG(bool, end, false, "evacuate: take the failure domain back");
+ABSL_FLAG(bool, list, false, "evacuate: list what is evacuated");
 ABSL_FLAG(std::string, customer, "", "submit: whose job it is");
 ABSL_FLAG(std::uint32_t, accelerators, 0, "submit: how many, together");
 ABSL_FLAG(std::string, adjacency, "region",
@@ -109,6 +111,8 @@
     "  status                  leader, voters, entries, guarantees\n"
     "  explain ID              the story of a job or request from log lines\n"
     "                          (--logs)\n"
+    "  evacuate DOMAIN         starts no more work in a failure domain\n"
+    "                          (--end DOMAIN takes it back, --list)\n"
     "  voter add NAME ADDRESS  adds a control process to the voters\n"
     "  voter remove NAME       removes one\n";
 
@@ -408,6 +412,15 @@
   return exit_code;
 }
 
+// --- Evacuations.
+
+int Evacuate(const std::string& domain) {
+  const ToolMethod method =
+      absl::GetFlag(FLAGS_end) ? ToolMethod::kDelete : ToolMethod::kPost;
+  return AskAndPrint(
+      {method, "/v1/evacuations/" + domain, "", "", kAnswerTimeout});
+}
+
 // --- Voters.
 
 int AddVoter(const std::string& name, const std::string& address) {
@@ -487,6 +500,9 @@
       {{"explain"},
        {"ID"},
        [](const Words& arguments) { return ExplainId(arguments[0]); }},
+      {{"evacuate"},
+       {"DOMAIN"},
+       [](const Words& arguments) { return Evacuate(arguments[0]); }},
       {{"voter", "add"},
        {"NAME", "ADDRESS"},
        [](const Words& arguments) {
@@ -500,6 +516,9 @@
 }
 
 int RunCommand(const Words& words) {
+  if (words == Words{"evacuate"} && absl::GetFlag(FLAGS_list)) {
+    return Get("/v1/evacuations");
+  }
   for (const CommandEntry& command : Commands()) {
     const std::size_t length = command.name_.size();
     if (words.size() < length) continue;
--- a/flamingohollow/codec_messages.cc
+++ b/flamingohollow/codec_messages.cc
@@ -170,10 +170,11 @@
   builder.setVoter(request.voter_.value());
   builder.setAddress(request.address_);
   builder.setTraceParent(request.trace_parent_);
+  builder.setDomain(request.domain_.value());
 }
 
 void Get(wire::CallRequest::Reader reader, CallRequest& request) {
-  request.kind_ = CheckedEnum(reader.getKind(), CallKind::kTableHistory);
+  request.kind_ = CheckedEnum(reader.getKind(), CallKind::kEvacuations);
   request.on_behalf_of_ = CustomerId(ToString(reader.getOnBehalfOf()));
   request.caller_ = ToString(reader.getCaller());
   Get(reader.getChange(), request.change_);
@@ -183,6 +184,7 @@
   request.voter_ = NodeName(ToString(reader.getVoter()));
   request.address_ = ToString(reader.getAddress());
   request.trace_parent_ = ToString(reader.getTraceParent());
+  request.domain_ = FailureDomain(ToString(reader.getDomain()));
 }
 
 void Put(wire::CallReply::Builder builder, const CallReply& reply) {
--- a/flamingohollow/codec_records.cc
+++ b/flamingohollow/codec_records.cc
@@ -200,6 +200,48 @@
   ended.at_ = Time(reader.getAtMs());
 }
 
+// --- Evacuations.
+
+void Put(wire::EvacuationOrder::Builder builder, const EvacuationOrder& order) {
+  builder.setDomain(order.domain_.value());
+  builder.setEvacuate(order.evacuate_);
+  builder.setNumber(order.number_);
+  builder.setAtMs(order.ordered_.ms());
+}
+
+void Get(wire::EvacuationOrder::Reader reader, EvacuationOrder& order) {
+  order.domain_ = FailureDomain(ToString(reader.getDomain()));
+  order.evacuate_ = reader.getEvacuate();
+  order.number_ = reader.getNumber();
+  order.ordered_ = Time(reader.getAtMs());
+}
+
+namespace {
+
+void PutEvacuations(wire::JobRecords::Builder builder,
+                    const Evacuations& evacuations) {
+  auto list = builder.initEvacuations(evacuations.size());
+  unsigned position = 0;
+  for (const auto& [domain, evacuation] : evacuations) {
+    auto item = list[position++];
+    item.setDomain(domain.value());
+    item.setInForce(evacuation.in_force_);
+    item.setNumber(evacuation.number_);
+    item.setOrderedMs(evacuation.ordered_.ms());
+  }
+}
+
+void GetEvacuations(wire::JobRecords::Reader reader, Evacuations& evacuations) {
+  for (auto item : reader.getEvacuations()) {
+    evacuations[FailureDomain(ToString(item.getDomain()))] = {
+        item.getInForce(), item.getNumber(), Time(item.getOrderedMs())};
+  }
+}
+
+}  // namespace
+
+// --- Commands and job records.
+
 void Put(wire::Command::Builder builder, const Command& command) {
   struct Visitor {
     wire::Command::Builder builder_;
@@ -218,6 +260,9 @@
     void operator()(const JobEnded& ended) {
       Put(builder_.initJobEnded(), ended);
     }
+    void operator()(const EvacuationOrder& order) {
+      Put(builder_.initEvacuation(), order);
+    }
   };
   std::visit(Visitor{builder}, command);
 }
@@ -251,6 +296,9 @@
     case wire::Command::JOB_ENDED:
       command = GetRecord<JobEnded>(reader.getJobEnded());
       return;
+    case wire::Command::EVACUATION:
+      command = GetRecord<EvacuationOrder>(reader.getEvacuation());
+      return;
   }
   throw BadValue();
 }
@@ -281,6 +329,7 @@
   auto jobs = builder.initJobs(records.jobs_.size());
   unsigned position = 0;
   for (const auto& [id, record] : records.jobs_) Put(jobs[position++], record);
+  PutEvacuations(builder, records.evacuations_);
 }
 
 void Get(wire::JobRecords::Reader reader, JobRecords& records) {
@@ -292,6 +341,7 @@
         std::pair(record.spec_.customer_, record.spec_.request_id_), id);
     records.jobs_.emplace(id, std::move(record));
   }
+  GetEvacuations(reader, records.evacuations_);
 }
 
 void Put(wire::JobView::Builder builder, const JobView& view) {
--- a/flamingohollow/command.h
+++ b/flamingohollow/command.h
@@ -11,6 +11,7 @@
 #include <variant>
 #include <vector>
 
+#include "flamingohollow/evacuation.h"
 #include "flamingohollow/table.h"
 #include "flamingohollow/types.h"
 #include "util/clock.h"
@@ -96,8 +97,8 @@
   friend bool operator==(const JobEnded&, const JobEnded&) = default;
 };
 
-using Command =
-    std::variant<TableChange, JobAccepted, JobMayRun, JobRequeued, JobEnded>;
+using Command = std::variant<TableChange, JobAccepted, JobMayRun, JobRequeued,
+                             JobEnded, EvacuationOrder>;
 
 }  // namespace flamingohollow
 
--- a/flamingohollow/control_calls.cc
+++ b/flamingohollow/control_calls.cc
@@ -59,6 +59,9 @@
     case CallKind::kVoterAdd:
     case CallKind::kVoterRemove:
       return HandleVoters(request, std::move(respond));
+    case CallKind::kEvacuate:
+    case CallKind::kTakeBack:
+      return HandleEvacuate(request, std::move(respond));
     default:
       return WhenConfirmed(std::move(respond),
                            [this, request](const CallResponder& answer) {
@@ -210,6 +213,48 @@
   return OkReply(TableStatusToJson(version, in_force, nodes));
 }
 
+// Evacuations.
+
+std::optional<CallReply> ControlCore::CheckDomain(
+    const FailureDomain& domain) const {
+  if (state_.jobs_.evacuations_.contains(domain)) return std::nullopt;
+  for (const WorkerView& worker : ViewWorkers(*leadership_->controller_)) {
+    if (worker.report_.place_.failure_domain_ == domain) return std::nullopt;
+  }
+  const Duration settling = options_.placement_.settling_time_;
+  if (Now() - leadership_->gained_at_ < settling) {
+    return ErrorReply(CallError::kUnavailable,
+                      "the leader does not know all workers yet", kRetryAfter);
+  }
+  return ErrorReply(CallError::kNotFound, "no worker is in failure domain \"" +
+                                              domain.value() + "\"");
+}
+
+void ControlCore::HandleEvacuate(const CallRequest& request,
+                                 CallResponder respond) {
+  const EvacuationOrder order{.domain_ = request.domain_,
+                              .evacuate_ = request.kind_ == CallKind::kEvacuate,
+                              .number_ = 0,
+                              .ordered_ = clocks_.wall_()};
+  const auto propose = [this, order](CallResponder answer) {
+    ProposeForCaller(order, std::move(answer), [this](const ApplyResult&) {
+      Count("evacuation_orders");
+      return ReadEvacuations();
+    });
+  };
+  if (!CheckDomain(order.domain_)) return propose(std::move(respond));
+  WhenConfirmed(std::move(respond),
+                [this, order, propose](const CallResponder& answer) {
+                  if (const auto refusal = CheckDomain(order.domain_))
+                    return answer(*refusal);
+                  propose(answer);
+                });
+}
+
+CallReply ControlCore::ReadEvacuations() const {
+  return OkReply(EvacuationsToJson(state_.jobs_.evacuations_));
+}
+
 // Jobs.
 
 // The reply to a refused submission or to one that repeats an accepted one;
@@ -394,6 +439,8 @@
       return OkReply(HistoryToJson(state_.table_));
     case CallKind::kTableStatus:
       return ReadTableStatus();
+    case CallKind::kEvacuations:
+      return ReadEvacuations();
     case CallKind::kJobShow:
       return ReadJob(request);
     case CallKind::kJobList:
--- a/flamingohollow/control_core.cc
+++ b/flamingohollow/control_core.cc
@@ -141,6 +141,10 @@
     Count("table_changes");
   }
   if (!leadership_) return;
+  if (const auto* order = std::get_if<EvacuationOrder>(&command)) {
+    LogInfo("failure domain {}: {}", order->domain_.value(),
+            order->evacuate_ ? "evacuate" : "take back");
+  }
   RememberResult(index, result);
   if (const auto* job = std::get_if<JobApplyResult>(&result)) {
     Run(OnCommitted(*leadership_->controller_, command, *job, Now()));
@@ -182,6 +186,7 @@
   leadership_ = std::make_unique<Leadership>();
   Leadership& lead = *leadership_;
   lead.term_ = term;
+  lead.gained_at_ = now;
   JobControllerOptions options = options_;
   options.wall_at_start_ = clocks_.wall_();
   lead.controller_ =
--- a/flamingohollow/control_core.h
+++ b/flamingohollow/control_core.h
@@ -106,6 +106,7 @@
   // State that only a leader has; discarded when leadership is lost.
   struct Leadership {
     Term term_;
+    Time gained_at_;
     JobControllerPtr controller_;
     Entries entries_;
     EntryExchanges exchanges_;
@@ -154,6 +155,11 @@
   CallReply AcceptedReply(const JobApplyResult& result) const;
   void HandleCancel(const CallRequest& request, CallResponder respond);
   void HandleVoters(const CallRequest& request, CallResponder respond);
+  // The reply to an order for a failure domain that is not known; nullopt if it
+  // is.
+  std::optional<CallReply> CheckDomain(const FailureDomain& domain) const;
+  void HandleEvacuate(const CallRequest& request, CallResponder respond);
+  CallReply ReadEvacuations() const;
   // Proposes for a caller; `answer` makes the reply from the result.
   void ProposeForCaller(const Command& command, CallResponder respond,
                         std::function<CallReply(const ApplyResult&)> answer);
--- a/flamingohollow/control_json.cc
+++ b/flamingohollow/control_json.cc
@@ -169,6 +169,16 @@
   return {{"workers", std::move(array)}};
 }
 
+json::object EvacuationsToJson(const Evacuations& evacuations) {
+  json::array domains;
+  for (const auto& [domain, evacuation] : evacuations) {
+    if (!evacuation.in_force_) continue;
+    domains.push_back(json::object{{"domain", domain.value()},
+                                   {"ordered_ms", evacuation.ordered_.ms()}});
+  }
+  return {{"evacuations", std::move(domains)}};
+}
+
 json::object StatusToJson(const StatusView& view) {
   json::object counters;
   for (const auto& [name, count] : view.counters_) counters[name] = count;
--- a/flamingohollow/control_json.h
+++ b/flamingohollow/control_json.h
@@ -57,6 +57,9 @@
 
 boost::json::object WorkersToJson(const std::vector<WorkerView>& workers);
 
+// The failure domains that are evacuated.
+boost::json::object EvacuationsToJson(const Evacuations& evacuations);
+
 struct StatusView {
   ReplicaStatus replica_;
   std::vector<NodeVersion> entries_;
--- a/flamingohollow/evacuation.h
+++ b/flamingohollow/evacuation.h
@@ -24,6 +24,7 @@
   // When `in_force_` last changed: Unix time by the clock of the leader then.
   Time ordered_;
 
+  friend bool operator==(const Evacuation&, const Evacuation&) = default;
   template <class Archive>
   void serialize(Archive& archive) {
     archive(in_force_, number_, ordered_);
@@ -41,6 +42,8 @@
   std::uint64_t number_ = 0;
   Time ordered_;
 
+  friend bool operator==(const EvacuationOrder&,
+                         const EvacuationOrder&) = default;
   template <class Archive>
   void serialize(Archive& archive) {
     archive(domain_, evacuate_, number_, ordered_);
--- a/flamingohollow/job.cc
+++ b/flamingohollow/job.cc
@@ -139,6 +139,9 @@
 void HandleCommitted(Step& step, const Command& command,
                      const JobApplyResult& result) {
   if (result.outcome_ != ApplyOutcome::kApplied) return;
+  if (const auto* order = std::get_if<EvacuationOrder>(&command)) {
+    return UpdateDomain(step, order->domain_);
+  }
   if (std::holds_alternative<JobAccepted>(command)) {
     const auto record = step.controller_.records_->jobs_.find(result.job_);
     if (record == step.controller_.records_->jobs_.end()) return;
--- a/flamingohollow/job.h
+++ b/flamingohollow/job.h
@@ -28,6 +28,7 @@
 #include <vector>
 
 #include "flamingohollow/command.h"
+#include "flamingohollow/evacuation.h"
 #include "flamingohollow/placement.h"
 #include "flamingohollow/types.h"
 #include "flamingohollow/worker.h"
@@ -59,6 +60,8 @@
   std::size_t ended_bytes_ = 0;
   // `ended_` and `ended_bytes_` have been derived from `jobs_`.
   bool ended_index_built_ = false;
+  // The newest order for each failure domain.
+  Evacuations evacuations_;
 };
 
 // Limits on the number and on the total bytes of ended jobs. Beyond either one,
--- a/flamingohollow/job_phases.cc
+++ b/flamingohollow/job_phases.cc
@@ -128,6 +128,18 @@
   return {};
 }
 
+// Returns a task that is still to be started in an evacuated failure domain, or
+// null. A gang of which a part runs already is started as a whole.
+const AttemptTask* FindEvacuated(const Step& step, const Attempt& attempt) {
+  const AttemptTask* evacuated = nullptr;
+  for (const AttemptTask& task : attempt.tasks_) {
+    if (task.started_) return nullptr;
+    const bool to_start = task.state_ == TaskState::kPrepared;
+    if (to_start && IsEvacuated(step, task)) evacuated = &task;
+  }
+  return evacuated;
+}
+
 void SendStarts(Step& step, LiveJob& job) {
   // Don't start a part of a gang that is known to be unable to complete.
   if (!CanComplete(*job.attempt_)) return;
@@ -164,6 +176,12 @@
               "reclaimed for a customer's guarantee");
     return;
   }
+  if (const AttemptTask* task = FindEvacuated(step, attempt)) {
+    BeginStop(step, job, StopCause::kLost,
+              fmt::format("the failure domain of worker \"{}\" is evacuated",
+                          task->slice_.worker_.value()));
+    return;
+  }
   SendStarts(step, job);
 }
 
--- a/flamingohollow/job_propose.cc
+++ b/flamingohollow/job_propose.cc
@@ -11,7 +11,10 @@
 void Propose(Step& step, LiveJob& job, Command command) {
   const Time wall_now = OptionsOf(step).wall_at_start_ +
                         (step.now_ - step.controller_.became_leader_at_);
-  std::visit([wall_now](auto& record) { record.at_ = wall_now; }, command);
+  const auto set_time = [wall_now](auto& record) {
+    if constexpr (requires { record.at_; }) record.at_ = wall_now;
+  };
+  std::visit(set_time, command);
   job.proposed_ = command;
   job.proposed_at_ = step.now_;
   step.actions_.push_back(ProposeAction{std::move(command)});
--- a/flamingohollow/job_records.cc
+++ b/flamingohollow/job_records.cc
@@ -128,6 +128,10 @@
   if (const auto* ended = std::get_if<JobEnded>(&command)) {
     return ResultOf(ApplyEnded(records, *ended), ended->job_);
   }
+  if (const auto* order = std::get_if<EvacuationOrder>(&command)) {
+    ApplyEvacuation(records.evacuations_, *order);
+    return ResultOf(true, JobId());
+  }
   return {};
 }
 
--- a/flamingohollow/job_workers.cc
+++ b/flamingohollow/job_workers.cc
@@ -19,8 +19,15 @@
   return placement_worker;
 }
 
+// Whether the worker's failure domain is evacuated.
+bool IsEvacuated(const Step& step, const WorkerInfo& worker) {
+  return flamingohollow::IsEvacuated(step.controller_.records_->evacuations_,
+                                     worker.report_.place_.failure_domain_);
+}
+
 bool IsAvailable(const Step& step, const WorkerInfo& worker) {
-  return worker.known_ && worker.report_.state_ == WorkerState::kReady &&
+  return worker.known_ && !IsEvacuated(step, worker) &&
+         worker.report_.state_ == WorkerState::kReady &&
          !IsSilent(step.controller_, worker, step.now_) &&
          !worker.holds_orphaned_;
 }
@@ -218,9 +225,14 @@
   const WorkerInfo& worker = *task.worker_;
   return worker.report_.incarnation_ == task.slice_.incarnation_ &&
          worker.report_.state_ == WorkerState::kReady &&
+         !IsEvacuated(step, worker) &&
          !IsSilent(step.controller_, worker, step.now_);
 }
 
+bool IsEvacuated(const Step& step, const AttemptTask& task) {
+  return IsEvacuated(step, *task.worker_);
+}
+
 bool IsUnreachable(const Step& step, const AttemptTask& task) {
   return IsSilent(step.controller_, *task.worker_, step.now_);
 }
@@ -341,6 +353,13 @@
   if (IsAvailable(step, worker) != was_available) UpdatePlacement(step, worker);
 }
 
+void UpdateDomain(Step& step, const FailureDomain& domain) {
+  for (auto& [id, worker] : step.controller_.workers_) {
+    if (worker.report_.place_.failure_domain_ != domain) continue;
+    UpdateAvailable(step, worker);
+  }
+}
+
 void TickWorkers(Step& step) {
   auto& workers = step.controller_.workers_;
   for (auto it = workers.begin(); it != workers.end();) {
--- a/flamingohollow/job_workers.h
+++ b/flamingohollow/job_workers.h
@@ -37,6 +37,9 @@
 // have arrived by then.
 void MarkLongMissing(const Step& step, Attempt& attempt);
 
+// Whether the task's worker is in a failure domain that is evacuated.
+bool IsEvacuated(const Step& step, const AttemptTask& task);
+
 // Adds the attempt's tasks to their workers. A worker without an entry gets
 // one, with `now_` as the time of its last message.
 void AddTasks(Step& step, LiveJob& job);
@@ -59,6 +62,8 @@
 void UpdateAvailable(Step& step, WorkerInfo& worker);
 // Updates the availability of all workers, removes those that have long been
 // silent, and sends commands for orphaned leases.
+// Passes the workers of the domain to placement as the newest order demands.
+void UpdateDomain(Step& step, const FailureDomain& domain);
 void TickWorkers(Step& step);
 
 }  // namespace flamingohollow
--- a/flamingohollow/leader_finder.cc
+++ b/flamingohollow/leader_finder.cc
@@ -64,6 +64,7 @@
     case CallKind::kWorkers:
     case CallKind::kStatus:
     case CallKind::kTableHistory:
+    case CallKind::kEvacuations:
       return true;
     case CallKind::kInit:
     case CallKind::kTableApply:
@@ -71,6 +72,8 @@
     case CallKind::kJobCancel:
     case CallKind::kVoterAdd:
     case CallKind::kVoterRemove:
+    case CallKind::kEvacuate:
+    case CallKind::kTakeBack:
       return false;
   }
   return false;
@@ -78,11 +81,13 @@
 
 bool IsIdempotent(CallKind kind) {
   // Submissions and table changes carry a request id; a second cancel finds
-  // the job cancelled. Forming a cluster and adding or removing a voter are not
-  // idempotent: a repeated call is refused, and the refusal would hide that the
-  // first attempt succeeded.
+  // the job cancelled; a second order for a failure domain changes nothing.
+  // Forming a cluster and adding or removing a voter are not idempotent: a
+  // repeated call is refused, and the refusal would hide that the first attempt
+  // succeeded.
   return IsRead(kind) || kind == CallKind::kSubmit ||
-         kind == CallKind::kTableApply || kind == CallKind::kJobCancel;
+         kind == CallKind::kTableApply || kind == CallKind::kJobCancel ||
+         kind == CallKind::kEvacuate || kind == CallKind::kTakeBack;
 }
 
 CallDecision AfterAttempt(CallProgress& progress, const CallOptions& options,
--- a/flamingohollow/messages.h
+++ b/flamingohollow/messages.h
@@ -89,6 +89,12 @@
   kVoterAdd = 10,
   kVoterRemove = 11,
   kTableHistory = 12,
+  // Evacuates a failure domain.
+  kEvacuate = 13,
+  // Ends the evacuation of a failure domain.
+  kTakeBack = 14,
+  // Lists the failure domains that are evacuated.
+  kEvacuations = 15,
 };
 
 // A caller's or operator's request, checked by the entry's filters.
@@ -105,6 +111,8 @@
   // kVoterAdd and kVoterRemove.
   NodeName voter_;
   std::string address_;
+  // kEvacuate and kTakeBack.
+  FailureDomain domain_;
   // The W3C trace context of the caller's span; may be empty.
   std::string trace_parent_;
 };
--- a/flamingohollow/request_parse.cc
+++ b/flamingohollow/request_parse.cc
@@ -271,6 +271,9 @@
     {"POST", "v1/voters", RouteKind::kCall, CallKind::kVoterAdd,
      RouteBody::kVoter},
     {"DELETE", "v1/voters/*", RouteKind::kCall, CallKind::kVoterRemove},
+    {"GET", "v1/evacuations", RouteKind::kCall, CallKind::kEvacuations},
+    {"POST", "v1/evacuations/*", RouteKind::kCall, CallKind::kEvacuate},
+    {"DELETE", "v1/evacuations/*", RouteKind::kCall, CallKind::kTakeBack},
     {"GET", "metrics", RouteKind::kMetrics, CallKind::kStatus},
     {"GET", "healthz", RouteKind::kHealth, CallKind::kStatus},
     {"GET", "readyz", RouteKind::kReady, CallKind::kStatus},
@@ -312,6 +315,9 @@
   const std::string& last = target.path_.back();
   if (route.call_ == CallKind::kVoterRemove) {
     parsed.call_.voter_ = NodeName(last);
+  } else if (route.call_ == CallKind::kEvacuate ||
+             route.call_ == CallKind::kTakeBack) {
+    parsed.call_.domain_ = FailureDomain(last);
   } else if (route.path_.ends_with("*")) {
     BOOST_LEAF_CHECK(ParseJobId(last, &parsed.call_));
   }
--- a/flamingohollow/testing/codec_test.cc
+++ b/flamingohollow/testing/codec_test.cc
@@ -58,10 +58,12 @@
   change.operator_ = "op";
   change.at_ = Time(12);
   const std::vector<Command> commands = {
-      change, JobAccepted{SampleSpec(), Time(1)},
+      change,
+      JobAccepted{SampleSpec(), Time(1)},
       JobMayRun{JobId(17), AttemptId(2), SampleSlices(), Time(2)},
       JobRequeued{JobId(17), AttemptId(2), "worker lost", Time(3)},
-      SampleEnd()};
+      SampleEnd(),
+      EvacuationOrder{FailureDomain("north"), true, 3, Time(4)}};
   for (const Command& command : commands) {
     const auto decoded = DecodeCommand(Encode(command));
     REQUIRE(decoded);
@@ -122,8 +124,10 @@
   record.slices_ = SampleSlices();
   record.end_ = SampleEnd();
   records.jobs_.emplace(record.id_, record);
+  records.evacuations_[FailureDomain("north")] = {true, 3, Time(4)};
   const auto decoded = DecodeJobRecords(Encode(records));
   REQUIRE(decoded);
+  CHECK(decoded->evacuations_ == records.evacuations_);
   const JobRecord& copy = decoded->jobs_.at(JobId(17));
   CHECK(copy.spec_ == record.spec_);
   CHECK(copy.slices_ == record.slices_);
--- a/flamingohollow/testing/control_test.cc
+++ b/flamingohollow/testing/control_test.cc
@@ -494,6 +494,48 @@
   CHECK((*f.Sync(sync))->send_all_reports_);
 }
 
+TEST_CASE("an evacuation is in force once committed, and after a snapshot") {
+  Fixture f;
+  f.Lead();
+  EntrySync sync = Fixture::EntryAt(0);
+  WorkerReport report;
+  report.worker_ = WorkerId("w");
+  report.incarnation_ = Incarnation(1);
+  report.sequence_ = 1;
+  report.place_.failure_domain_ = FailureDomain("north");
+  sync.reports_ = {report};
+  f.Sync(sync);
+  CallRequest order = Fixture::MakeRequest(CallKind::kEvacuate);
+  order.domain_ = FailureDomain("north");
+  f.replica_.completes_immediately_ = false;
+  CHECK_FALSE(f.Call(order).has_value());
+  f.replica_.CommitAll();
+  REQUIRE(f.last_reply_->has_value());
+  CHECK((*f.last_reply_)->status_ == 200);
+  f.replica_.completes_immediately_ = true;
+  Fixture next;
+  next.Lead();
+  REQUIRE(next.core_.RestoreSnapshot(f.core_.EncodeSnapshot()));
+  const auto list = [&next] {
+    const CallRequest request = Fixture::MakeRequest(CallKind::kEvacuations);
+    return next.Call(request)->body_;
+  };
+  CHECK(list().find("north") != std::string::npos);
+  order.kind_ = CallKind::kTakeBack;
+  CHECK(next.Call(order)->status_ == 200);
+  CHECK(list() == R"({"evacuations":[]})");
+}
+
+TEST_CASE("an unknown failure domain is refused once all workers are known") {
+  Fixture f;
+  f.Lead();
+  CallRequest order = Fixture::MakeRequest(CallKind::kEvacuate);
+  order.domain_ = FailureDomain("nowhere");
+  CHECK(f.Call(order)->status_ == 503);
+  f.now_ = f.now_ + PlacementOptions().settling_time_;
+  CHECK(f.Call(order)->status_ == 404);
+}
+
 TEST_CASE("state survives a snapshot") {
   Fixture f;
   f.Lead();
--- a/flamingohollow/testing/filter_test.cc
+++ b/flamingohollow/testing/filter_test.cc
@@ -102,13 +102,19 @@
   CHECK(StatusOf(RunFilters("POST", "/v1/jobs", operator_token, other)) == 0);
   CHECK(StatusOf(RunFilters("GET", "/v1/jobs/17", customer)) == 0);
   CHECK(StatusOf(RunFilters("DELETE", "/v1/jobs/17", customer)) == 0);
-  for (const char* target : {"/v1/table", "/v1/table/status", "/v1/status",
-                             "/v1/workers", "/v1/table/history"}) {
+  for (const char* target :
+       {"/v1/table", "/v1/table/status", "/v1/status", "/v1/workers",
+        "/v1/table/history", "/v1/evacuations"}) {
     CHECK(StatusOf(RunFilters("GET", target, customer)) == 403);
     CHECK(StatusOf(RunFilters("GET", target, worker)) == 403);
     CHECK(StatusOf(RunFilters("GET", target, operator_token)) == 0);
   }
   CHECK(StatusOf(RunFilters("POST", "/v1/init", customer)) == 403);
+  for (const char* method : {"POST", "DELETE"}) {
+    const std::string target = "/v1/evacuations/north";
+    CHECK(StatusOf(RunFilters(method, target, customer)) == 403);
+    CHECK(StatusOf(RunFilters(method, target, operator_token)) == 0);
+  }
   CHECK(StatusOf(RunFilters("POST", "/v1/workers/announce", customer, "{}")) ==
         403);
   CHECK(StatusOf(RunFilters("POST", "/v1/workers/announce", operator_token,
--- a/flamingohollow/testing/golden_test.py
+++ b/flamingohollow/testing/golden_test.py
@@ -29,7 +29,7 @@
         text = re.sub(r"127\.0\.0\.1:\d+", "HOST:PORT", text)
         text = re.sub(r'"job":"\d+"', '"job":"N"', text)
         text = re.sub(r"\bjob \d+", "job N", text)
-        text = re.sub(r'"(at_ms|term|committed|match|incarnation)":"?\d+"?',
+        text = re.sub(r'"(at_ms|ordered_ms|term|committed|match|incarnation)":"?\d+"?',
                       r'"\1":N', text)
         text = re.sub(r'"worker":"worker-\d+"', '"worker":"worker-N"', text)
         text = re.sub(r"\bworker-\d+\b", "worker-N", text)
@@ -143,6 +143,22 @@
                      f"--request_id={name}")
         self.check("bad_table")
 
+    def test_evacuation(self):
+        self.cmd("table", "apply", self.write("t.csv", TABLE),
+                 "--request_id=t1")
+        self.cmd("evacuate", "nowhere")
+        for domain in ("saigon-a", "binh-duong", "can-tho"):
+            self.cmd("evacuate", domain)
+        self.cmd("evacuate", "--list", servers=self.cluster.servers()[1:2])
+        submit = ["submit", "--customer=acme", "--accelerators=8",
+                  "--run_ms=50", "--request_id=waits"]
+        self.cmd(*submit, "--wait", "--wait_ms=1000")
+        self.assertEqual(self.cluster.starts("waits"), [])
+        self.cmd("evacuate", "--end", "saigon-a")
+        self.cmd("evacuate", "--list")
+        self.cmd(*submit, "--wait")
+        self.check("evacuation")
+
     def test_worker_leaves(self):
         # The guarantee must fit on the one worker that remains.
         table = TABLE.splitlines()[0] + "\nacme,1,1x8@worker,16,1000,1000\n"
--- a/flamingohollow/testing/job_test.cc
+++ b/flamingohollow/testing/job_test.cc
@@ -206,6 +206,48 @@
   CHECK(CountSent(harness, WorkerCommandKind::kPrepare, "w0") == 0);
 }
 
+EvacuationOrder Order(bool evacuate) {
+  return {FailureDomain("d"), evacuate, 0, Time(1)};
+}
+
+TEST_CASE("nothing starts in an evacuated domain, also under a new leader") {
+  Harness harness = MakeHarness(2);
+  Commit(harness, Accepted("running", 8));
+  Tick(harness);
+  REQUIRE(View(harness, 1).outcome_ == Outcome::kRunning);
+  Commit(harness, Order(true));
+  Commit(harness, Accepted("later", 8));
+  const std::uint64_t later = harness.last_index_;
+  for (std::uint64_t term = 2; term <= 3; ++term) {
+    for (int i = 0; i < 20; ++i) Tick(harness);
+    CHECK(CountSent(harness, WorkerCommandKind::kPrepare, "w0") +
+              CountSent(harness, WorkerCommandKind::kPrepare, "w1") ==
+          1);
+    BecomeLeader(harness, term);
+    for (const char* id : {"w0", "w1"}) Report(harness, WorkerId(id));
+  }
+  CHECK(CountSent(harness, WorkerCommandKind::kStop, "w0") == 0);
+  FinishAll(harness);
+  CHECK(View(harness, 1).outcome_ == Outcome::kCompleted);
+  Commit(harness, Order(false));
+  Tick(harness);
+  CHECK(View(harness, later).outcome_ == Outcome::kRunning);
+}
+
+TEST_CASE("a start that is committed after the order is not sent") {
+  Harness harness = MakeHarness(1);
+  harness.holds_proposals_ = true;
+  Commit(harness, Accepted("r", 8));
+  Tick(harness);
+  REQUIRE(harness.held_proposals_.size() == 1);
+  harness.holds_proposals_ = false;
+  Commit(harness, Order(true));
+  Commit(harness, harness.held_proposals_.front());
+  for (int i = 0; i < 20; ++i) Tick(harness);
+  CHECK(CountSent(harness, WorkerCommandKind::kStart, "w0") == 0);
+  CHECK(View(harness, 1).outcome_ == Outcome::kNotRun);
+}
+
 TEST_CASE("a silent worker gets no new work") {
   Harness harness = MakeHarness(1);
   Tick(harness, Duration(2500));
--- a/flamingohollow/testing/job_world.cc
+++ b/flamingohollow/testing/job_world.cc
@@ -9,6 +9,8 @@
 namespace flamingohollow {
 namespace {
 
+const FailureDomain kDomain("d");
+
 constexpr int kControls = 3;
 constexpr int kEntries = 3;
 constexpr int kWorkers = 4;
@@ -71,7 +73,7 @@
   report.incarnation_ = worker.table_.incarnation_;
   report.sequence_ = worker.table_.changes_ + 1;
   report.address_ = fmt::format("worker-{}", index);
-  report.place_ = {Region("r"), FailureDomain("d"), Rack("k")};
+  report.place_ = {Region("r"), kDomain, Rack("k")};
   report.accelerators_ = worker.table_.accelerators_;
   report.slots_ = worker.table_.slots_;
   report.state_ = worker.table_.state_;
@@ -204,7 +206,10 @@
 void Handle(World& world, WorldLeader& leader, const JobActions& actions);
 
 void StampTime(Command& command, Time now) {
-  std::visit([now](auto& record) { record.at_ = now; }, command);
+  const auto set_time = [now](auto& record) {
+    if constexpr (requires { record.at_; }) record.at_ = now;
+  };
+  std::visit(set_time, command);
 }
 
 void ApplyNext(World& world, WorldLeader& leader, const Command& command) {
@@ -281,6 +286,10 @@
       Propose(world, leader, propose->command_);
     }
     if (const auto* send = std::get_if<SendAction>(&action)) {
+      if (send->command_.kind_ == WorkerCommandKind::kPrepare &&
+          IsEvacuated(leader.records_.evacuations_, kDomain)) {
+        world.violations_.emplace_back("a prepare to an evacuated domain");
+      }
       const int entry = leader.entry_of_[send->command_.worker_];
       leader.outbox_[entry].push_back(send->command_);
     }
@@ -292,6 +301,16 @@
   }
 }
 
+}  // namespace
+
+void Evacuate(World& world, bool evacuate) {
+  WorldLeader* leader = CurrentLeader(world);
+  if (leader == nullptr) return;
+  Propose(world, *leader, EvacuationOrder{kDomain, evacuate, 0, world.now_});
+}
+
+namespace {
+
 WorldLeader* LeaderAt(World& world, int control) {
   for (auto& leader : world.leaders_) {
     if (leader->control_ == control && !leader->dead_) return leader.get();
--- a/flamingohollow/testing/job_world.h
+++ b/flamingohollow/testing/job_world.h
@@ -196,6 +196,9 @@
 void RunFor(World& world, Duration duration);
 
 void AddRequest(World& world, const JobSpec& spec);
+// Orders the evacuation of the failure domain of all workers, or takes it back.
+// The order is lost if there is no leader.
+void Evacuate(World& world, bool evacuate);
 
 // Faults. A killed node restarts after `down`.
 void Kill(World& world, Node node, Duration down);
--- a/flamingohollow/testing/outcome_random_test.cc
+++ b/flamingohollow/testing/outcome_random_test.cc
@@ -9,6 +9,7 @@
 #include <doctest/doctest.h>
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <cstdlib>
 #include <random>
 
@@ -26,6 +27,7 @@
 constexpr std::uint64_t kRegressionSeeds[] = {1102, 1761, 531, 1478};
 constexpr int kRequests = 8;
 constexpr int kFaults = 14;
+constexpr int kEvacuations = 6;
 constexpr Duration kFaultPeriod = Duration(60'000);
 constexpr Duration kRecoveryPeriod = Duration(200'000);
 
@@ -126,8 +128,26 @@
   }
 }
 
+// Evacuations of some seconds; from the end of the fault period on there is
+// none.
+void ScheduleEvacuations(World& world, RandomSource& source) {
+  for (int i = 0; i < kEvacuations; ++i) {
+    const Duration begin(source.Below(static_cast<int>(kFaultPeriod.ms())));
+    const Duration end = begin + Duration(200 + source.Below(8000));
+    At(world, begin, [&world] { Evacuate(world, true); });
+    At(world, std::min(end, kFaultPeriod),
+       [&world] { Evacuate(world, false); });
+  }
+  // Repeated, as an order is lost without a leader.
+  for (int i = 1; i <= 10; ++i) {
+    At(world, kFaultPeriod + Duration(i * 2000),
+       [&world] { Evacuate(world, false); });
+  }
+}
+
 std::vector<std::string> RunSeed(std::uint64_t seed,
-                                 std::map<Outcome, int>& outcomes) {
+                                 std::map<Outcome, int>& outcomes,
+                                 bool evacuations = false) {
   World world(seed);
   RandomSource source(seed);
   world.run_time_ = Duration(500 + source.Below(20'000));
@@ -136,6 +156,8 @@
     return RandomDelivery(world, source);
   };
   ScheduleEvents(world, source);
+  RandomSource evacuation_source(seed);
+  if (evacuations) ScheduleEvacuations(world, evacuation_source);
   RunFor(world, kFaultPeriod + kRecoveryPeriod);
   for (const WorldRequest& request : world.requests_) {
     if (request.last_view_) ++outcomes[request.last_view_->outcome_];
@@ -177,5 +199,18 @@
   if (only == 0) CHECK(outcomes.size() >= 5);
 }
 
+TEST_CASE("random schedules with evacuations keep the invariants") {
+  const std::uint64_t only = EnvironmentNumberOr("FLAMINGOHOLLOW_SEED", 0);
+  const std::uint64_t seeds =
+      EnvironmentNumberOr("FLAMINGOHOLLOW_SEEDS", kSeeds);
+  std::map<Outcome, int> outcomes;
+  for (std::uint64_t seed = std::max<std::uint64_t>(only, 1);
+       seed <= (only > 0 ? only : seeds); ++seed) {
+    for (const std::string& violation : RunSeed(seed, outcomes, true)) {
+      FAIL_CHECK("seed ", seed, ": ", violation);
+    }
+  }
+}
+
 }  // namespace
 }  // namespace flamingohollow
--- a/schema/wire.capnp
+++ b/schema/wire.capnp
@@ -99,6 +99,21 @@
   atMs @5 :Int64;
 }
 
+# Evacuates a failure domain, or takes it back.
+struct EvacuationOrder {
+  domain @0 :Text;
+  evacuate @1 :Bool;
+  number @2 :UInt64;
+  atMs @3 :Int64;
+}
+
+struct Evacuation {
+  domain @0 :Text;
+  inForce @1 :Bool;
+  number @2 :UInt64;
+  orderedMs @3 :Int64;
+}
+
 struct Command {
   union {
     tableChange @0 :TableChange;
@@ -106,6 +121,7 @@
     jobMayRun @2 :JobMayRun;
     jobRequeued @3 :JobRequeued;
     jobEnded @4 :JobEnded;
+    evacuation @5 :EvacuationOrder;
   }
 }
 
@@ -124,6 +140,7 @@
 
 struct JobRecords {
   jobs @0 :List(JobRecord);
+  evacuations @1 :List(Evacuation);
 }
 
 struct JobView {
@@ -225,6 +242,7 @@
   voter @7 :Text;
   address @8 :Text;
   traceParent @9 :Text;
+  domain @10 :Text;
 }
 
 struct CallReply {
--- a/schema/wire.capnp.h
+++ b/schema/wire.capnp.h
@@ -31,6 +31,8 @@
 CAPNP_DECLARE_SCHEMA(bff55815ad4896ed);
 CAPNP_DECLARE_SCHEMA(9c982d01b9eac0d8);
 CAPNP_DECLARE_SCHEMA(d4abbcd80f87b2a6);
+CAPNP_DECLARE_SCHEMA(a611e21d40f2f624);
+CAPNP_DECLARE_SCHEMA(dfd853d53e191038);
 CAPNP_DECLARE_SCHEMA(93485596efa9b498);
 CAPNP_DECLARE_SCHEMA(a68061ea7dcfa154);
 CAPNP_DECLARE_SCHEMA(ae58de09efbfe390);
@@ -233,6 +235,36 @@
   };
 };
 
+struct EvacuationOrder {
+  EvacuationOrder() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(a611e21d40f2f624, 3, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Evacuation {
+  Evacuation() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(dfd853d53e191038, 3, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Command {
   Command() = delete;
 
@@ -245,6 +277,7 @@
     JOB_MAY_RUN,
     JOB_REQUEUED,
     JOB_ENDED,
+    EVACUATION,
   };
 
   struct _capnpPrivate {
@@ -298,7 +331,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(da338032b1ac1dac, 0, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(da338032b1ac1dac, 0, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -443,7 +476,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f6f0e70410a28699, 2, 7)
+    CAPNP_DECLARE_STRUCT_HEADER(f6f0e70410a28699, 2, 8)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1729,6 +1762,198 @@
 };
 #endif  // !CAPNP_LITE
 
+class EvacuationOrder::Reader {
+public:
+  typedef EvacuationOrder Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasDomain() const;
+  inline  ::capnp::Text::Reader getDomain() const;
+
+  inline bool getEvacuate() const;
+
+  inline  ::uint64_t getNumber() const;
+
+  inline  ::int64_t getAtMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class EvacuationOrder::Builder {
+public:
+  typedef EvacuationOrder Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasDomain();
+  inline  ::capnp::Text::Builder getDomain();
+  inline void setDomain( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initDomain(unsigned int size);
+  inline void adoptDomain(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownDomain();
+
+  inline bool getEvacuate();
+  inline void setEvacuate(bool value);
+
+  inline  ::uint64_t getNumber();
+  inline void setNumber( ::uint64_t value);
+
+  inline  ::int64_t getAtMs();
+  inline void setAtMs( ::int64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class EvacuationOrder::Pipeline {
+public:
+  typedef EvacuationOrder Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Evacuation::Reader {
+public:
+  typedef Evacuation Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasDomain() const;
+  inline  ::capnp::Text::Reader getDomain() const;
+
+  inline bool getInForce() const;
+
+  inline  ::uint64_t getNumber() const;
+
+  inline  ::int64_t getOrderedMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Evacuation::Builder {
+public:
+  typedef Evacuation Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasDomain();
+  inline  ::capnp::Text::Builder getDomain();
+  inline void setDomain( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initDomain(unsigned int size);
+  inline void adoptDomain(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownDomain();
+
+  inline bool getInForce();
+  inline void setInForce(bool value);
+
+  inline  ::uint64_t getNumber();
+  inline void setNumber( ::uint64_t value);
+
+  inline  ::int64_t getOrderedMs();
+  inline void setOrderedMs( ::int64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Evacuation::Pipeline {
+public:
+  typedef Evacuation Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Command::Reader {
 public:
   typedef Command Reads;
@@ -1767,6 +1992,10 @@
   inline bool hasJobEnded() const;
   inline  ::flamingohollow::wire::JobEnded::Reader getJobEnded() const;
 
+  inline bool isEvacuation() const;
+  inline bool hasEvacuation() const;
+  inline  ::flamingohollow::wire::EvacuationOrder::Reader getEvacuation() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1836,6 +2065,14 @@
   inline void adoptJobEnded(::capnp::Orphan< ::flamingohollow::wire::JobEnded>&& value);
   inline ::capnp::Orphan< ::flamingohollow::wire::JobEnded> disownJobEnded();
 
+  inline bool isEvacuation();
+  inline bool hasEvacuation();
+  inline  ::flamingohollow::wire::EvacuationOrder::Builder getEvacuation();
+  inline void setEvacuation( ::flamingohollow::wire::EvacuationOrder::Reader value);
+  inline  ::flamingohollow::wire::EvacuationOrder::Builder initEvacuation();
+  inline void adoptEvacuation(::capnp::Orphan< ::flamingohollow::wire::EvacuationOrder>&& value);
+  inline ::capnp::Orphan< ::flamingohollow::wire::EvacuationOrder> disownEvacuation();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2092,6 +2329,9 @@
   inline bool hasJobs() const;
   inline  ::capnp::List< ::flamingohollow::wire::JobRecord,  ::capnp::Kind::STRUCT>::Reader getJobs() const;
 
+  inline bool hasEvacuations() const;
+  inline  ::capnp::List< ::flamingohollow::wire::Evacuation,  ::capnp::Kind::STRUCT>::Reader getEvacuations() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2127,6 +2367,13 @@
   inline void adoptJobs(::capnp::Orphan< ::capnp::List< ::flamingohollow::wire::JobRecord,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::flamingohollow::wire::JobRecord,  ::capnp::Kind::STRUCT>> disownJobs();
 
+  inline bool hasEvacuations();
+  inline  ::capnp::List< ::flamingohollow::wire::Evacuation,  ::capnp::Kind::STRUCT>::Builder getEvacuations();
+  inline void setEvacuations( ::capnp::List< ::flamingohollow::wire::Evacuation,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::flamingohollow::wire::Evacuation,  ::capnp::Kind::STRUCT>::Builder initEvacuations(unsigned int size);
+  inline void adoptEvacuations(::capnp::Orphan< ::capnp::List< ::flamingohollow::wire::Evacuation,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::flamingohollow::wire::Evacuation,  ::capnp::Kind::STRUCT>> disownEvacuations();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3256,6 +3503,9 @@
   inline bool hasTraceParent() const;
   inline  ::capnp::Text::Reader getTraceParent() const;
 
+  inline bool hasDomain() const;
+  inline  ::capnp::Text::Reader getDomain() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3342,6 +3592,13 @@
   inline void adoptTraceParent(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownTraceParent();
 
+  inline bool hasDomain();
+  inline  ::capnp::Text::Builder getDomain();
+  inline void setDomain( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initDomain(unsigned int size);
+  inline void adoptDomain(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownDomain();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4802,6 +5059,158 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool EvacuationOrder::Reader::hasDomain() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool EvacuationOrder::Builder::hasDomain() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader EvacuationOrder::Reader::getDomain() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder EvacuationOrder::Builder::getDomain() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void EvacuationOrder::Builder::setDomain( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder EvacuationOrder::Builder::initDomain(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void EvacuationOrder::Builder::adoptDomain(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> EvacuationOrder::Builder::disownDomain() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool EvacuationOrder::Reader::getEvacuate() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool EvacuationOrder::Builder::getEvacuate() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void EvacuationOrder::Builder::setEvacuate(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t EvacuationOrder::Reader::getNumber() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t EvacuationOrder::Builder::getNumber() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void EvacuationOrder::Builder::setNumber( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t EvacuationOrder::Reader::getAtMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t EvacuationOrder::Builder::getAtMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void EvacuationOrder::Builder::setAtMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Evacuation::Reader::hasDomain() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Evacuation::Builder::hasDomain() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Evacuation::Reader::getDomain() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Evacuation::Builder::getDomain() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Evacuation::Builder::setDomain( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Evacuation::Builder::initDomain(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Evacuation::Builder::adoptDomain(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Evacuation::Builder::disownDomain() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Evacuation::Reader::getInForce() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool Evacuation::Builder::getInForce() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Evacuation::Builder::setInForce(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Evacuation::Reader::getNumber() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Evacuation::Builder::getNumber() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Evacuation::Builder::setNumber( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t Evacuation::Reader::getOrderedMs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t Evacuation::Builder::getOrderedMs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Evacuation::Builder::setOrderedMs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::flamingohollow::wire::Command::Which Command::Reader::which() const {
   return _reader.getDataField<Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -5081,6 +5490,60 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Command::Reader::isEvacuation() const {
+  return which() == Command::EVACUATION;
+}
+inline bool Command::Builder::isEvacuation() {
+  return which() == Command::EVACUATION;
+}
+inline bool Command::Reader::hasEvacuation() const {
+  if (which() != Command::EVACUATION) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Command::Builder::hasEvacuation() {
+  if (which() != Command::EVACUATION) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::flamingohollow::wire::EvacuationOrder::Reader Command::Reader::getEvacuation() const {
+  KJ_IREQUIRE((which() == Command::EVACUATION),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::flamingohollow::wire::EvacuationOrder>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::flamingohollow::wire::EvacuationOrder::Builder Command::Builder::getEvacuation() {
+  KJ_IREQUIRE((which() == Command::EVACUATION),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::flamingohollow::wire::EvacuationOrder>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Command::Builder::setEvacuation( ::flamingohollow::wire::EvacuationOrder::Reader value) {
+  _builder.setDataField<Command::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Command::EVACUATION);
+  ::capnp::_::PointerHelpers< ::flamingohollow::wire::EvacuationOrder>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::flamingohollow::wire::EvacuationOrder::Builder Command::Builder::initEvacuation() {
+  _builder.setDataField<Command::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Command::EVACUATION);
+  return ::capnp::_::PointerHelpers< ::flamingohollow::wire::EvacuationOrder>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Command::Builder::adoptEvacuation(
+    ::capnp::Orphan< ::flamingohollow::wire::EvacuationOrder>&& value) {
+  _builder.setDataField<Command::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, Command::EVACUATION);
+  ::capnp::_::PointerHelpers< ::flamingohollow::wire::EvacuationOrder>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::flamingohollow::wire::EvacuationOrder> Command::Builder::disownEvacuation() {
+  KJ_IREQUIRE((which() == Command::EVACUATION),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::flamingohollow::wire::EvacuationOrder>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t JobRecord::Reader::getId() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -5349,6 +5812,40 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool JobRecords::Reader::hasEvacuations() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool JobRecords::Builder::hasEvacuations() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::flamingohollow::wire::Evacuation,  ::capnp::Kind::STRUCT>::Reader JobRecords::Reader::getEvacuations() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::flamingohollow::wire::Evacuation,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::flamingohollow::wire::Evacuation,  ::capnp::Kind::STRUCT>::Builder JobRecords::Builder::getEvacuations() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::flamingohollow::wire::Evacuation,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void JobRecords::Builder::setEvacuations( ::capnp::List< ::flamingohollow::wire::Evacuation,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::flamingohollow::wire::Evacuation,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::flamingohollow::wire::Evacuation,  ::capnp::Kind::STRUCT>::Builder JobRecords::Builder::initEvacuations(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::flamingohollow::wire::Evacuation,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void JobRecords::Builder::adoptEvacuations(
+    ::capnp::Orphan< ::capnp::List< ::flamingohollow::wire::Evacuation,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::flamingohollow::wire::Evacuation,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::flamingohollow::wire::Evacuation,  ::capnp::Kind::STRUCT>> JobRecords::Builder::disownEvacuations() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::flamingohollow::wire::Evacuation,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t JobView::Reader::getJob() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -7228,6 +7725,40 @@
       ::capnp::bounded<6>() * ::capnp::POINTERS));
 }
 
+inline bool CallRequest::Reader::hasDomain() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline bool CallRequest::Builder::hasDomain() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader CallRequest::Reader::getDomain() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder CallRequest::Builder::getDomain() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline void CallRequest::Builder::setDomain( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder CallRequest::Builder::initDomain(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), size);
+}
+inline void CallRequest::Builder::adoptDomain(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> CallRequest::Builder::disownDomain() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+
 inline bool CallReply::Reader::getIsLeader() const {
   return _reader.getDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
