--- a/flamingohollow/testing/evacuation_test.cc
+++ b/flamingohollow/testing/evacuation_test.cc
@@ -116,6 +116,26 @@
   CHECK(world.violations().empty());
 }
 
+TEST_CASE("a worker is cold as its newest report says") {
+  const Time now(1'000'000);
+  const GraphState state;
+  Scheduler scheduler = MakeScheduler({}, FencingToken(1), state, now, now);
+  PoolWorkerReport report = MakeReport("w", "r");
+  const auto hear = [&](std::uint64_t sequence, Duration left) {
+    report.sequence_ = sequence;
+    Step(scheduler, state, report, now);
+    Step(scheduler, state,
+         WorkerCold{report.id_, report.incarnation_, sequence, left}, now);
+    return IsCold(scheduler.fleet_.at(report.id_), now + Duration(500));
+  };
+  CHECK(hear(1, Duration(2000)));
+  CHECK_FALSE(hear(3, Duration(0)));
+  CHECK_FALSE(hear(2, Duration(1000)));
+  CHECK_FALSE(hear(4, Duration(500)));
+  report.incarnation_ = WorkerIncarnation(report.incarnation_.value() + 1);
+  CHECK(hear(1, Duration(2000)));
+}
+
 // Holds the state of graph jobs.
 class StateOwner : public RecordingOwner {
  public:
