Late units beyond their guarantee preempt nothing

Cause: an urgent unit that could no longer be on time still stopped other work, which was lost for a result of little value.

Change: beyond its customer's guarantee such a unit holds the room that becomes free first, and preempts nothing. The slow pass of the oracle follows the rule.

--- a/flamingohollow/graph_placement.cc
+++ b/flamingohollow/graph_placement.cc
@@ -134,7 +134,10 @@
   }
   const bool may_preempt =
       unit.guaranteed_ || unit.lateness_ != Lateness::kTooLate;
-  if (may_preempt && pass.now_ >= EarliestPreemption(pass, unit)) {
+  // A late result has too little value to lose other work for it.
+  const bool worth_stops =
+      unit.guaranteed_ || unit.lateness_ == Lateness::kOnTime;
+  if (worth_stops && pass.now_ >= EarliestPreemption(pass, unit)) {
     if (const auto trial =
             FindCheapestPlacement(pass, unit, tasks, {}, may_spread)) {
       StopGroups(pass, *trial);
--- a/flamingohollow/graph_placement.h
+++ b/flamingohollow/graph_placement.h
@@ -18,7 +18,8 @@
 // - Best fit: a task goes to the worker with the least resources left over, so
 //   that whole workers stay free for tasks that need them. A gang that wants
 //   one rack gets the rack with the least left over that holds it.
-// - Units of priority 0 may preempt runs of lower priority. Units within their
+// - Units of priority 0 may preempt runs of lower priority if they can still be
+//   on time or are within their customer's guarantee. Units within their
 //   customer's guarantee may also preempt runs of priority 0 that exceed their
 //   own customer's guarantee. Preemption happens as late as the deadline or the
 //   guarantee allows, and where it loses the least work; tasks with several
--- a/flamingohollow/testing/graph_placement_test.cc
+++ b/flamingohollow/testing/graph_placement_test.cc
@@ -330,6 +330,19 @@
   CHECK_EQ(StoppedJobs(plan), std::set<std::string>{MakeKey(1).value()});
 }
 
+// A late result has too little value to lose other work for it.
+TEST_CASE("an urgent job that will be late preempts only within a guarantee") {
+  GraphState state;
+  Fleet fleet = MakeFleet(1, 1, kNow);
+  Submit(state, 1, {MakeStep(1, 8, Duration(5000))}, {});
+  RunTask(state, fleet, 1, 0, "w0", kNow - Duration(2000));
+  Submit(state, 2, {MakeStep(1, 8, Duration(1000))}, {.priority_ = 0});
+  const Time queued_at = kNow - Duration(3500);
+  CHECK(Plan(state, fleet, queued_at).stop_.empty());
+  SetGuarantee(state, "acme", 8);
+  CHECK_EQ(Plan(state, fleet, queued_at).stop_.size(), 1);
+}
+
 TEST_CASE(
     "a job within its customer's guarantee preempts urgent jobs beyond "
     "theirs") {
--- a/flamingohollow/testing/slow_placement.cc
+++ b/flamingohollow/testing/slow_placement.cc
@@ -965,7 +965,8 @@
   }
   const bool guaranteed = pass.guaranteed_.contains(unit.job_->key_);
   const bool may_preempt = guaranteed || unit.lateness_ != Lateness::kTooLate;
-  if (may_preempt && pass.now_ >= EarliestPreemption(pass, unit)) {
+  const bool worth_stops = guaranteed || unit.lateness_ == Lateness::kOnTime;
+  if (worth_stops && pass.now_ >= EarliestPreemption(pass, unit)) {
     if (const auto trial = FindCheapestPlacement(pass, unit, {}, may_spread)) {
       StopGroups(pass, *trial);
       return DeductFromFree(pass, unit, trial->chosen_);
