Operators see the speeds that placement assumes

`place` lines carry the slowest assumed speed; the gauges workers_speed_known and worker_speed_ratio show how many speeds are known and how uneven pools are. No change of a decision; the unit tests of placement, scheduler and service pass.

--- a/flamingohollow/graph_placement.h
+++ b/flamingohollow/graph_placement.h
@@ -37,11 +37,13 @@
 #define FLAMINGOHOLLOW_GRAPH_PLACEMENT_H_
 
 #include <functional>
+#include <map>
 #include <vector>
 
 #include "flamingohollow/fleet.h"
 #include "flamingohollow/graph_state.h"
 #include "flamingohollow/urgent_demand.h"
+#include "flamingohollow/worker_speed.h"
 #include "util/clock.h"
 
 namespace flamingohollow {
@@ -83,6 +85,8 @@
     AttemptRef attempt_;
   };
   std::vector<Stop> stop_;
+  // The pools whose workers' speeds differ widely, by which the plan was made.
+  std::map<PoolName, SpeedSpread> spreads_;
 };
 
 // Returns when a job became known, on the leader's steady clock.
--- a/flamingohollow/graph_placement_pass.cc
+++ b/flamingohollow/graph_placement_pass.cc
@@ -97,7 +97,8 @@
   }
   const auto spread = FindWideSpread(std::move(known));
   if (!spread.has_value()) return;
-  const SpeedSpread& kept = pass.spreads_.emplace(name, *spread).first->second;
+  const SpeedSpread& kept =
+      pass.plan_.spreads_.emplace(name, *spread).first->second;
   for (const std::size_t index : pool) {
     PassWorker& worker = pass.workers_[index];
     const WorkerSpeed& speed = worker.fleet_worker_->speed_;
--- a/flamingohollow/graph_placement_pass.h
+++ b/flamingohollow/graph_placement_pass.h
@@ -156,8 +156,6 @@
   std::vector<Resources> free_;
   std::vector<Resources> free_after_stops_;
   std::vector<PassRack> racks_;
-  // Of the pools whose workers' speeds differ widely.
-  std::map<PoolName, SpeedSpread> spreads_ = {};
   std::map<std::pair<PoolName, std::string>, EligibleWorkers> eligible_;
   // Jobs of priority 0 that are within their customer's guarantee.
   std::unordered_set<const GraphJob*> guaranteed_;
--- a/flamingohollow/graph_scheduler.cc
+++ b/flamingohollow/graph_scheduler.cc
@@ -3,7 +3,10 @@
 
 #include "flamingohollow/graph_scheduler.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 #include "flamingohollow/graph_scheduler_step.h"
@@ -238,20 +241,35 @@
   if (!record.speeds_.empty()) Propose(ctx, std::move(record));
 }
 
+// Returns the speed that the plan assumed of a worker.
+double AssumedSpeed(const Context& ctx, const WorkerId& id,
+                    const PlacementPlan& plan) {
+  const auto worker = ctx.scheduler_.fleet_.find(id);
+  if (worker == ctx.scheduler_.fleet_.end()) return 1;
+  const auto spread = plan.spreads_.find(worker->second.report_.pool_);
+  if (spread == plan.spreads_.end()) return 1;
+  return SpeedOf(worker->second.speed_, spread->second, ctx.now_);
+}
+
 // Logs one event per group of tasks of a step that start together.
-void LogPlaced(const std::vector<OpenedAttempt>& attempts) {
+void LogPlaced(const Context& ctx, const PlacementPlan& plan,
+               const std::vector<OpenedAttempt>& attempts) {
   for (std::size_t begin = 0; begin < attempts.size();) {
     std::size_t end = begin;
     std::string workers;
+    double slowest = std::numeric_limits<double>::infinity();
     while (end < attempts.size() &&
            IsSameStart(attempts[begin].attempt_, attempts[end].attempt_)) {
       if (!workers.empty()) workers += ',';
       workers += attempts[end].worker_.value();
+      slowest =
+          std::min(slowest, AssumedSpeed(ctx, attempts[end].worker_, plan));
       ++end;
     }
     LogDetail("place", {{"attempt", Describe(attempts[begin].attempt_)},
                         {"tasks", end - begin},
-                        {"workers", workers}});
+                        {"workers", workers},
+                        {"speed", fmt::format("{:.2f}", slowest)}});
     begin = end;
   }
 }
@@ -272,7 +290,7 @@
     AddRun(*worker, opened.attempt_, std::move(run));
     record.attempts_.push_back(opened);
   }
-  LogPlaced(record.attempts_);
+  LogPlaced(ctx, plan, record.attempts_);
   ++ctx.scheduler_.open_records_in_flight_;
   Propose(ctx, std::move(record));
 }
@@ -306,6 +324,11 @@
   const PlacementPlan plan = PlanPlacement(
       ctx.state_, ctx.scheduler_.fleet_, ctx.scheduler_.options_.placement_,
       since, ctx.now_, RoomToKeep(demands, need, ctx.now_));
+  ctx.scheduler_.speed_ratio_ = 1;
+  for (const auto& [pool, spread] : plan.spreads_) {
+    ctx.scheduler_.speed_ratio_ =
+        std::max(ctx.scheduler_.speed_ratio_, spread.fast_ / spread.slow_);
+  }
   for (const PlacementPlan::Stop& stop : plan.stop_) {
     FleetWorker& worker = ctx.scheduler_.fleet_.at(stop.worker_);
     RecordPreempted(demands, worker.report_.pool_, 1, ctx.now_);
--- a/flamingohollow/graph_scheduler.h
+++ b/flamingohollow/graph_scheduler.h
@@ -205,6 +205,9 @@
   // Progress per second of the tasks of each step.
   std::map<StepRef, StepPace> step_paces_;
   std::map<StepRef, StepRate> step_rates_;
+  // How many times as fast the fast workers of the most uneven pool are as its
+  // slow ones, in the last placement pass; 1 if no pool is uneven.
+  double speed_ratio_ = 1;
   // No speeds are recorded before this.
   Time next_speeds_record_;
   // When this scheduler learned of each job; its waiting time starts then.
--- a/flamingohollow/graph_service.cc
+++ b/flamingohollow/graph_service.cc
@@ -481,8 +481,10 @@
   }
   std::size_t usable = 0;
   std::size_t runs = 0;
+  std::size_t speed_known = 0;
   for (const auto& [id, worker] : leadership_->scheduler_.fleet_) {
     runs += worker.runs_.size();
+    if (IsSpeedKnown(worker.speed_, Now())) ++speed_known;
     if (AcceptsTasks(worker, options_.scheduler_.placement_.report_interval_,
                      Now())) {
       ++usable;
@@ -492,6 +494,8 @@
   metrics_.SetGauge("jobs_running", static_cast<double>(running));
   metrics_.SetGauge("workers_usable", static_cast<double>(usable));
   metrics_.SetGauge("attempts_open", static_cast<double>(runs));
+  metrics_.SetGauge("workers_speed_known", static_cast<double>(speed_known));
+  metrics_.SetGauge("worker_speed_ratio", leadership_->scheduler_.speed_ratio_);
   const auto& evacuations = state_.evacuations_;
   metrics_.SetGauge(
       "failure_domains_evacuated",
