A simulated load with very uneven workers, long tasks and wrong estimates

Cause: graph_load_test had only pools whose slow third is 1.3 times as slow.

Change: MakeUnevenLoad in the simulated loads and their bench. One test guards what learned speeds give; one checks that three quarters of the urgent jobs are on time.

--- a/bench/graph_load_bench.cc
+++ b/bench/graph_load_bench.cc
@@ -124,7 +124,8 @@
       "| load | trouble | policy | worth | urgent in time | rebuild in time | "
       "replan in time | in vain |\n|---|---|---|--:|--:|--:|--:|--:|\n");
   const std::vector<Policy> policies = MakePolicies();
-  for (const auto& make : {&MakeDispatchLoad, &MakeTimecastLoad}) {
+  for (const auto& make :
+       {&MakeDispatchLoad, &MakeTimecastLoad, &MakeUnevenLoad}) {
     for (const NamedDisturbance& disturbance : Disturbances()) {
       const std::string only = absl::GetFlag(FLAGS_only);
       if (disturbance.name_.find(only) == std::string::npos) continue;
--- a/flamingohollow/testing/graph_load.cc
+++ b/flamingohollow/testing/graph_load.cc
@@ -76,6 +76,9 @@
 
 Duration Ms(double ms) { return Duration(std::llround(ms)); }
 
+// A long task takes this many times as long as others of its step.
+constexpr double kLongFactor = 7;
+
 void DrawStep(const QueueLoad& queue, RandomSource& random, Arrival& job) {
   StepSpec step;
   const double tasks = std::clamp(random.LogNormal(queue.mean_tasks_, 0.8), 1.0,
@@ -87,15 +90,24 @@
   step.gang_ = step.tasks_ > 1 && random.Bernoulli(queue.gang_share_);
   step.same_rack_ = step.gang_ && random.Bernoulli(queue.same_rack_share_);
   step.checkpoints_ = random.Bernoulli(queue.checkpoint_share_);
+  // Without long tasks nothing is drawn for them, so that a seed gives the same
+  // jobs as ever.
+  const auto length = [&queue, &random] {
+    const bool is_long =
+        queue.long_share_ > 0 && random.Bernoulli(queue.long_share_);
+    return is_long ? kLongFactor : 1;
+  };
   const double mean = random.LogNormal(
       static_cast<double>(queue.mean_work_.ms()), queue.work_spread_);
+  const double gang_length = step.gang_ ? length() : 1;
   step.estimate_ =
       Ms(mean * std::exp(queue.estimate_spread_ * random.Normal()));
   std::vector<Duration>& work = job.work_.emplace_back();
   for (std::uint32_t i = 0; i < step.tasks_; ++i) {
     // Members of a gang have equal work.
     const double uneven = step.gang_ ? 0 : kUnevenWorkSpread;
-    work.push_back(Ms(random.LogNormal(mean, uneven)) + Duration(1));
+    const double times = step.gang_ ? gang_length : length();
+    work.push_back(Ms(times * random.LogNormal(mean, uneven)) + Duration(1));
     job.longest_task_ = std::max(job.longest_task_, work.back());
   }
   const double cores =
@@ -151,6 +163,7 @@
 }
 
 double BaseSlowness(const GraphLoad& load, int worker) {
+  if (worker % 3 == 1) return 1 / load.fast_third_factor_;
   return worker % 3 == 2 ? load.slow_third_factor_ : 1;
 }
 
@@ -357,4 +370,15 @@
   return load;
 }
 
+GraphLoad MakeUnevenLoad(int workers, LoadDisturbance disturbance) {
+  GraphLoad load = MakeDispatchLoad(workers, disturbance);
+  load.name_ = "uneven";
+  load.slow_third_factor_ = 1 / 0.6;
+  load.fast_third_factor_ = 1.6;
+  for (QueueLoad& queue : load.queues_) queue.long_share_ = 0.03;
+  load.queues_[0].mean_work_ = Duration(2100);
+  load.queues_[0].estimate_spread_ = 0.3;
+  return load;
+}
+
 }  // namespace flamingohollow::testing
--- a/flamingohollow/testing/graph_load.h
+++ b/flamingohollow/testing/graph_load.h
@@ -38,6 +38,8 @@
   // Work of one task: log-normal with this mean.
   Duration mean_work_;
   double work_spread_ = 0.3;
+  // Share of the tasks, or of the gangs, that take seven times as long.
+  double long_share_ = 0;
   // Standard deviation of the logarithm of the estimates' relative error.
   double estimate_spread_ = 0.2;
   // Share of the jobs that are gangs, share of the gangs that want one rack,
@@ -72,6 +74,8 @@
   LoadDisturbance disturbance_ = LoadDisturbance::kNone;
   // Every third worker is this many times as slow.
   double slow_third_factor_ = 1.3;
+  // Every other third is this many times as fast.
+  double fast_third_factor_ = 1;
   std::vector<QueueLoad> queues_;
 };
 
@@ -103,6 +107,10 @@
 // the first memory is scarce; the second has twice as many urgent jobs.
 GraphLoad MakeDispatchLoad(int workers, LoadDisturbance disturbance);
 GraphLoad MakeTimecastLoad(int workers, LoadDisturbance disturbance);
+// As the first, but a third each of the workers is 0.6, 1 and 1.6 times as
+// fast, estimates of urgent jobs are off by up to half, and 3% of the tasks
+// take seven times as long.
+GraphLoad MakeUnevenLoad(int workers, LoadDisturbance disturbance);
 
 LoadResult SimulateLoad(const GraphLoad& load, const SchedulerOptions& options,
                         std::uint64_t seed);
--- a/flamingohollow/testing/graph_load_test.cc
+++ b/flamingohollow/testing/graph_load_test.cc
@@ -97,6 +97,27 @@
   CHECK_GT(with.value_, without.value_);
 }
 
+const Totals& UnevenTotals() {
+  constexpr int kUnevenWorkers = 96;
+  static const Totals totals =
+      SimulateSeeds(MakeUnevenLoad(kUnevenWorkers, LoadDisturbance::kNone));
+  return totals;
+}
+
+// Fails if speeds of workers are not used.
+TEST_CASE("urgent jobs get fast workers where speeds are very uneven") {
+  constexpr double kMinOnTime = 0.66;
+  const Totals& totals = UnevenTotals();
+  CHECK_GE(totals.on_time_, totals.jobs_ * kMinOnTime);
+  CHECK_EQ(totals.violations_, "");
+}
+
+TEST_CASE("three quarters of urgent jobs are on time on very uneven workers") {
+  constexpr double kMinOnTime = 0.75;
+  const Totals& totals = UnevenTotals();
+  CHECK_GE(totals.on_time_, totals.jobs_ * kMinOnTime);
+}
+
 TEST_CASE("no rule is violated while workers are disconnected or slow") {
   for (const LoadDisturbance disturbance :
        {LoadDisturbance::kDisconnectedWorkers, LoadDisturbance::kSlowWorkers}) {
