--- a/flamingohollow/testing/graph_load_test.cc
+++ b/flamingohollow/testing/graph_load_test.cc
@@ -104,12 +104,8 @@
   return totals;
 }
 
-// Fails if speeds of workers are not used.
-TEST_CASE("urgent jobs get fast workers where speeds are very uneven") {
-  constexpr double kMinOnTime = 0.66;
-  const Totals& totals = UnevenTotals();
-  CHECK_GE(totals.on_time_, totals.jobs_ * kMinOnTime);
-  CHECK_EQ(totals.violations_, "");
+TEST_CASE("no rule is violated where speeds are very uneven") {
+  CHECK_EQ(UnevenTotals().violations_, "");
 }
 
 TEST_CASE("three quarters of urgent jobs are on time on very uneven workers") {
