Unevenness of a pool is judged by what was measured

Change: the spread, the classes and the assumed speeds use the measured speed without the pull of the prior.

--- a/flamingohollow/graph_placement_pass.cc
+++ b/flamingohollow/graph_placement_pass.cc
@@ -93,7 +93,9 @@
   std::vector<double> known;
   for (const std::size_t index : pool) {
     const WorkerSpeed& speed = pass.workers_[index].fleet_worker_->speed_;
-    if (IsSpeedKnown(speed, pass.now_)) known.push_back(speed.log_speed_);
+    if (IsSpeedKnown(speed, pass.now_)) {
+      known.push_back(MeasuredLogSpeed(speed));
+    }
   }
   const auto spread = FindWideSpread(std::move(known));
   if (!spread.has_value()) return;
--- a/flamingohollow/testing/slow_placement.cc
+++ b/flamingohollow/testing/slow_placement.cc
@@ -241,7 +241,9 @@
   std::vector<double> known;
   for (const std::size_t worker : pool) {
     const WorkerSpeed& speed = pass.workers_[worker].fleet_worker_->speed_;
-    if (IsSpeedKnown(speed, pass.now_)) known.push_back(speed.log_speed_);
+    if (IsSpeedKnown(speed, pass.now_)) {
+      known.push_back(MeasuredLogSpeed(speed));
+    }
   }
   for (const std::size_t index : pool) {
     PassWorker& worker = pass.workers_[index];
--- a/flamingohollow/testing/worker_speed_test.cc
+++ b/flamingohollow/testing/worker_speed_test.cc
@@ -43,7 +43,7 @@
 std::optional<SpeedSpread> SpreadOf(const std::vector<WorkerSpeed>& workers) {
   std::vector<double> known;
   for (const WorkerSpeed& worker : workers) {
-    if (IsSpeedKnown(worker, kNow)) known.push_back(worker.log_speed_);
+    if (IsSpeedKnown(worker, kNow)) known.push_back(MeasuredLogSpeed(worker));
   }
   return FindWideSpread(known);
 }
@@ -70,6 +70,17 @@
   CHECK_FALSE(SpreadOf(Learn(1.25, true, 60)).has_value());
 }
 
+// A new leader may begin with speeds of one measurement each.
+TEST_CASE("one measurement of each worker shows that a pool is uneven") {
+  std::vector<WorkerSpeed> workers(kWorkers);
+  for (std::size_t i = 0; i < kWorkers; ++i) {
+    StepRate step{std::log(0.1), 0.05, 5};
+    LearnSpeed(workers[i], step, std::log(0.1) + TrueSpeed(i, 1.6), false,
+               kNow);
+  }
+  CheckClasses(workers, 0);
+}
+
 TEST_CASE("few known workers say nothing about their pool") {
   CHECK_FALSE(FindWideSpread({}).has_value());
   CHECK_FALSE(FindWideSpread({-1, -1, -1, 0, 0, 0, 1, 1, 1}).has_value());
--- a/flamingohollow/worker_speed.cc
+++ b/flamingohollow/worker_speed.cc
@@ -99,6 +99,11 @@
   return VarianceAt(worker, now) <= kKnownVariance;
 }
 
+double MeasuredLogSpeed(const WorkerSpeed& worker) {
+  const double weight = 1 - worker.variance_ / kUnknownSpeedVariance;
+  return weight > 0 ? worker.log_speed_ / weight : 0;
+}
+
 std::optional<SpeedSpread> FindWideSpread(std::vector<double> log_speeds) {
   const std::size_t count = log_speeds.size();
   if (count < kMinKnownWorkers) return std::nullopt;
@@ -113,7 +118,7 @@
 
 double SpeedOf(const WorkerSpeed& worker, const SpeedSpread& spread, Time now) {
   if (!IsSpeedKnown(worker, now)) return 1;
-  return std::exp(worker.log_speed_ - spread.log_typical_);
+  return std::exp(MeasuredLogSpeed(worker) - spread.log_typical_);
 }
 
 SpeedClass ClassOf(const WorkerSpeed& worker, const SpeedSpread& spread,
--- a/flamingohollow/worker_speed.h
+++ b/flamingohollow/worker_speed.h
@@ -78,6 +78,12 @@
 // ones. Knowledge is lost slowly without new measurements.
 bool IsSpeedKnown(const WorkerSpeed& worker, Time now);
 
+// Returns what the measurements alone say of a worker of known speed.
+// `log_speed_` lies between that and the speed of a worker of which nothing is
+// known, so that differences would seem too small while there are few
+// measurements.
+double MeasuredLogSpeed(const WorkerSpeed& worker);
+
 // How fast a worker is beside the others of its pool.
 enum class SpeedClass : std::uint8_t {
   kSlow = 0,
@@ -96,8 +102,8 @@
 };
 
 // Returns nothing unless enough workers are known and the fast ones are at
-// least kWideSpread times as fast as the slow ones. `log_speeds` are those of
-// the workers of known speed.
+// least kWideSpread times as fast as the slow ones. `log_speeds` are those
+// measured of the workers of known speed.
 std::optional<SpeedSpread> FindWideSpread(std::vector<double> log_speeds);
 
 // Returns the worker's speed relative to the pool's typical speed (1), or 1 if
