Scheduler: the placement pass in steps; names of what a late unit may do

Cause: read as a newcomer, PlaceTasks did five things, and may_preempt meant that a unit may hold room. Change: IsPlacementDue, StopPlanned and SpeedRatio are functions of their own; may_reserve beside may_preempt; urgent_demand.cc has a head comment. No change of behaviour: 3,000 random pools equal the slow pass's plan, and the tests of scheduler and placement pass.

--- a/flamingohollow/graph_placement.cc
+++ b/flamingohollow/graph_placement.cc
@@ -132,19 +132,19 @@
           FitUnit(pass, unit, tasks, &Pass::free_after_stops_, may_spread)) {
     return DeductFromFree(pass, unit, *fit);
   }
-  const bool may_preempt =
-      unit.guaranteed_ || unit.lateness_ != Lateness::kTooLate;
   // A late result has too little value to lose other work for it.
-  const bool worth_stops =
+  const bool may_preempt =
       unit.guaranteed_ || unit.lateness_ == Lateness::kOnTime;
-  if (worth_stops && pass.now_ >= EarliestPreemption(pass, unit)) {
+  if (may_preempt && pass.now_ >= EarliestPreemption(pass, unit)) {
     if (const auto trial =
             FindCheapestPlacement(pass, unit, tasks, {}, may_spread)) {
       StopGroups(pass, *trial);
       return DeductFromFree(pass, unit, trial->chosen_);
     }
   }
-  if (may_preempt) ReserveSoonestFree(pass, unit, tasks, may_spread);
+  const bool may_reserve =
+      unit.guaranteed_ || unit.lateness_ != Lateness::kTooLate;
+  if (may_reserve) ReserveSoonestFree(pass, unit, tasks, may_spread);
 }
 
 // Whether a gang that wants one rack may now be placed on several. An urgent
--- a/flamingohollow/graph_scheduler.cc
+++ b/flamingohollow/graph_scheduler.cc
@@ -295,19 +295,43 @@
   Propose(ctx, std::move(record));
 }
 
-void PlaceTasks(Context& ctx) {
-  if (ctx.scheduler_.open_records_in_flight_ > 0) return;
-  if (!ctx.scheduler_.placement_due_ &&
-      ctx.now_ < ctx.scheduler_.next_placement_) {
-    return;
+bool IsPlacementDue(const Context& ctx) {
+  const Scheduler& scheduler = ctx.scheduler_;
+  if (scheduler.open_records_in_flight_ > 0) return false;
+  if (!scheduler.placement_due_ && ctx.now_ < scheduler.next_placement_) {
+    return false;
   }
-  const std::int64_t factor = ctx.scheduler_.urgent_placement_due_
-                                  ? kUrgentPausePerCost
-                                  : kPausePerCost;
-  const Duration cost = ctx.scheduler_.placement_cost_;
+  const std::int64_t factor =
+      scheduler.urgent_placement_due_ ? kUrgentPausePerCost : kPausePerCost;
   // The last pass began at `last_placement_`.
-  const Duration pause = std::min(cost * (factor + 1), kMaxPlacementPause);
-  if (ctx.now_ - ctx.scheduler_.last_placement_ < pause) return;
+  const Duration pause =
+      std::min(scheduler.placement_cost_ * (factor + 1), kMaxPlacementPause);
+  return ctx.now_ - scheduler.last_placement_ >= pause;
+}
+
+void StopPlanned(Context& ctx, const PlacementPlan& plan) {
+  for (const PlacementPlan::Stop& stop : plan.stop_) {
+    FleetWorker& worker = ctx.scheduler_.fleet_.at(stop.worker_);
+    RecordPreempted(ctx.scheduler_.urgent_demands_, worker.report_.pool_, 1,
+                    ctx.now_);
+    Run* run = FindRun(worker, stop.attempt_);
+    if (run != nullptr) {
+      StopRun(ctx, worker, stop.attempt_, *run, "more urgent work");
+    }
+  }
+}
+
+// The ratio of fast to slow workers in the most uneven pool of the plan.
+double SpeedRatio(const PlacementPlan& plan) {
+  double ratio = 1;
+  for (const auto& [pool, spread] : plan.spreads_) {
+    ratio = std::max(ratio, spread.fast_ / spread.slow_);
+  }
+  return ratio;
+}
+
+void PlaceTasks(Context& ctx) {
+  if (!IsPlacementDue(ctx)) return;
   ctx.scheduler_.last_placement_ = ctx.now_;
   ctx.scheduler_.placement_due_ = false;
   ctx.scheduler_.urgent_placement_due_ = false;
@@ -324,19 +348,8 @@
   const PlacementPlan plan = PlanPlacement(
       ctx.state_, ctx.scheduler_.fleet_, ctx.scheduler_.options_.placement_,
       since, ctx.now_, RoomToKeep(demands, need, ctx.now_));
-  ctx.scheduler_.speed_ratio_ = 1;
-  for (const auto& [pool, spread] : plan.spreads_) {
-    ctx.scheduler_.speed_ratio_ =
-        std::max(ctx.scheduler_.speed_ratio_, spread.fast_ / spread.slow_);
-  }
-  for (const PlacementPlan::Stop& stop : plan.stop_) {
-    FleetWorker& worker = ctx.scheduler_.fleet_.at(stop.worker_);
-    RecordPreempted(demands, worker.report_.pool_, 1, ctx.now_);
-    Run* run = FindRun(worker, stop.attempt_);
-    if (run != nullptr) {
-      StopRun(ctx, worker, stop.attempt_, *run, "more urgent work");
-    }
-  }
+  ctx.scheduler_.speed_ratio_ = SpeedRatio(plan);
+  StopPlanned(ctx, plan);
   StartPlanned(ctx, plan);
 }
 
--- a/flamingohollow/urgent_demand.cc
+++ b/flamingohollow/urgent_demand.cc
@@ -1,3 +1,5 @@
+// Records the needs of urgent jobs, decaying, and decides what to keep free.
+
 #include "flamingohollow/urgent_demand.h"
 
 #include <algorithm>
