Tests of deadly tasks and of capacity that changes, failing

Cause: crashes of workers aren't counted against the tasks that ran there, and the capacity of a worker is looked at when a task is placed, not when its start is sent.

--- /dev/null
+++ b/flamingohollow/testing/deadly_task_test.cc
@@ -0,0 +1,147 @@
+// Tests what becomes of tasks that crash their workers, and of those beside
+// them.
+
+#include <doctest/doctest.h>
+
+#include <cstdint>
+#include <cstdlib>
+#include <string>
+
+#include "flamingohollow/testing/graph_world.h"
+
+namespace flamingohollow::testing {
+namespace {
+
+std::string Broken(const GraphWorld& world) {
+  std::string all;
+  for (const std::string& rule : world.violations()) all += rule + "; ";
+  return all;
+}
+
+constexpr std::uint64_t kDeadlyJob = 1;
+
+// Runs a deadly job beside sound ones that fill three quarters of the workers.
+GraphWorld RunBeside(const GraphWorldOptions& options, StepSpec step,
+                     Duration delay) {
+  GraphWorld world(options);
+  world.RunFor(Duration(2000));
+  for (std::uint64_t job = 2; job <= 7; ++job) {
+    world.Submit(job, {MakeStep(6, 1, Duration(7000))}, {});
+  }
+  world.RunFor(Duration(500));
+  world.SetDeadly(kDeadlyJob, delay);
+  world.Submit(kDeadlyJob, {std::move(step)}, {});
+  world.RunFor(Duration(90'000));
+  return world;
+}
+
+void CheckGivenUp(const GraphWorld& world) {
+  CHECK_EQ(world.JobState(kDeadlyJob), GraphJobState::kFailed);
+  for (std::uint64_t job = 2; job <= 7; ++job) {
+    CHECK_EQ(world.JobState(job), GraphJobState::kCompleted);
+  }
+  CHECK_EQ(Broken(world), "");
+}
+
+TEST_CASE("a task that crashes each worker at its start is given up") {
+  for (const bool renamed : {true, false}) {
+    for (const Duration down :
+         {Duration(1000), Duration(3000), Duration(8000), Duration(20'000)}) {
+      CAPTURE(renamed);
+      CAPTURE(down.ms());
+      const GraphWorld world =
+          RunBeside({.down_ = down, .renamed_ = renamed},
+                    MakeStep(1, 1, Duration(3000)), Duration());
+      CheckGivenUp(world);
+      CHECK(world.crashes() <= 5);
+    }
+  }
+}
+
+TEST_CASE("a task that crashes each worker while it runs is given up") {
+  for (const Duration delay : {Duration(300), Duration(1500), Duration(2900)}) {
+    CAPTURE(delay.ms());
+    CheckGivenUp(RunBeside({}, MakeStep(1, 1, Duration(3000)), delay));
+  }
+}
+
+TEST_CASE("a gang that crashes its workers is given up") {
+  for (const Duration delay : {Duration(), Duration(500)}) {
+    CAPTURE(delay.ms());
+    CheckGivenUp(RunBeside({.per_rack_ = 6},
+                           MakeGang(3, 2, Duration(3000), false), delay));
+  }
+}
+
+TEST_CASE("what is known of a deadly task outlasts a leader") {
+  for (const Duration term : {Duration(2000), Duration(5000)}) {
+    CAPTURE(term.ms());
+    GraphWorld world({.racks_ = 4});
+    world.RunFor(Duration(2000));
+    world.SetDeadly(kDeadlyJob, Duration(200));
+    world.Submit(kDeadlyJob, {MakeStep(1, 1, Duration(3000))}, {});
+    for (int i = 0; i < 12; ++i) {
+      world.RunFor(term);
+      world.ChangeLeader();
+    }
+    CHECK_EQ(world.JobState(kDeadlyJob), GraphJobState::kFailed);
+    CHECK_EQ(Broken(world), "");
+  }
+}
+
+TEST_CASE("many deadly tasks at once are given up, sound ones are done") {
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    CAPTURE(seed);
+    GraphWorld world({.seed_ = seed, .racks_ = 4, .per_rack_ = 4});
+    world.RunFor(Duration(2000));
+    for (std::uint64_t job = 1; job <= 20; ++job) {
+      const bool deadly = job % 5 < 3;
+      if (deadly) world.SetDeadly(job, Duration(seed % 2 == 0 ? 0 : 400));
+      const bool gang = job % 2 == 0;
+      world.Submit(job,
+                   {gang ? MakeGang(3, 2, Duration(4000), false)
+                         : MakeStep(4, 1, Duration(4000))},
+                   {});
+      world.RunFor(Duration(500));
+      if (job == 8) world.ChangeLeader();
+    }
+    world.RunFor(Duration(120'000));
+    for (std::uint64_t job = 1; job <= 20; ++job) {
+      CAPTURE(job);
+      CHECK_EQ(world.JobState(job), job % 5 < 3 ? GraphJobState::kFailed
+                                                : GraphJobState::kCompleted);
+    }
+    CHECK_EQ(Broken(world), "");
+  }
+}
+
+TEST_CASE("sound tasks beside two crashes of workers are not given up") {
+  GraphWorld world({.racks_ = 1, .per_rack_ = 2});
+  world.RunFor(Duration(2000));
+  world.Submit(2, {MakeStep(8, 1, Duration(4000))}, {});
+  for (int i = 0; i < 2; ++i) {
+    world.RunFor(Duration(2000));
+    world.Crash(0);
+    world.Crash(1);
+  }
+  world.RunFor(Duration(20'000));
+  CHECK_EQ(world.JobState(2), GraphJobState::kCompleted);
+}
+
+// Months of a service see more crashes of workers than a deadly task causes.
+TEST_CASE("a long-running task survives crashes that are far apart") {
+  GraphWorld world({.racks_ = 1, .per_rack_ = 1});
+  world.RunFor(Duration(2000));
+  StepSpec step = MakeStep(1, 8, Duration(1000));
+  step.long_running_ = true;
+  world.Submit(2, {step}, {});
+  for (int i = 0; i < 6; ++i) {
+    world.RunFor(Duration(700'000));
+    world.Crash(0);
+  }
+  world.RunFor(Duration(5000));
+  CHECK_EQ(world.JobState(2), GraphJobState::kActive);
+}
+
+}  // namespace
+}  // namespace flamingohollow::testing
--- a/flamingohollow/testing/graph_scheduler_test.cc
+++ b/flamingohollow/testing/graph_scheduler_test.cc
@@ -276,6 +276,7 @@
   GraphState state_;
   Scheduler scheduler_;
   Time now_{1'000'000};
+  std::uint64_t reports_ = 0;
 
   OneWorker() { Lead(1); }
 
@@ -299,10 +300,13 @@
       }
     }
   }
-  void Report(std::int64_t incarnation, std::int64_t clock) {
+  void Report(std::int64_t incarnation, std::int64_t clock,
+              const Resources& capacity = kWorkerSize) {
     PoolWorkerReport report = MakeReport("w", "r");
     report.incarnation_ = WorkerIncarnation(incarnation);
     report.clock_ms_ = clock;
+    report.capacity_ = capacity;
+    report.sequence_ = ++reports_;
     ApplyRecords(Feed(report));
   }
   // The first command of this kind sent in the next ticks; empty if none is.
@@ -529,6 +533,64 @@
   CHECK_FALSE(world.IsTaskOpen(2));
 }
 
+constexpr Resources kShrunk{
+    .millicores_ = 32000, .memory_mb_ = 128000, .accelerators_ = 2};
+
+TEST_CASE("nothing starts on a worker that shrank after the placement") {
+  OneWorker world;
+  world.RunOneTask();
+  world.Apply(MakeSubmit(2, {MakeStep(1, 4, Duration(500))}, {}));
+  std::optional<GraphRecord> open;
+  while (!open.has_value()) {
+    for (const SchedulerAction& action :
+         world.Feed(SchedulerTick{world.now_})) {
+      const auto* record = std::get_if<GraphRecord>(&action);
+      if (record != nullptr && std::holds_alternative<OpenRecord>(*record)) {
+        open = *record;
+      }
+    }
+  }
+  world.Report(1, 900'800, kShrunk);
+  for (const SchedulerAction& action : world.Apply(*open)) {
+    CHECK_FALSE(std::holds_alternative<StartCommand>(action));
+  }
+}
+
+TEST_CASE("a start without an answer is not sent again to a shrunken worker") {
+  OneWorker world;
+  world.RunOneTask();
+  world.Apply(MakeSubmit(2, {MakeStep(1, 4, Duration(500))}, {}));
+  const auto start = world.Next<StartCommand>();
+  REQUIRE(start.has_value());
+  world.Feed(StartResult{WorkerId("w"), WorkerIncarnation(1), start->attempt_,
+                         CommandOutcome::kNoAnswer, 0, ""});
+  world.Report(1, 900'800, kShrunk);
+  CHECK_FALSE(world.Next<StartCommand>().has_value());
+}
+
+TEST_CASE("a run that should not be there takes capacity until it has ended") {
+  OneWorker world;
+  world.RunOneTask();
+  world.Apply(MakeSubmit(2, {MakeStep(1, 6, Duration(500))}, {}));
+  world.Apply(CancelRecord{MakeKey(2), world.now_});
+  const AttemptRef stray{{MakeKey(2), {}, {}, {}}, AttemptId(1)};
+  PollResult result{.worker_ = WorkerId("w"),
+                    .incarnation_ = WorkerIncarnation(1),
+                    .number_ = world.Next<PollCommand>()->number_,
+                    .outcome_ = CommandOutcome::kDone,
+                    .clock_ms_ = 900'900,
+                    .running_ = {{stray, {}, {}}},
+                    .ends_ = {}};
+  world.Feed(result);
+  world.Apply(MakeSubmit(3, {MakeStep(1, 4, Duration(500))}, {}));
+  CHECK_FALSE(world.Next<StartCommand>(10).has_value());
+  const auto poll = world.Next<PollCommand>();
+  REQUIRE(poll.has_value());
+  world.Answer(*poll, CommandOutcome::kDone, 901'400,
+               {{2, stray, AttemptEnd::kStopped, {}}});
+  CHECK(world.Next<StartCommand>().has_value());
+}
+
 std::vector<StepSpec> RandomSteps(std::mt19937_64& random) {
   std::vector<StepSpec> steps;
   const std::uint64_t count = 1 + random() % 3;
--- a/flamingohollow/testing/graph_world.cc
+++ b/flamingohollow/testing/graph_world.cc
@@ -23,6 +23,9 @@
 constexpr Duration kSaveEvery(2000);
 constexpr Duration kRestoreTime(600);
 constexpr double kRemoteFactor = 3;
+// A task that has crashed this many workers may be started this often again.
+constexpr int kCrashesBeforeLimit = 3;
+constexpr int kStartsAfterLimit = 2;
 
 // A checkpoint of the model holds the work done, in ms.
 Checkpoint Save(Duration done) {
@@ -146,9 +149,11 @@
     if (const auto* record = std::get_if<GraphRecord>(&action)) {
       ProposeLater(*record);
     } else if (const auto* start = std::get_if<StartCommand>(&action)) {
-      const FailureDomain& domain =
-          FindWorker(start->target_.worker_)->report_.failure_domain_;
-      if (IsEvacuated(state_.evacuations_, domain)) {
+      const FakeWorker* target = FindWorker(start->target_.worker_);
+      const bool evacuated =
+          target != nullptr &&
+          IsEvacuated(state_.evacuations_, target->report_.failure_domain_);
+      if (evacuated) {
         violations_.insert("a start was sent to an evacuated domain");
       }
       StartResult result{start->target_.worker_,
@@ -324,6 +329,11 @@
       if (attempt.task_ == task) violations_.insert("a task ran twice at once");
     }
   }
+  DeadlyTask& deadly = deadly_tasks_[task];
+  if (deadly.crashes_ >= kCrashesBeforeLimit &&
+      ++deadly.starts_after_ > kStartsAfterLimit) {
+    violations_.insert("a deadly task was started again and again");
+  }
   if (acknowledged_done_.contains(task)) {
     violations_.insert("a task started after its acknowledged end");
   }
@@ -360,7 +370,8 @@
   Resources used = SpecOf(task).need_;
   for (const auto& [attempt, run] : worker.runs_) used = used + run.need_;
   const bool late = until <= now_;
-  if (old || late || !Fits(used, worker.report_.capacity_)) {
+  const bool full = options_.guarded_ && !Fits(used, worker.report_.capacity_);
+  if (old || late || full) {
     result.outcome_ = CommandOutcome::kRefused;
     return;
   }
@@ -374,6 +385,31 @@
   worker.runs_.emplace(command.attempt_, run);
   BeginWork(worker, command.attempt_);
   result.outcome_ = CommandOutcome::kDone;
+  const auto deadly = deadly_.find(task.job_);
+  if (deadly == deadly_.end()) return;
+  if (deadly->second == Duration()) {
+    CrashBy(worker, command.attempt_);
+    result.outcome_ = CommandOutcome::kNoAnswer;
+    return;
+  }
+  At(now_ + deadly->second, [this, &worker, attempt = command.attempt_] {
+    if (worker.runs_.contains(attempt)) CrashBy(worker, attempt);
+  });
+}
+
+void GraphWorld::CrashBy(FakeWorker& worker, const AttemptRef& attempt) {
+  ++crashes_;
+  ++deadly_tasks_[attempt.task_].crashes_;
+  worker.runs_.clear();
+  worker.disconnected_ = true;
+  At(now_ + options_.down_, [this, &worker] {
+    worker.disconnected_ = false;
+    Restart(worker);
+    if (!options_.renamed_) return;
+    const std::string& id = worker.report_.id_.value();
+    worker.report_.id_ = WorkerId(
+        fmt::format("{}-{}", id.substr(0, id.find('-')), ++worker.lives_));
+  });
 }
 
 void GraphWorld::CarryOut(FakeWorker& worker, const StopCommand& command,
@@ -387,9 +423,10 @@
   const WorkerId id = worker.report_.id_;
   const WorkerIncarnation incarnation = worker.report_.incarnation_;
   At(now_ + kStopTime, [this, id, incarnation, attempt = command.attempt_] {
-    FakeWorker& target = *FindWorker(id);
-    if (target.report_.incarnation_ != incarnation) return;
-    EndRun(target, attempt, AttemptEnd::kStopped);
+    FakeWorker* target = FindWorker(id);
+    if (target == nullptr || target->report_.incarnation_ != incarnation)
+      return;
+    EndRun(*target, attempt, AttemptEnd::kStopped);
   });
 }
 
@@ -534,6 +571,14 @@
 
 void GraphWorld::Crash(int worker) { Restart(workers_[worker]); }
 
+void GraphWorld::SetDeadly(std::uint64_t number, Duration delay) {
+  deadly_[MakeKey(number)] = delay;
+}
+
+void GraphWorld::SetCapacity(int worker, const Resources& capacity) {
+  workers_[worker].report_.capacity_ = capacity;
+}
+
 void GraphWorld::Disconnect(int id) { workers_[id].disconnected_ = true; }
 
 void GraphWorld::Reconnect(int id) { workers_[id].disconnected_ = false; }
--- a/flamingohollow/testing/graph_world.h
+++ b/flamingohollow/testing/graph_world.h
@@ -30,6 +30,12 @@
   int answer_lost_ = 0;
   // Chance in a thousand that an attempt fails.
   int fails_ = 0;
+  // How long a worker is down that a deadly task has crashed, and whether it
+  // returns under another id.
+  Duration down_ = Duration(3000);
+  bool renamed_ = true;
+  // Whether workers refuse starts for which they lack capacity.
+  bool guarded_ = true;
 };
 
 // Number of cores that an accelerator counts as in amounts of work.
@@ -62,6 +68,10 @@
   // A new leader takes over; proposals that are not committed yet are lost.
   void ChangeLeader();
   void Crash(int worker);
+  // Makes each task of the job crash its worker this long after its start.
+  void SetDeadly(std::uint64_t number, Duration delay);
+  // The worker's next report shows this capacity.
+  void SetCapacity(int worker, const Resources& capacity);
   // Drops all commands and reports of the worker until Reconnect.
   void Disconnect(int worker);
   void Reconnect(int worker);
@@ -74,6 +84,8 @@
   const GraphState& state() const { return state_; }
   GraphJobState JobState(std::uint64_t number) const;
   bool AllEnded() const;
+  // Number of crashes of workers by deadly tasks.
+  int crashes() const { return crashes_; }
   // The violated invariants, each once.
   const std::set<std::string>& violations() const { return violations_; }
   // Number of starts that workers carried out.
@@ -130,6 +142,8 @@
     double slowness_ = 1;
     // Chance in a thousand that one of its tasks fails.
     int fails_ = 0;
+    // How often it has restarted.
+    int lives_ = 1;
     Time next_report_;
   };
 
@@ -175,6 +189,8 @@
   void AdvanceWorkers();
   void EndGang(const AttemptRef& attempt);
   void Restart(FakeWorker& worker);
+  // Crashes the worker of a deadly task. Another process is there later.
+  void CrashBy(FakeWorker& worker, const AttemptRef& attempt);
   const StepSpec& SpecOf(const TaskRef& task) const;
 
   GraphWorldOptions options_;
@@ -192,6 +208,15 @@
   std::map<GraphJobKey, RealWork> work_;
   // Tasks whose end `done` is in the log and was acknowledged to the worker.
   std::set<TaskRef> acknowledged_done_;
+  // How long after its start a task of a deadly job crashes its worker.
+  std::map<GraphJobKey, Duration> deadly_;
+  // By deadly task: its crashes, and its starts after the third.
+  struct DeadlyTask {
+    int crashes_ = 0;
+    int starts_after_ = 0;
+  };
+  std::map<TaskRef, DeadlyTask> deadly_tasks_;
+  int crashes_ = 0;
 };
 
 }  // namespace flamingohollow::testing
