A task that crashes its workers is given up after a few of them

Cause: a crash ended the attempts that were there as lost, which counts for nothing, and what a leader suspected was gone with it. Change: the replicated state counts crashes of workers against the tasks that were there (worker_crashes.h, docs/design/deadly-tasks.md); suspects are placed apart, so that the next crash has one possible cause.

--- a/flamingohollow/graph_placement.cc
+++ b/flamingohollow/graph_placement.cc
@@ -73,8 +73,11 @@
     pass.free_after_stops_[worker] =
         pass.free_after_stops_[worker] - unit.need_;
     CountPlaced(pass, unit, worker);
-    const PoolWorkerReport& report =
-        pass.workers_[worker].fleet_worker_->report_;
+    PassWorker& state = pass.workers_[worker];
+    state.has_recent_start_ = true;
+    state.recent_suspicion_ =
+        std::max(state.recent_suspicion_, unit.suspicion_);
+    const PoolWorkerReport& report = state.fleet_worker_->report_;
     const TaskIndex index = unit.tasks_[i];
     const AttemptId attempt =
         unit.spec_->gang_ ? gang_attempt
@@ -170,13 +173,19 @@
                      });
 }
 
+// Whether the unit's fits depend on its resources only. A step with a limit for
+// each worker may fail because of that limit, and a suspect because of others.
+bool IsComparable(const Unit& unit) {
+  return unit.spec_->max_per_worker_ == 0 &&
+         unit.suspicion_ == Suspicion::kNone;
+}
+
 // Starts a whole gang if it fits now.
 bool StartGang(Pass& pass, const Unit& unit, bool may_spread) {
   const std::size_t tasks = unit.tasks_.size();
   const FailedFit request{unit.eligible_, unit.need_, tasks,
                           WantsOneRack(unit) && !may_spread};
-  // A step with a limit for each worker may fail because of that limit.
-  const bool comparable = unit.spec_->max_per_worker_ == 0;
+  const bool comparable = IsComparable(unit);
   if (comparable && IsKnownToFail(pass, request)) return false;
   const auto fit = FitUnit(pass, unit, tasks, &Pass::free_, may_spread);
   if (fit.has_value()) {
@@ -203,7 +212,7 @@
 // or free resources, each for itself.
 void PlaceTasks(Pass& pass, const Unit& unit) {
   const FailedFit request{unit.eligible_, unit.need_, 1, false};
-  const bool comparable = unit.spec_->max_per_worker_ == 0;
+  const bool comparable = IsComparable(unit);
   std::size_t started = 0;
   if (!comparable || !IsKnownToFail(pass, request)) {
     const auto chosen = FitMost(pass, unit, &Pass::free_);
--- a/flamingohollow/graph_placement_fit.cc
+++ b/flamingohollow/graph_placement_fit.cc
@@ -47,12 +47,20 @@
 // only avoid very slow workers, which are likely to be faulty. Suspects come
 // after all others for urgent units and for gangs. A cold worker counts as very
 // slow for these, since a gang is as slow as its slowest member, and not for
-// other tasks, so that these leave the warm workers to them.
+// other tasks, so that these leave the warm workers to them. Suspected units
+// prefer workers without another one that has just started, then those where
+// nothing else runs.
 int RankWorker(const PassWorker& worker, const Unit& unit) {
   constexpr int kSuspectRank = 3;
+  constexpr int kSharedRank = 8;
+  int base = 0;
+  if (unit.suspicion_ != Suspicion::kNone) {
+    if (!worker.fleet_worker_->runs_.empty()) base += kSharedRank;
+    if (worker.recent_suspicion_ != Suspicion::kNone) base += kSharedRank;
+  }
   const bool urgent = unit.job_->terms_.priority_ == 0;
   const bool averse = urgent || (unit.spec_->gang_ && unit.tasks_.size() > 1);
-  const int suspect = averse && worker.suspect_ ? kSuspectRank : 0;
+  const int suspect = base + (averse && worker.suspect_ ? kSuspectRank : 0);
   const PaceClass pace =
       averse && worker.cold_ ? PaceClass::kVerySlow : worker.pace_;
   if (worker.spread_ != nullptr) {
@@ -87,6 +95,14 @@
   return limit;
 }
 
+// A crash of a worker is blamed on its only suspect, so a strong suspect is
+// kept apart from what else may crash the worker soon. This answers loads in
+// which a few tasks crash each worker that starts them.
+bool MayShare(const PassWorker& worker, const Unit& unit) {
+  if (unit.suspicion_ == Suspicion::kStrong) return !worker.has_recent_start_;
+  return worker.recent_suspicion_ != Suspicion::kStrong;
+}
+
 namespace {
 
 // Returns how many more tasks of the unit's step the worker may take under
@@ -100,8 +116,9 @@
 
 std::uint64_t CountFitsOn(const Pass& pass, const Unit& unit,
                           std::size_t worker, const Resources& free) {
-  if (!Fits(unit.need_, free)) return 0;
-  return CountFits(unit.need_, free, TasksAllowed(pass.workers_[worker], unit));
+  const PassWorker& state = pass.workers_[worker];
+  if (!Fits(unit.need_, free) || !MayShare(state, unit)) return 0;
+  return CountFits(unit.need_, free, TasksAllowed(state, unit));
 }
 
 // Whether the workers have room for `tasks` tasks of the unit.
@@ -208,7 +225,12 @@
 
 bool CouldHold(const Pass& pass, const Unit& unit,
                const std::vector<std::size_t>& workers) {
-  return HaveRoom(pass, unit, unit.tasks_.size(), workers, &Pass::capacity_);
+  std::uint64_t sum = 0;
+  for (const std::size_t worker : workers) {
+    sum += CountFits(unit.need_, pass.capacity_[worker],
+                     TasksAllowed(pass.workers_[worker], unit));
+  }
+  return sum >= unit.tasks_.size();
 }
 
 bool AnyRackCouldHold(const Pass& pass, const Unit& unit) {
--- a/flamingohollow/graph_placement_pass.cc
+++ b/flamingohollow/graph_placement_pass.cc
@@ -124,6 +124,31 @@
 
 }  // namespace
 
+namespace {
+
+// A task that has run this long has not crashed its worker at the start.
+constexpr Duration kProvenAfter = Duration(2000);
+
+// Sets `has_recent_start_` and `recent_suspicion_`.
+void SetRecentStarts(const Pass& pass, PassWorker& worker) {
+  const CrashLedger& ledger = pass.state_.crashes_;
+  if (ledger.histories_.empty()) return;
+  for (const auto& [attempt, run] : worker.fleet_worker_->runs_) {
+    const bool proven =
+        run.began_.has_value() && pass.now_ - *run.began_ >= kProvenAfter;
+    if (proven) continue;
+    worker.has_recent_start_ = true;
+    const GraphJob* job = FindJob(pass.state_, attempt.task_.job_);
+    if (job == nullptr) continue;
+    const StepSpec& spec = job->spec_.steps_[attempt.task_.step_.value()];
+    const TaskRef listed = ListedAttempt(attempt, spec).task_;
+    worker.recent_suspicion_ =
+        std::max(worker.recent_suspicion_, SuspicionOf(ledger, listed));
+  }
+}
+
+}  // namespace
+
 void CollectWorkers(Pass& pass) {
   std::map<PoolName, std::vector<std::size_t>> pools;
   std::map<Rack, std::vector<std::size_t>> racks;
@@ -132,6 +157,7 @@
     PassWorker added;
     added.fleet_worker_ = &worker;
     added.cold_ = IsCold(worker, pass.now_);
+    SetRecentStarts(pass, added);
     const bool evacuated =
         IsEvacuated(pass.state_.evacuations_, worker.report_.failure_domain_);
     added.usable_ =
--- a/flamingohollow/graph_placement_pass.h
+++ b/flamingohollow/graph_placement_pass.h
@@ -80,6 +80,8 @@
   Time queued_at_;
   // The job is within its customer's guarantee.
   bool guaranteed_ = false;
+  // Whether its tasks may have crashed workers.
+  Suspicion suspicion_ = Suspicion::kNone;
   // Set before the unit is placed.
   const EligibleWorkers* eligible_ = nullptr;
 };
@@ -99,6 +101,10 @@
   bool suspect_ = false;
   // Slow because it was started lately.
   bool cold_ = false;
+  // A task that started lately runs here, and the highest suspicion against
+  // those.
+  bool has_recent_start_ = false;
+  Suspicion recent_suspicion_ = Suspicion::kNone;
   // Steps of the tasks that this pass has placed here or holds resources for;
   // only steps with `max_per_worker_`.
   std::vector<const StepRecord*> placed_;
@@ -208,6 +214,9 @@
 // Whether some rack could hold the unit with the workers that are expected
 // there. A new leader's first passes see only part of each rack.
 bool AnyRackCouldHold(const Pass& pass, const Unit& unit);
+// Whether the suspicion against the unit, or against tasks that started lately
+// on the worker, allows the unit there.
+bool MayShare(const PassWorker& worker, const Unit& unit);
 // Whether the unit would fit on these workers if they were empty.
 bool CouldHold(const Pass& pass, const Unit& unit,
                const std::vector<std::size_t>& workers);
--- a/flamingohollow/graph_placement_trial.cc
+++ b/flamingohollow/graph_placement_trial.cc
@@ -97,7 +97,7 @@
   const std::uint32_t limit = unit_.spec_->max_per_worker_;
   const bool at_limit =
       limit > 0 && StepTasksOn(pass_.workers_[worker], unit_) + placed >= limit;
-  if (at_limit) return std::nullopt;
+  if (at_limit || !MayShare(pass_.workers_[worker], unit_)) return std::nullopt;
   WorkerOffer offer;
   offer.worker_ = worker;
   if (Fits(need, free)) {
--- a/flamingohollow/graph_placement_units.cc
+++ b/flamingohollow/graph_placement_units.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <functional>
 #include <limits>
+#include <map>
 #include <utility>
 
 #include "flamingohollow/graph_placement_pass.h"
@@ -80,27 +81,79 @@
     unit.lateness_ = finish > late ? Lateness::kTooLate : Lateness::kLate;
 }
 
-void CollectStep(const Unit& base, std::vector<Unit>& units) {
-  const StepRecord& step = *base.step_;
-  if (base.spec_->gang_) {
-    if (step.open_ > 0) return;
-    Unit unit = base;
-    for (std::uint32_t i = 0; i < step.tasks_.size(); ++i) {
-      unit.tasks_.emplace_back(i);
+// The number of the listed task's attempts that were lost with a worker that is
+// still silent, by task. Such a worker may have crashed.
+std::map<TaskRef, std::uint32_t> CountUnresolved(const Pass& pass) {
+  std::map<TaskRef, std::uint32_t> counts;
+  for (const auto& [id, lost] : pass.state_.crashes_.lost_) {
+    const auto worker = pass.fleet_.find(id);
+    const bool silent =
+        worker != pass.fleet_.end() &&
+        worker->second.report_.incarnation_ == lost.incarnation_ &&
+        (worker->second.unanswered_calls_ > 0 || !worker->second.reported_);
+    if (!silent) continue;
+    for (const AttemptOnWorker& attempt : lost.attempts_) {
+      ++counts[attempt.attempt_.task_];
     }
-    units.push_back(std::move(unit));
-    return;
   }
-  Unit unit = base;
+  return counts;
+}
+
+// Collects units of one job.
+struct JobUnits {
+  const Pass& pass_;
+  const std::map<TaskRef, std::uint32_t>& unresolved_;
+  std::vector<Unit>& units_;
+};
+
+// Whether the next attempt waits until it is known whether the task has crashed
+// the workers that its last attempts were lost with.
+bool AwaitsVerdict(const JobUnits& out, const TaskRef& listed) {
+  const auto unresolved = out.unresolved_.find(listed);
+  if (unresolved == out.unresolved_.end()) return false;
+  const auto& histories = out.pass_.state_.crashes_.histories_;
+  const auto history = histories.find(listed);
+  const std::uint32_t crashes =
+      history == histories.end() ? 0 : history->second.crashes_;
+  return crashes + unresolved->second >= kCrashesToGiveUp;
+}
+
+void CollectGang(Unit unit, const TaskRef& listed, JobUnits& out) {
+  if (unit.step_->open_ > 0 || AwaitsVerdict(out, listed)) return;
+  unit.suspicion_ = SuspicionOf(out.pass_.state_.crashes_, listed);
+  for (std::uint32_t i = 0; i < unit.step_->tasks_.size(); ++i) {
+    unit.tasks_.emplace_back(i);
+  }
+  out.units_.push_back(std::move(unit));
+}
+
+// Adds one unit for all tasks of the step without a suspicion, and one for each
+// other task.
+void CollectStep(const Unit& base, JobUnits& out) {
+  const StepRecord& step = *base.step_;
+  TaskRef task{base.job_->key_, base.occurrence_, base.index_, {}};
+  if (base.spec_->gang_) return CollectGang(base, task, out);
+  Unit unsuspected = base;
   for (std::uint32_t i = 0; i < step.tasks_.size(); ++i) {
     if (step.tasks_[i].open_ || step.tasks_[i].done_) continue;
-    unit.tasks_.emplace_back(i);
+    task.index_ = TaskIndex(i);
+    if (AwaitsVerdict(out, task)) continue;
+    const Suspicion suspicion = SuspicionOf(out.pass_.state_.crashes_, task);
+    if (suspicion == Suspicion::kNone) {
+      unsuspected.tasks_.emplace_back(i);
+      continue;
+    }
+    Unit& alone = out.units_.emplace_back(base);
+    alone.suspicion_ = suspicion;
+    alone.tasks_.emplace_back(i);
+  }
+  if (!unsuspected.tasks_.empty()) {
+    out.units_.push_back(std::move(unsuspected));
   }
-  units.push_back(std::move(unit));
 }
 
-void CollectJob(const GraphJob& job, bool guaranteed, Time queued_at, Time now,
-                std::vector<Unit>& units) {
+void CollectJob(const GraphJob& job, Time queued_at, JobUnits& out) {
+  const bool guaranteed = out.pass_.guaranteed_.contains(&job);
   for (const auto& [number, occurrence] : job.occurrences_) {
     for (std::uint32_t i = 0; i < occurrence.steps_.size(); ++i) {
       const StepRecord& step = occurrence.steps_[i];
@@ -120,8 +173,8 @@
                 .remaining_ = {},
                 .queued_at_ = {},
                 .guaranteed_ = guaranteed};
-      SetUrgency(unit, occurrence, queued_at, now);
-      CollectStep(unit, units);
+      SetUrgency(unit, occurrence, queued_at, out.pass_.now_);
+      CollectStep(unit, out);
     }
   }
 }
@@ -144,10 +197,11 @@
 
 std::vector<Unit> CollectUnits(const Pass& pass, const JobQueuedAt& queued_at) {
   std::vector<Unit> units;
+  const auto unresolved = CountUnresolved(pass);
+  JobUnits out{pass, unresolved, units};
   for (const auto& [key, job] : pass.state_.jobs_) {
     if (job.state_ != GraphJobState::kActive) continue;
-    CollectJob(job, pass.guaranteed_.contains(&job), queued_at(job), pass.now_,
-               units);
+    CollectJob(job, queued_at(job), out);
   }
   // Units that may preempt come before the units that they may preempt.
   // Otherwise a preempted unit would take the freed resources first and be
--- a/flamingohollow/graph_scheduler_commands.cc
+++ b/flamingohollow/graph_scheduler_commands.cc
@@ -61,11 +61,14 @@
   return nullptr;
 }
 
+std::string Describe(const TaskRef& task) {
+  return fmt::format("{}.{}.{}.{}", task.job_.value(), task.occurrence_.value(),
+                     task.step_.value(), task.index_.value());
+}
+
 std::string Describe(const AttemptRef& attempt) {
-  const TaskRef& task = attempt.task_;
-  return fmt::format("{}.{}.{}.{}#{}", task.job_.value(),
-                     task.occurrence_.value(), task.step_.value(),
-                     task.index_.value(), attempt.attempt_.value());
+  return fmt::format("{}#{}", Describe(attempt.task_),
+                     attempt.attempt_.value());
 }
 
 void Propose(Context& ctx, GraphRecord record) {
--- a/flamingohollow/graph_scheduler_records.cc
+++ b/flamingohollow/graph_scheduler_records.cc
@@ -2,8 +2,10 @@
 // records of this scheduler that were not committed.
 
 #include <algorithm>
+#include <string>
 
 #include "flamingohollow/graph_scheduler_step.h"
+#include "util/event_log.h"
 
 namespace flamingohollow::graph_scheduler_internal {
 namespace {
@@ -98,7 +100,31 @@
 }
 
 void OnApplied(Context& /*ctx*/, const CatalogRecord& /*record*/) {}
-void OnApplied(Context& /*ctx*/, const WorkerRecord& /*record*/) {}
+// Logs the crashes that the record has shown, and stops what else runs of the
+// jobs that were given up.
+void OnApplied(Context& ctx, const WorkerRecord& /*record*/) {
+  constexpr std::size_t kMaxTasksLogged = 8;
+  for (const WorkerCrash& crash : ctx.state_.new_crashes_) {
+    std::string tasks;
+    for (std::size_t i = 0;
+         i < std::min(crash.suspects_.size(), kMaxTasksLogged); ++i) {
+      if (i > 0) tasks += ',';
+      tasks += Describe(crash.suspects_[i]);
+    }
+    LogEvent("worker_crashed", {{"worker", crash.worker_.value()},
+                                {"life", crash.incarnation_.value()},
+                                {"suspects", crash.suspects_.size()},
+                                {"tasks", tasks}});
+    for (const TaskRef& task : crash.given_up_) {
+      const CrashHistory& history = ctx.state_.crashes_.histories_.at(task);
+      LogEvent("task_given_up", {{"task", Describe(task)},
+                                 {"crashes", history.crashes_},
+                                 {"blamed", history.blamed_}});
+      CheckJob(ctx, task.job_);
+    }
+  }
+}
+
 void OnApplied(Context& /*ctx*/, const EvacuationRecord& /*record*/) {}
 void OnApplied(Context& /*ctx*/, const WorkerSpeedsRecord& /*record*/) {}
 
--- a/flamingohollow/graph_scheduler_step.h
+++ b/flamingohollow/graph_scheduler_step.h
@@ -40,7 +40,9 @@
 Run* FindRun(FleetWorker& worker, const AttemptRef& attempt);
 // The worker that the attempt is assigned to; null if there is none.
 FleetWorker* FindWorkerOf(const Context& ctx, const AttemptRef& attempt);
-// "JOB.OCCURRENCE.STEP.TASK#ATTEMPT", for log lines.
+// "JOB.OCCURRENCE.STEP.TASK" and "JOB.OCCURRENCE.STEP.TASK#ATTEMPT", for log
+// lines.
+std::string Describe(const TaskRef& task);
 std::string Describe(const AttemptRef& attempt);
 void Propose(Context& ctx, GraphRecord record);
 void SetPhase(Context& ctx, Run& run, RunPhase phase);
--- a/flamingohollow/graph_service.cc
+++ b/flamingohollow/graph_service.cc
@@ -464,6 +464,13 @@
     metrics_.Count("attempts_opened_total", {},
                    static_cast<double>(open->attempts_.size()));
   }
+  if (std::holds_alternative<WorkerRecord>(record)) {
+    for (const WorkerCrash& crash : state_.new_crashes_) {
+      Count("worker_crashes_total");
+      metrics_.Count("tasks_given_up_total", {},
+                     static_cast<double>(crash.given_up_.size()));
+    }
+  }
   if (const auto* ends = std::get_if<EndRecord>(&record)) {
     for (const EndedAttempt& ended : ends->attempts_) {
       metrics_.Count("attempts_ended_total",
--- a/flamingohollow/graph_state.cc
+++ b/flamingohollow/graph_state.cc
@@ -3,6 +3,7 @@
 #include "flamingohollow/graph_state.h"
 
 #include <algorithm>
+#include <cereal/types/set.hpp>
 #include <istream>
 #include <utility>
 
@@ -50,11 +51,13 @@
 
 // Removes the occurrence if it is finished, and completes the job if that was
 // its last one.
-void FinishOccurrence(GraphJob& job, Occurrence occurrence, Time at) {
+void FinishOccurrence(GraphState& state, GraphJob& job, Occurrence occurrence,
+                      Time at) {
   const auto found = job.occurrences_.find(occurrence);
   if (found == job.occurrences_.end()) return;
   if (!AllStepsDone(found->second) || AnyOpen(found->second)) return;
   job.occurrences_.erase(found);
+  ForgetOccurrence(state.crashes_, job.key_, occurrence);
   ++job.finished_occurrences_;
   if (job.finished_occurrences_ == TotalOccurrences(job.spec_)) {
     EndJob(job, GraphJobState::kCompleted, at);
@@ -92,6 +95,12 @@
   const StepSpec& spec = job.spec_.steps_[ref.step_.value()];
   TaskRecord& task = step.tasks_[ref.index_.value()];
   CloseTask(step, task);
+  // Once the worker's next process is listed, the crash has been counted.
+  const auto worker = state.workers_.find(task.worker_);
+  const bool listed = worker != state.workers_.end() &&
+                      worker->second.incarnation_ == task.incarnation_;
+  NoteEnded(state.crashes_, ListedAttempt(ended.attempt_, spec), task.worker_,
+            task.incarnation_, listed && ended.end_ == AttemptEnd::kLost, at);
   if (ended.checkpoint_ != Checkpoint()) {
     task.checkpoint_ = ended.checkpoint_;
     step.checkpoint_ = ended.checkpoint_;
@@ -109,7 +118,7 @@
       CountFailure(job, spec, step, task)) {
     EndJob(job, GraphJobState::kFailed, at);
   }
-  FinishOccurrence(job, ref.occurrence_, at);
+  FinishOccurrence(state, job, ref.occurrence_, at);
 }
 
 void Apply(GraphState& state, const CatalogRecord& record) {
@@ -156,6 +165,9 @@
     task.incarnation_ = opened.incarnation_;
     ++step->open_;
     job->begun_ = true;
+    const StepSpec& spec = job->spec_.steps_[ref.step_.value()];
+    NoteOpened(state.crashes_, ListedAttempt(opened.attempt_, spec),
+               opened.worker_);
   }
 }
 
@@ -180,11 +192,59 @@
     const GraphJob* job = FindJob(state, key);
     if (job != nullptr && job->state_ != GraphJobState::kActive) {
       state.jobs_.erase(key);
+      ForgetJob(state.crashes_, key);
     }
   }
 }
 
+// Returns the attempts that are open on the worker.
+std::vector<AttemptRef> OpenAttemptsOn(const GraphState& state,
+                                       const PoolWorkerReport& worker) {
+  std::vector<AttemptRef> open;
+  for (const auto& [key, job] : state.jobs_) {
+    for (const auto& [number, occurrence] : job.occurrences_) {
+      for (std::uint32_t i = 0; i < occurrence.steps_.size(); ++i) {
+        const StepRecord& step = occurrence.steps_[i];
+        if (step.open_ == 0) continue;
+        for (std::uint32_t index = 0; index < step.tasks_.size(); ++index) {
+          const TaskRecord& task = step.tasks_[index];
+          const bool here = task.open_ && task.worker_ == worker.id_ &&
+                            task.incarnation_ == worker.incarnation_;
+          if (!here) continue;
+          const TaskRef ref{key, number, StepIndex(i), TaskIndex(index)};
+          open.push_back(
+              ListedAttempt({ref, task.attempt_}, job.spec_.steps_[i]));
+        }
+      }
+    }
+  }
+  return open;
+}
+
+// The worker's process is over. If it had not announced that it leaves, it has
+// crashed. `restarted` is the start of the next process, if there is one.
+void NoteWorkerOver(GraphState& state, const PoolWorkerReport& worker,
+                    Time restarted) {
+  if (worker.draining_) return ForgetWorker(state.crashes_, worker.id_);
+  WorkerCrash crash =
+      CountCrash(state.crashes_, worker.id_, worker.incarnation_,
+                 OpenAttemptsOn(state, worker), restarted);
+  for (const TaskRef& task : crash.given_up_) {
+    const Time at = state.crashes_.histories_.at(task).last_crash_;
+    GraphJob* job = FindJob(state, task.job_);
+    if (job != nullptr) EndJob(*job, GraphJobState::kFailed, at);
+  }
+  if (!crash.suspects_.empty()) state.new_crashes_.push_back(std::move(crash));
+}
+
+// Whether the report shows that the other worker's process is over.
+bool IsOverBy(const PoolWorkerReport& worker, const PoolWorkerReport& report) {
+  return worker.id_ == report.id_ ? worker.incarnation_ < report.incarnation_
+                                  : worker.address_ == report.address_;
+}
+
 void Apply(GraphState& state, const WorkerRecord& record) {
+  state.new_crashes_.clear();
   for (const PoolWorkerReport& report : record.reports_) {
     const auto known = state.workers_.find(report.id_);
     const bool stale =
@@ -192,6 +252,11 @@
         std::pair(known->second.incarnation_, known->second.sequence_) >
             std::pair(report.incarnation_, report.sequence_);
     if (stale) continue;
+    for (const auto& [id, worker] : state.workers_) {
+      if (!IsOverBy(worker, report)) continue;
+      // A worker's incarnation is the Unix time of its start.
+      NoteWorkerOver(state, worker, Time(report.incarnation_.value()));
+    }
     std::erase_if(state.workers_, [&state, &report](const auto& item) {
       if (item.second.address_ != report.address_) return false;
       if (item.first != report.id_) state.worker_speeds_.erase(item.first);
@@ -200,6 +265,10 @@
     state.workers_[report.id_] = report;
   }
   for (const WorkerId& id : record.gone_) {
+    const auto found = state.workers_.find(id);
+    if (found != state.workers_.end()) {
+      NoteWorkerOver(state, found->second, Time());
+    }
     state.workers_.erase(id);
     state.worker_speeds_.erase(id);
   }
@@ -227,7 +296,11 @@
 };
 
 // The numbers of the other parts in a snapshot. They never change.
-enum class SnapshotPart : std::uint32_t { kEvacuations = 1, kWorkerSpeeds = 2 };
+enum class SnapshotPart : std::uint32_t {
+  kEvacuations = 1,
+  kWorkerSpeeds = 2,
+  kCrashes = 3,
+};
 
 using SnapshotParts = std::map<std::uint32_t, std::string>;
 
@@ -250,6 +323,8 @@
       Pack(state.evacuations_);
   parts[static_cast<std::uint32_t>(SnapshotPart::kWorkerSpeeds)] =
       Pack(state.worker_speeds_);
+  parts[static_cast<std::uint32_t>(SnapshotPart::kCrashes)] =
+      Pack(state.crashes_);
   return Pack(BaseParts<const GraphState>{state}) + Pack(parts);
 }
 
@@ -265,7 +340,8 @@
     return std::nullopt;
   }
   if (!ReadPart(parts, SnapshotPart::kEvacuations, state.evacuations_) ||
-      !ReadPart(parts, SnapshotPart::kWorkerSpeeds, state.worker_speeds_)) {
+      !ReadPart(parts, SnapshotPart::kWorkerSpeeds, state.worker_speeds_) ||
+      !ReadPart(parts, SnapshotPart::kCrashes, state.crashes_)) {
     return std::nullopt;
   }
   return state;
--- a/flamingohollow/graph_state.h
+++ b/flamingohollow/graph_state.h
@@ -19,6 +19,7 @@
 #include "flamingohollow/evacuation.h"
 #include "flamingohollow/graph_records.h"
 #include "flamingohollow/graph_types.h"
+#include "flamingohollow/worker_crashes.h"
 
 namespace flamingohollow {
 
@@ -117,6 +118,10 @@
   Evacuations evacuations_;
   // Of workers in `workers_`.
   std::map<WorkerId, LearnedSpeed> worker_speeds_;
+  CrashLedger crashes_;
+  // The crashes that the last applied WorkerRecord has shown, for logs and
+  // metrics. Not part of snapshots.
+  std::vector<WorkerCrash> new_crashes_;
 };
 
 // A snapshot of the state. Parts that a version of the program does not know
--- a/flamingohollow/testing/deadly_task_test.cc
+++ b/flamingohollow/testing/deadly_task_test.cc
@@ -90,7 +90,7 @@
 }
 
 TEST_CASE("many deadly tasks at once are given up, sound ones are done") {
-  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+  for (std::uint64_t seed = 1; seed <= 50; ++seed) {
     CAPTURE(seed);
     GraphWorld world({.seed_ = seed, .racks_ = 4, .per_rack_ = 4});
     world.RunFor(Duration(2000));
--- a/flamingohollow/testing/graph_state_test.cc
+++ b/flamingohollow/testing/graph_state_test.cc
@@ -79,9 +79,10 @@
           AttemptId(attempt)};
 }
 
-void Open(GraphState& state, const AttemptRef& attempt) {
+void Open(GraphState& state, const AttemptRef& attempt,
+          const std::string& worker = "w") {
   ApplyRecord(state,
-              OpenRecord{{{attempt, WorkerId("w"), WorkerIncarnation(1)}}});
+              OpenRecord{{{attempt, WorkerId(worker), WorkerIncarnation(1)}}});
 }
 
 void End(GraphState& state, const AttemptRef& attempt, AttemptEnd end) {
@@ -172,6 +173,10 @@
   ApplyRecord(state, EvacuationRecord{{FailureDomain("a"), true, 0, {}}});
   ApplyRecord(state, WorkerRecord{{MakeReport("w0")}, {}});
   ApplyRecord(state, WorkerSpeedsRecord{{{WorkerId("w0"), {{}, 47, 9}}}});
+  Open(state, Attempt(0, 1, 1), "w0");
+  PoolWorkerReport restarted = MakeReport("w0");
+  restarted.incarnation_ = WorkerIncarnation(2);
+  ApplyRecord(state, WorkerRecord{{restarted}, {}});
   const std::string bytes = EncodeState(state);
   const auto copy = DecodeState(bytes);
   REQUIRE(copy.has_value());
@@ -180,6 +185,8 @@
   CHECK(IsOpen(*copy, Attempt(0, 0, 1)));
   CHECK(IsEvacuated(copy->evacuations_, FailureDomain("a")));
   CHECK_EQ(copy->worker_speeds_.at(WorkerId("w0")).centilogs_, 47);
+  const TaskRef gang{MakeKey(1), {}, {}, {}};
+  CHECK_EQ(SuspicionOf(copy->crashes_, gang), Suspicion::kSome);
   // The first versions wrote no further parts.
   const std::size_t first_version =
       Pack(std::tie(state.catalog_, state.jobs_, state.workers_)).size();
--- /dev/null
+++ b/flamingohollow/worker_crashes.h
@@ -0,0 +1,144 @@
+// Finds tasks that crash the workers that start them.
+//
+// A crash of a worker is evidence against everything that may have run there. A
+// *suspect* has been on a worker when it crashed. If suspects are there when
+// the next one crashes, the crash counts for them and for what was placed there
+// since, otherwise for all; it is blamed on a task that it counts for alone. A
+// task is given up once enough crashes were blamed on it; the others that were
+// there go on (docs/design/deadly-tasks.md).
+//
+// The ledger is a part of the replicated state and changes only with committed
+// records, so a new leader knows what its predecessor knew. A gang is listed as
+// its first task, and counts at most one crash for each attempt.
+
+#ifndef FLAMINGOHOLLOW_WORKER_CRASHES_H_
+#define FLAMINGOHOLLOW_WORKER_CRASHES_H_
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <vector>
+
+#include "flamingohollow/graph_types.h"
+#include "util/clock.h"
+
+namespace flamingohollow {
+
+// A task is given up after this many crashes, of which so many were blamed on
+// it.
+inline constexpr std::uint32_t kCrashesToGiveUp = 3;
+inline constexpr std::uint32_t kBlamedToGiveUp = 2;
+// A task is given up after this many crashes even if none was blamed on it.
+inline constexpr std::uint32_t kMaxCrashes = 5;
+// A suspect with this many crashes runs only beside tasks that have proved
+// harmless.
+inline constexpr std::uint32_t kCrashesToIsolate = 2;
+// Crashes that are further apart are not counted together, as every worker
+// crashes now and then.
+inline constexpr Duration kCrashMemory = Duration(10 * 60 * 1000);
+// An attempt that was lost longer than this before its worker restarted says
+// nothing about the restart.
+inline constexpr Duration kMaxRestartTime = Duration(30 * 1000);
+
+struct CrashHistory {
+  std::uint32_t crashes_ = 0;
+  // Of `crashes_`, those that were blamed on the task.
+  std::uint32_t blamed_ = 0;
+  // The newest attempt that was on a crashed worker.
+  AttemptId last_attempt_;
+  // Unix time of the newest crash.
+  Time last_crash_;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(crashes_, blamed_, last_attempt_, last_crash_);
+  }
+};
+
+// An attempt on a worker that may have crashed.
+struct AttemptOnWorker {
+  // The first task's, if it is a gang.
+  AttemptRef attempt_;
+  // See CrashLedger.
+  bool accused_ = false;
+  // Unix time at which it was taken for lost; unset if it is open.
+  Time lost_;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(attempt_, accused_, lost_);
+  }
+};
+
+struct CrashLedger {
+  // Tasks of active jobs.
+  std::map<TaskRef, CrashHistory> histories_;
+  // By worker with a suspect: the open tasks to which a crash would be
+  // attributed. These are the suspects and what was placed there later. Since a
+  // strong suspect is only placed beside tasks that have run for a while, it
+  // replaces all others.
+  std::map<WorkerId, std::set<TaskRef>> accused_;
+  // Attempts that were taken for lost on a worker, which may have crashed.
+  struct Lost {
+    WorkerIncarnation incarnation_;
+    std::vector<AttemptOnWorker> attempts_;
+
+    template <class Archive>
+    void serialize(Archive& archive) {
+      archive(incarnation_, attempts_);
+    }
+  };
+  std::map<WorkerId, Lost> lost_;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(histories_, accused_, lost_);
+  }
+};
+
+// What a crash changed.
+struct WorkerCrash {
+  WorkerId worker_;
+  WorkerIncarnation incarnation_;
+  // Tasks that the crash was counted for; it was blamed on a single one.
+  std::vector<TaskRef> suspects_;
+  // Tasks to give up.
+  std::vector<TaskRef> given_up_;
+};
+
+// Returns the attempt under which the ledger lists it.
+AttemptRef ListedAttempt(const AttemptRef& attempt, const StepSpec& spec);
+
+// An attempt was opened on the worker.
+void NoteOpened(CrashLedger& ledger, const AttemptRef& listed,
+                const WorkerId& worker);
+// An attempt on the worker ended. `lost` says that the worker may have crashed.
+void NoteEnded(CrashLedger& ledger, const AttemptRef& listed,
+               const WorkerId& worker, WorkerIncarnation incarnation, bool lost,
+               Time at);
+// The worker's process has crashed; `open` are its open attempts. `restarted`
+// is the Unix time at which it was replaced; unset if it was not.
+WorkerCrash CountCrash(CrashLedger& ledger, const WorkerId& worker,
+                       WorkerIncarnation incarnation,
+                       const std::vector<AttemptRef>& open, Time restarted);
+// The worker left without a crash.
+void ForgetWorker(CrashLedger& ledger, const WorkerId& worker);
+// The job, or one of its occurrences, is over.
+void ForgetJob(CrashLedger& ledger, const GraphJobKey& job);
+void ForgetOccurrence(CrashLedger& ledger, const GraphJobKey& job,
+                      Occurrence occurrence);
+
+enum class Suspicion : std::uint8_t {
+  kNone,
+  // Kept apart from other suspects where there is room.
+  kSome,
+  // Never started on a worker on which another task has just started, nor the
+  // other way round.
+  kStrong,
+};
+
+Suspicion SuspicionOf(const CrashLedger& ledger, const TaskRef& listed);
+
+}  // namespace flamingohollow
+
+#endif  // FLAMINGOHOLLOW_WORKER_CRASHES_H_
