A job that fits on a worker once it grows again waits instead of being refused

What callers saw (in a test): while a worker's capacity was reduced for some seconds, a job that fits its full size was refused as one that fits on no known workers. Cause: CouldEverRun took the capacity of the last report for the worker's size. Change: the largest capacity that the worker's process has reported counts. Evidence: the new case of graph_placement_test failed before. A new leader knows the recorded capacity only, until the worker grows.

--- a/flamingohollow/fleet.h
+++ b/flamingohollow/fleet.h
@@ -100,6 +100,8 @@
   PoolWorkerReport report_;
   // False while only the worker's attempts are known, and after it has left.
   bool reported_ = false;
+  // The largest capacity that this incarnation has reported.
+  Resources largest_capacity_;
   // When `report_` was received.
   Time report_received_at_;
   // When the last message from the worker was received.
--- a/flamingohollow/graph_placement.cc
+++ b/flamingohollow/graph_placement.cc
@@ -285,7 +285,9 @@
       if (!matches) continue;
       const std::uint64_t limit =
           step.max_per_worker_ > 0 ? step.max_per_worker_ : step.tasks_;
-      places += CountFits(need, worker.report_.capacity_, limit);
+      const Resources size =
+          ElementwiseMax(worker.largest_capacity_, worker.report_.capacity_);
+      places += CountFits(need, size, limit);
     }
     const std::uint64_t wanted = step.gang_ ? step.tasks_ : 1;
     if (places < wanted) return false;
--- a/flamingohollow/graph_placement.h
+++ b/flamingohollow/graph_placement.h
@@ -105,7 +105,8 @@
 Duration LongestChain(const GraphSpec& spec);
 
 // Whether every gang and task of the spec would fit on the pool's known workers
-// if they were empty.
+// if they were empty and had the largest capacity that they have reported. One
+// that has shrunk may grow again, so its jobs wait.
 bool CouldEverRun(const GraphSpec& spec, const PoolName& pool,
                   const Fleet& fleet);
 
--- a/flamingohollow/graph_scheduler.cc
+++ b/flamingohollow/graph_scheduler.cc
@@ -400,6 +400,7 @@
   for (const auto& [id, report] : state.workers_) {
     FleetWorker& worker = scheduler.fleet_[id];
     worker.report_ = report;
+    worker.largest_capacity_ = report.capacity_;
     worker.reported_ = true;
     worker.report_received_at_ = now;
     worker.last_heard_at_ = now;
--- a/flamingohollow/graph_scheduler_workers.cc
+++ b/flamingohollow/graph_scheduler_workers.cc
@@ -112,6 +112,8 @@
               {"accelerators", report.capacity_.accelerators_}});
   }
   worker.report_ = report;
+  worker.largest_capacity_ =
+      ElementwiseMax(worker.largest_capacity_, report.capacity_);
   worker.reported_ = true;
   worker.report_received_at_ = ctx.now_;
   worker.last_heard_at_ = ctx.now_;
--- a/flamingohollow/testing/graph_placement_test.cc
+++ b/flamingohollow/testing/graph_placement_test.cc
@@ -14,6 +14,7 @@
 #include <string>
 #include <vector>
 
+#include "flamingohollow/graph_scheduler.h"
 #include "flamingohollow/testing/graph_fixture.h"
 
 namespace flamingohollow::testing {
@@ -520,5 +521,21 @@
   CHECK_FALSE(CouldEverRun(spec, PoolName("pool"), fleet));
 }
 
+TEST_CASE("a job that waits for a worker to grow again is not refused") {
+  GraphState state;
+  Scheduler scheduler = MakeScheduler({}, FencingToken(1), state, kNow, kNow);
+  PoolWorkerReport report = MakeReport("w", "r");
+  report.sequence_ = 1;
+  Step(scheduler, state, report, kNow);
+  report.capacity_.accelerators_ = 2;
+  report.sequence_ = 2;
+  Step(scheduler, state, report, kNow);
+  GraphSpec spec;
+  spec.steps_ = {MakeStep(1, 8, Duration(1000))};
+  CHECK(CouldEverRun(spec, PoolName("pool"), scheduler.fleet_));
+  spec.steps_ = {MakeStep(1, 9, Duration(1000))};
+  CHECK_FALSE(CouldEverRun(spec, PoolName("pool"), scheduler.fleet_));
+}
+
 }  // namespace
 }  // namespace flamingohollow::testing
