Attempts of a job are counted in its record, not by each leader

What callers saw (in a test): an idempotent job of our own interface that crashes its workers has five attempts under each leader, so without end while leaders change. Cause: the number of attempts that may have run was kept by the leader; a new one began with one. Evidence: 'a job that crashes its workers is given up, whoever leads' failed before.

--- a/flamingohollow/codec_records.cc
+++ b/flamingohollow/codec_records.cc
@@ -310,6 +310,7 @@
   builder.setMayRunAttempt(record.may_run_attempt_.value());
   PutList(builder.initSlices(record.slices_.size()), record.slices_);
   builder.setMayBeRunning(record.may_be_running_);
+  builder.setMayRunAttempts(record.may_run_attempts_);
   if (record.end_) Put(builder.getEnd().initSome(), *record.end_);
 }
 
@@ -320,6 +321,10 @@
   record.may_run_attempt_ = AttemptId(reader.getMayRunAttempt());
   GetList(reader.getSlices(), record.slices_);
   record.may_be_running_ = reader.getMayBeRunning();
+  record.may_run_attempts_ = reader.getMayRunAttempts();
+  // Earlier versions did not count the attempts.
+  const bool ran = record.may_run_attempt_ != AttemptId(0);
+  if (ran && record.may_run_attempts_ == 0) record.may_run_attempts_ = 1;
   if (reader.getEnd().isSome()) {
     Get(reader.getEnd().getSome(), record.end_.emplace());
   }
--- a/flamingohollow/job.h
+++ b/flamingohollow/job.h
@@ -43,6 +43,8 @@
   Time accepted_at_;
   // The newest attempt that may have run, with its slices.
   AttemptId may_run_attempt_;
+  // Number of attempts that may have run.
+  std::uint32_t may_run_attempts_ = 0;
   std::vector<Slice> slices_;
   // True from JobMayRun until JobRequeued or JobEnded.
   bool may_be_running_ = false;
--- a/flamingohollow/job_phases.cc
+++ b/flamingohollow/job_phases.cc
@@ -265,7 +265,6 @@
   job.attempt_ = RestoreAttempt(record, step.now_);
   job.last_attempt_ = std::max(job.last_attempt_, record.may_run_attempt_);
   job.phase_ = JobPhase::kRunning;
-  ++job.may_run_attempts_;
   AddTasks(step, job);
   RestoreRunningJob(*step.controller_.placement_, PlacementJobOf(job),
                     record.slices_);
@@ -284,7 +283,6 @@
   if (record.may_be_running_) {
     AdoptAttempt(step, job, record);
   } else {
-    job.may_run_attempts_ = record.may_run_attempt_ == AttemptId(0) ? 0 : 1;
     AddDeadline(step, job);
     Queue(step, job);
   }
@@ -323,7 +321,6 @@
     job.attempt_->may_run_ = true;
     job.refusals_ = 0;
     job.phase_ = JobPhase::kRunning;
-    ++job.may_run_attempts_;
     ResetSendTimes(*job.attempt_);
   } else {
     // A record of an earlier leader was committed late.
--- a/flamingohollow/job_records.cc
+++ b/flamingohollow/job_records.cc
@@ -82,6 +82,7 @@
   const bool ran_before = record->may_run_attempt_ != AttemptId(0);
   if (ran_before && !record->spec_.idempotent_) return false;
   record->may_run_attempt_ = may_run.attempt_;
+  ++record->may_run_attempts_;
   record->slices_ = may_run.slices_;
   record->may_be_running_ = true;
   return true;
--- a/flamingohollow/job_state.h
+++ b/flamingohollow/job_state.h
@@ -72,8 +72,6 @@
   // The highest attempt id in any record or report. The next attempt gets a
   // higher one.
   AttemptId last_attempt_;
-  // Number of attempts that may have run, as far as this leader knows.
-  std::uint32_t may_run_attempts_ = 0;
   // The record that is proposed and not committed yet. While it is set, the job
   // takes no other decision, as the record may be committed at any time.
   std::optional<Command> proposed_;
--- a/flamingohollow/job_stopping.cc
+++ b/flamingohollow/job_stopping.cc
@@ -85,7 +85,9 @@
   facts.guaranteed_over_ =
       IsGuaranteedOver(attempt, OptionsOf(step), step.now_);
   facts.no_confirmation_expected_ = NoConfirmationExpected(step, attempt);
-  facts.attempts_left_ = job.may_run_attempts_ < OptionsOf(step).max_attempts_;
+  const JobRecord& record = step.controller_.records_->jobs_.at(job.id_);
+  facts.attempts_left_ =
+      record.may_run_attempts_ < OptionsOf(step).max_attempts_;
   return facts;
 }
 
--- a/flamingohollow/testing/codec_test.cc
+++ b/flamingohollow/testing/codec_test.cc
@@ -120,7 +120,8 @@
   JobRecord record;
   record.id_ = JobId(17);
   record.spec_ = SampleSpec();
-  record.may_run_attempt_ = AttemptId(2);
+  record.may_run_attempt_ = AttemptId(7);
+  record.may_run_attempts_ = 3;
   record.slices_ = SampleSlices();
   record.end_ = SampleEnd();
   records.jobs_.emplace(record.id_, record);
@@ -132,6 +133,7 @@
   CHECK(copy.spec_ == record.spec_);
   CHECK(copy.slices_ == record.slices_);
   CHECK(copy.end_ == record.end_);
+  CHECK(copy.may_run_attempts_ == 3);
   CHECK(decoded->by_request_.at({CustomerId("acme"), RequestId("r-1")}) ==
         JobId(17));
 }
--- a/flamingohollow/testing/job_test.cc
+++ b/flamingohollow/testing/job_test.cc
@@ -427,5 +427,31 @@
   CHECK(View(harness, 1).retry_after_ > Duration(0));
 }
 
+// Starts the job, then restarts its worker with nothing running.
+void CrashWorkerOfJob(Harness& harness) {
+  Tick(harness);
+  LeaseTable& worker = harness.workers_.at(WorkerId("w0"));
+  REQUIRE_FALSE(worker.leases_.empty());
+  worker.incarnation_ = Next(worker.incarnation_);
+  worker.leases_.clear();
+  Report(harness, WorkerId("w0"));
+}
+
+TEST_CASE("a job that crashes its workers is given up, whoever leads") {
+  Harness harness = MakeHarness(1);
+  JobAccepted accepted = Accepted("r", 8);
+  accepted.spec_.idempotent_ = true;
+  Commit(harness, accepted);
+  const std::uint32_t limit = JobControllerOptions().max_attempts_;
+  for (std::uint32_t attempt = 1; attempt <= limit; ++attempt) {
+    CAPTURE(attempt);
+    CrashWorkerOfJob(harness);
+    if (attempt == limit) break;
+    BecomeLeader(harness, 1 + attempt);
+    Report(harness, WorkerId("w0"));
+  }
+  CHECK(View(harness, 1).outcome_ == Outcome::kFailed);
+}
+
 }  // namespace
 }  // namespace flamingohollow
--- a/schema/wire.capnp
+++ b/schema/wire.capnp
@@ -136,6 +136,7 @@
     none @6 :Void;
     some @7 :JobEnded;
   }
+  mayRunAttempts @8 :UInt32;
 }
 
 struct JobRecords {
--- a/schema/wire.capnp.h
+++ b/schema/wire.capnp.h
@@ -297,7 +297,7 @@
   struct End;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a68061ea7dcfa154, 3, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(a68061ea7dcfa154, 4, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -316,7 +316,7 @@
   };
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ae58de09efbfe390, 3, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(ae58de09efbfe390, 4, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -2132,6 +2132,8 @@
 
   inline typename End::Reader getEnd() const;
 
+  inline  ::uint32_t getMayRunAttempts() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2189,6 +2191,9 @@
   inline typename End::Builder getEnd();
   inline typename End::Builder initEnd();
 
+  inline  ::uint32_t getMayRunAttempts();
+  inline void setMayRunAttempts( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -5689,6 +5694,20 @@
   _builder.getPointerField(::capnp::bounded<2>() * ::capnp::POINTERS).clear();
   return typename JobRecord::End::Builder(_builder);
 }
+inline  ::uint32_t JobRecord::Reader::getMayRunAttempts() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t JobRecord::Builder::getMayRunAttempts() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void JobRecord::Builder::setMayRunAttempts( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::flamingohollow::wire::JobRecord::End::Which JobRecord::End::Reader::which() const {
   return _reader.getDataField<Which>(
       ::capnp::bounded<11>() * ::capnp::ELEMENTS);
