An entry stops its RPC node before it destroys it

Cause: ~EntryServer reset the node while the control thread could still call it. Change: RpcNode::Stop ends the RPC thread and makes later calls fail; the node is destroyed once no thread can call it. The race was not reproduced on the old code here.

--- a/flamingohollow/entry.cc
+++ b/flamingohollow/entry.cc
@@ -131,7 +131,7 @@
 // core stop first, then the core's own thread.
 EntryServer::Impl::~Impl() {
   traffic_.Stop();
-  rpc_.reset();
+  rpc_->Stop();
   control_.Stop();
 }
 
--- a/flamingohollow/rpc.cc
+++ b/flamingohollow/rpc.cc
@@ -363,7 +363,10 @@
 
 RpcNode::RpcNode(std::unique_ptr<Impl> impl) : impl_(std::move(impl)) {}
 
-RpcNode::~RpcNode() {
+RpcNode::~RpcNode() { Stop(); }
+
+void RpcNode::Stop() {
+  if (!impl_->thread_.joinable()) return;
   impl_->mailbox_->Post([raw = impl_.get()] { raw->loop_.Stop(); });
   impl_->thread_.join();
 }
--- a/flamingohollow/testing/rpc_test.cc
+++ b/flamingohollow/testing/rpc_test.cc
@@ -133,5 +133,25 @@
   CHECK_FALSE(RpcNode::Create("127.0.0.1:notaport", {}));
 }
 
+TEST_CASE("calls to a node that is being stopped fail, each once") {
+  const auto node = MakeClient();
+  std::atomic<int> made{0};
+  std::atomic<int> failed{0};
+  std::atomic<bool> ends{false};
+  std::thread caller([&] {
+    while (!ends) {
+      ++made;
+      node->Call("127.0.0.1:1", RpcKind::kGraph, "", Duration(1000),
+                 [&](bool ok, const std::string&) { failed += ok ? 0 : 1; });
+    }
+  });
+  std::this_thread::sleep_for(std::chrono::milliseconds(20));
+  node->Stop();
+  node->Stop();
+  ends = true;
+  caller.join();
+  CHECK(made == failed);
+}
+
 }  // namespace
 }  // namespace flamingohollow
