A draining entry closes the connections of the callers it answers

What was seen: 'a graceful stop answers waiting callers and requests in flight' failed once beside load: the caller's connection stayed open for 2.5 s, until the listener had closed (log: draining at 4333 ms, drained at 7840 ms). Cause: the control thread answered the waiting callers before the HTTP server knew that it drains, so the answer kept the connection alive. Change: the server learns it first.

--- a/flamingohollow/entry.cc
+++ b/flamingohollow/entry.cc
@@ -211,8 +211,10 @@
   LogInfo("{} is draining", settings_.name_.value());
   const Duration limit = settings_.limits_.drain_;
   const Time deadline = MonotonicNow() + limit;
-  core_.Post([this] { core_.Drain(); });
+  // First the server, so that the answers to waiting callers close their
+  // connections.
   server_->Drain(std::min(limit / kGraceDivisor, kMaxGrace));
+  core_.Post([this] { core_.Drain(); });
   bool busy = true;
   while (busy && MonotonicNow() < deadline) {
     std::this_thread::sleep_for(kDrainPollInterval);
