A worker of our own interface that shrank grants no lease beyond its size

What was seen (in a test): a worker with fewer accelerators than its leases hold granted any further lease. Cause: the difference of two unsigned numbers. Evidence: the new case of lease_table_test failed before.

--- a/flamingohollow/lease_table.cc
+++ b/flamingohollow/lease_table.cc
@@ -110,7 +110,9 @@
 std::string RefusalOf(const LeaseTable& table, const WorkerCommand& command) {
   if (table.state_ == WorkerState::kLeaving) return "worker is leaving";
   const std::uint32_t used = UsedAccelerators(table).value();
-  const std::uint32_t free = table.accelerators_.value() - used;
+  // More may be in use than there is, if the worker has shrunk.
+  const std::uint32_t all = std::max(table.accelerators_.value(), used);
+  const std::uint32_t free = all - used;
   if (command.accelerators_.value() > free) {
     return fmt::format("{} accelerators wanted, {} free",
                        command.accelerators_.value(), free);
--- a/flamingohollow/testing/lease_table_test.cc
+++ b/flamingohollow/testing/lease_table_test.cc
@@ -152,5 +152,14 @@
   CHECK(table.fences_.empty());
 }
 
+TEST_CASE("a worker that shrank below what it runs grants no lease") {
+  LeaseTable table = MakeTable();
+  const Time now(100);
+  ApplyWorkerCommand(table, MakeCommand(Kind::kPrepare), now);
+  table.accelerators_ = Accelerators(2);
+  ApplyWorkerCommand(table, MakeCommand(Kind::kPrepare, 1, 1, 6), now);
+  CHECK(StateOf(table, 1, 6) == LeaseState::kNeverRan);
+}
+
 }  // namespace
 }  // namespace flamingohollow
