A crash of a worker that drains counts as one

Cause: a draining worker that was replaced was taken for one that had left. Change: a worker whose next process shows up at its address before it was removed has crashed. One that leaves is removed first. The model no longer lets a crashed worker answer when the network heals.

--- a/flamingohollow/graph_state.cc
+++ b/flamingohollow/graph_state.cc
@@ -221,11 +221,10 @@
   return open;
 }
 
-// The worker's process is over. If it had not announced that it leaves, it has
-// crashed. `restarted` is the start of the next process, if there is one.
-void NoteWorkerOver(GraphState& state, const PoolWorkerReport& worker,
-                    Time restarted) {
-  if (worker.draining_) return ForgetWorker(state.crashes_, worker.id_);
+// The worker's process is over without having left. `restarted` is the start of
+// the next process, if there is one.
+void CountCrash(GraphState& state, const PoolWorkerReport& worker,
+                Time restarted) {
   WorkerCrash crash =
       CountCrash(state.crashes_, worker.id_, worker.incarnation_,
                  OpenAttemptsOn(state, worker), restarted);
@@ -255,7 +254,7 @@
     for (const auto& [id, worker] : state.workers_) {
       if (!IsOverBy(worker, report)) continue;
       // A worker's incarnation is the Unix time of its start.
-      NoteWorkerOver(state, worker, Time(report.incarnation_.value()));
+      CountCrash(state, worker, Time(report.incarnation_.value()));
     }
     std::erase_if(state.workers_, [&state, &report](const auto& item) {
       if (item.second.address_ != report.address_) return false;
@@ -267,7 +266,8 @@
   for (const WorkerId& id : record.gone_) {
     const auto found = state.workers_.find(id);
     if (found != state.workers_.end()) {
-      NoteWorkerOver(state, found->second, Time());
+      if (!found->second.draining_) CountCrash(state, found->second, Time());
+      ForgetWorker(state.crashes_, id);
     }
     state.workers_.erase(id);
     state.worker_speeds_.erase(id);
--- a/flamingohollow/testing/deadly_task_test.cc
+++ b/flamingohollow/testing/deadly_task_test.cc
@@ -4,7 +4,8 @@
 #include <doctest/doctest.h>
 
 #include <cstdint>
-#include <cstdlib>
+#include <random>
+#include <set>
 #include <string>
 
 #include "flamingohollow/testing/graph_world.h"
@@ -115,6 +116,78 @@
   }
 }
 
+void Disturb(GraphWorld& world, std::mt19937_64& random) {
+  const int worker = static_cast<int>(random() % world.workers());
+  switch (random() % 8) {
+    case 0:
+      return world.ChangeLeader();
+    case 1:
+      return world.Disconnect(worker);
+    case 2:
+    case 3:
+      return world.Reconnect(worker);
+    case 4:
+      return world.StartDraining(worker, Duration(3000));
+    case 5:
+      return world.Evacuate(worker % 4, random() % 2 == 0);
+    case 6: {
+      Resources capacity = kWorkerSize;
+      capacity.accelerators_ = 4 << (random() % 2);
+      return world.SetCapacity(worker, capacity);
+    }
+    default:
+      return;
+  }
+}
+
+TEST_CASE("random schedules: deadly tasks beside other faults are given up") {
+  for (std::uint64_t seed = 1; seed <= 50; ++seed) {
+    CAPTURE(seed);
+    std::mt19937_64 random(seed);
+    const auto pick = [&random](int values) {
+      return static_cast<std::int64_t>(random() % values);
+    };
+    GraphWorld world({.seed_ = seed,
+                      .racks_ = 4,
+                      .per_rack_ = 4,
+                      .lost_ = static_cast<int>(pick(40)),
+                      .late_ = static_cast<int>(pick(40)),
+                      .answer_lost_ = static_cast<int>(pick(40)),
+                      .down_ = Duration(500 + pick(9000)),
+                      .renamed_ = pick(2) == 0});
+    world.RunFor(Duration(2000));
+    std::set<std::uint64_t> deadly;
+    for (std::uint64_t job = 1; job <= 16; ++job) {
+      if (pick(3) == 0) deadly.insert(job);
+      if (deadly.contains(job)) world.SetDeadly(job, Duration(pick(4) * 400));
+      const auto tasks = static_cast<std::uint32_t>(1 + pick(4));
+      const Duration estimate(2000 + pick(4000));
+      world.Submit(job,
+                   {pick(2) == 0 ? MakeGang(tasks, 2, estimate, false)
+                                 : MakeStep(tasks, 1, estimate)},
+                   {.priority_ = static_cast<std::uint32_t>(pick(3))});
+      world.RunFor(Duration(pick(1500)));
+      Disturb(world, random);
+    }
+    world.EndFaults();
+    for (int i = 0; i < world.workers(); ++i) {
+      world.SetCapacity(i, kWorkerSize);
+    }
+    for (int i = 0; i < 20 && !world.AllEnded(); ++i) {
+      world.RunFor(Duration(10'000));
+    }
+    for (std::uint64_t job = 1; job <= 16; ++job) {
+      CAPTURE(job);
+      // A submission may be lost with a leader.
+      if (!world.state().jobs_.contains(MakeKey(job))) continue;
+      CHECK_EQ(world.JobState(job), deadly.contains(job)
+                                        ? GraphJobState::kFailed
+                                        : GraphJobState::kCompleted);
+    }
+    CHECK_EQ(Broken(world), "");
+  }
+}
+
 TEST_CASE("sound tasks beside two crashes of workers are not given up") {
   GraphWorld world({.racks_ = 1, .per_rack_ = 2});
   world.RunFor(Duration(2000));
--- a/flamingohollow/testing/graph_world.cc
+++ b/flamingohollow/testing/graph_world.cc
@@ -208,7 +208,7 @@
   if (lost) return;
   At(arrives, [this, command, result, carry_out, answer, late]() mutable {
     FakeWorker* worker = FindWorker(command.target_.worker_);
-    if (worker == nullptr || worker->disconnected_) {
+    if (worker == nullptr || worker->disconnected_ || worker->down_) {
       if (!late) answer(result, now_ + kCommandTimeout);
       return;
     }
@@ -402,9 +402,8 @@
   ++crashes_;
   ++deadly_tasks_[attempt.task_].crashes_;
   worker.runs_.clear();
-  worker.disconnected_ = true;
+  worker.down_ = true;
   At(now_ + options_.down_, [this, &worker] {
-    worker.disconnected_ = false;
     Restart(worker);
     if (!options_.renamed_) return;
     const std::string& id = worker.report_.id_.value();
@@ -526,7 +525,8 @@
                                                        : AttemptEnd::kDone);
       }
     }
-    if (now_ < worker.next_report_ || worker.disconnected_) continue;
+    const bool silent = worker.disconnected_ || worker.down_;
+    if (now_ < worker.next_report_ || silent) continue;
     worker.next_report_ = now_ + kReportEvery;
     ++worker.report_.sequence_;
     worker.report_.clock_ms_ = (now_ + worker.clock_offset_).ms();
@@ -556,6 +556,7 @@
 }
 
 void GraphWorld::Restart(FakeWorker& worker) {
+  worker.down_ = false;
   worker.runs_.clear();
   worker.highest_attempts_.clear();
   worker.ends_.clear();
@@ -607,7 +608,7 @@
   for (FakeWorker& worker : workers_) {
     worker.disconnected_ = false;
     worker.fails_ = 0;
-    if (worker.report_.draining_) Restart(worker);
+    if (worker.report_.draining_ && !worker.down_) Restart(worker);
   }
 }
 
--- a/flamingohollow/testing/graph_world.h
+++ b/flamingohollow/testing/graph_world.h
@@ -138,6 +138,8 @@
     // When a command last arrived after the lease had expired.
     Time expiry_seen_at_;
     bool disconnected_ = false;
+    // Its process has crashed, and the next one has not started yet.
+    bool down_ = false;
     // When it leaves, while it drains.
     Time leaves_at_;
     double slowness_ = 1;
