A gang that was lost once on several workers waits for none of them

Cause: to wait for the verdict on a task that may be deadly, each worker on which an attempt was lost was counted, so one attempt of a gang on three workers that are lost for good counted as three, and the wait lasted until the workers were removed.

--- a/flamingohollow/graph_placement_units.cc
+++ b/flamingohollow/graph_placement_units.cc
@@ -4,6 +4,7 @@
 #include <functional>
 #include <limits>
 #include <map>
+#include <set>
 #include <utility>
 
 #include "flamingohollow/graph_placement_pass.h"
@@ -81,28 +82,33 @@
     unit.lateness_ = finish > late ? Lateness::kTooLate : Lateness::kLate;
 }
 
-// The number of the listed task's attempts that were lost with a worker that is
-// still silent, by task. Such a worker may have crashed.
-std::map<TaskRef, std::uint32_t> CountUnresolved(const Pass& pass) {
-  std::map<TaskRef, std::uint32_t> counts;
+// The attempts that were lost lately with a worker that is still silent, by
+// task. Such a worker may have crashed. A gang's attempt counts once.
+using UnresolvedAttempts = std::map<TaskRef, std::set<AttemptId>>;
+
+UnresolvedAttempts CollectUnresolved(const Pass& pass) {
+  UnresolvedAttempts unresolved;
   for (const auto& [id, lost] : pass.state_.crashes_.lost_) {
-    const auto worker = pass.fleet_.find(id);
-    const bool silent =
-        worker != pass.fleet_.end() &&
-        worker->second.report_.incarnation_ == lost.incarnation_ &&
-        (worker->second.unanswered_calls_ > 0 || !worker->second.reported_);
-    if (!silent) continue;
-    for (const AttemptOnWorker& attempt : lost.attempts_) {
-      ++counts[attempt.attempt_.task_];
+    const auto found = pass.fleet_.find(id);
+    if (found == pass.fleet_.end()) continue;
+    const FleetWorker& worker = found->second;
+    const bool silent = worker.report_.incarnation_ == lost.incarnation_ &&
+                        (worker.unanswered_calls_ > 0 || !worker.reported_);
+    if (!silent || pass.now_ - worker.last_heard_at_ >= kMaxRestartTime) {
+      continue;
+    }
+    for (const AttemptOnWorker& lost_here : lost.attempts_) {
+      const AttemptRef& attempt = lost_here.attempt_;
+      unresolved[attempt.task_].insert(attempt.attempt_);
     }
   }
-  return counts;
+  return unresolved;
 }
 
 // Collects units of one job.
 struct JobUnits {
   const Pass& pass_;
-  const std::map<TaskRef, std::uint32_t>& unresolved_;
+  const UnresolvedAttempts& unresolved_;
   std::vector<Unit>& units_;
 };
 
@@ -113,9 +119,9 @@
   if (unresolved == out.unresolved_.end()) return false;
   const auto& histories = out.pass_.state_.crashes_.histories_;
   const auto history = histories.find(listed);
-  const std::uint32_t crashes =
+  const std::size_t crashes =
       history == histories.end() ? 0 : history->second.crashes_;
-  return crashes + unresolved->second >= kCrashesToGiveUp;
+  return crashes + unresolved->second.size() >= kCrashesToGiveUp;
 }
 
 void CollectGang(Unit unit, const TaskRef& listed, JobUnits& out) {
@@ -197,7 +203,7 @@
 
 std::vector<Unit> CollectUnits(const Pass& pass, const JobQueuedAt& queued_at) {
   std::vector<Unit> units;
-  const auto unresolved = CountUnresolved(pass);
+  const UnresolvedAttempts unresolved = CollectUnresolved(pass);
   JobUnits out{pass, unresolved, units};
   for (const auto& [key, job] : pass.state_.jobs_) {
     if (job.state_ != GraphJobState::kActive) continue;
--- a/flamingohollow/testing/graph_placement_test.cc
+++ b/flamingohollow/testing/graph_placement_test.cc
@@ -537,5 +537,45 @@
   CHECK_FALSE(CouldEverRun(spec, PoolName("pool"), scheduler.fleet_));
 }
 
+// Returns a fleet whose first three workers are silent, each with an attempt of
+// job 1 that was lost there. The attempts are numbered from 1 if `several`.
+Fleet LoseOnThree(GraphState& state, bool several) {
+  Fleet fleet = MakeFleet(1, 6, kNow);
+  for (std::uint64_t i = 0; i < 3; ++i) {
+    const WorkerId id("w" + std::to_string(i));
+    FleetWorker& worker = fleet.at(id);
+    worker.unanswered_calls_ = 1;
+    const AttemptRef attempt{{MakeKey(1), {}, {}, {}},
+                             AttemptId(several ? i + 1 : 1)};
+    NoteEnded(state.crashes_, attempt, id, worker.report_.incarnation_,
+              /*lost=*/true, Time(1));
+  }
+  return fleet;
+}
+
+TEST_CASE("a gang that was lost once on three workers does not wait for them") {
+  GraphState state;
+  Submit(state, 1, {MakeGang(3, 4, Duration(1000), false)}, {});
+  const Fleet fleet = LoseOnThree(state, /*several=*/false);
+  CHECK_EQ(Plan(state, fleet).open_.size(), 3);
+}
+
+TEST_CASE("a task lost three times waits while it may be a deadly one") {
+  GraphState state;
+  Submit(state, 1, {MakeStep(1, 1, Duration(1000))}, {});
+  Fleet fleet = LoseOnThree(state, /*several=*/true);
+  CHECK(Plan(state, fleet).open_.empty());
+  SUBCASE("one of the workers answers again") {
+    fleet.at(WorkerId("w0")).unanswered_calls_ = 0;
+  }
+  SUBCASE("the workers don't come back") {
+    for (int i = 0; i < 3; ++i) {
+      FleetWorker& worker = fleet.at(WorkerId("w" + std::to_string(i)));
+      worker.last_heard_at_ = kNow - kMaxRestartTime;
+    }
+  }
+  CHECK_EQ(Plan(state, fleet).open_.size(), 1);
+}
+
 }  // namespace
 }  // namespace flamingohollow::testing
