Occurrences of a scheduled job that are due at once become due bit by bit

What was seen (in a test): a job of 4,000 tasks that repeats a million times without an interval added 199 occurrences in 4 s, 4,000 task records each, to the state of all control nodes, without end. Cause: the limit of 10,000 tasks a job held for one occurrence, not for those due. Change: a further occurrence becomes due once the unfinished ones hold fewer than 10,000 tasks.

--- a/flamingohollow/graph_scheduler.cc
+++ b/flamingohollow/graph_scheduler.cc
@@ -172,11 +172,20 @@
   }
 }
 
+// Whether the job's unfinished occurrences hold as many tasks as a job may have.
+// Further ones become due once some have finished, since each takes memory on
+// all control nodes.
+bool HasManyDue(const GraphJob& job) {
+  std::uint64_t tasks = 0;
+  for (const StepSpec& step : job.spec_.steps_) tasks += step.tasks_;
+  return job.occurrences_.size() * tasks >= kMaxTasksPerJob;
+}
+
 void ProposeDue(Context& ctx) {
   DueRecord record;
   for (const auto& [key, job] : ctx.state_.jobs_) {
     if (job.state_ != GraphJobState::kActive) continue;
-    if (job.next_due_ >= job.spec_.occurrences_) continue;
+    if (job.next_due_ >= job.spec_.occurrences_ || HasManyDue(job)) continue;
     if (ctx.scheduler_.due_proposed_.contains(key)) continue;
     const Time due =
         job.spec_.first_due_ +
--- a/flamingohollow/testing/graph_scheduler_test.cc
+++ b/flamingohollow/testing/graph_scheduler_test.cc
@@ -271,6 +271,19 @@
   CHECK_EQ(state.jobs_.at(MakeKey(1)).occurrences_.size(), 3);
 }
 
+// Each occurrence takes memory on all control nodes.
+TEST_CASE("a schedule that is due all at once becomes due bit by bit") {
+  GraphWorld world({.racks_ = 1, .per_rack_ = 1});
+  SubmitRecord record =
+      MakeSubmit(1, {MakeStep(4000, 1, Duration(60'000))}, {});
+  record.spec_.occurrences_ = 1'000'000;
+  world.Submit(record, {std::vector<Duration>(4000, Duration(60'000))});
+  world.RunFor(Duration(4000));
+  const GraphJob& job = *FindJob(world.state(), MakeKey(1));
+  CHECK_EQ(job.occurrences_.size(), 3);
+  CHECK(job.begun_);
+}
+
 // A scheduler with one worker, driven one command at a time.
 struct OneWorker {
   GraphState state_;
