--- a/flamingohollow/graph_scheduler_commands.cc
+++ b/flamingohollow/graph_scheduler_commands.cc
@@ -101,7 +101,9 @@
 
 void ProposeLostRuns(Context& ctx, FleetWorker& worker, std::string_view why) {
   std::vector<AttemptRef> lost;
-  for (const auto& [attempt, run] : worker.runs_) lost.push_back(attempt);
+  for (const auto& [attempt, run] : worker.runs_) {
+    if (!run.end_proposed_) lost.push_back(attempt);
+  }
   if (lost.empty()) return;
   LogEvent("worker_lost", {{"worker", worker.report_.id_.value()},
                            {"life", worker.report_.incarnation_.value()},
