A delayed report of an earlier process doesn't count as its successor's crash

Cause: a listed worker that another one replaces at its address was taken for crashed, whichever started first (found by reading the diff). Evidence: a new case of graph_state_test, not run on the code before.

--- a/flamingohollow/graph_scheduler.cc
+++ b/flamingohollow/graph_scheduler.cc
@@ -172,9 +172,9 @@
   }
 }
 
-// Whether the job's unfinished occurrences hold as many tasks as a job may have.
-// Further ones become due once some have finished, since each takes memory on
-// all control nodes.
+// Whether the job's unfinished occurrences hold as many tasks as a job may
+// have. Further ones become due once some have finished, since each takes
+// memory on all control nodes.
 bool HasManyDue(const GraphJob& job) {
   std::uint64_t tasks = 0;
   for (const StepSpec& step : job.spec_.steps_) tasks += step.tasks_;
--- a/flamingohollow/graph_state.cc
+++ b/flamingohollow/graph_state.cc
@@ -223,7 +223,7 @@
 
 // The worker's process is over without having left. `restarted` is the start of
 // the next process, if there is one.
-void CountCrash(GraphState& state, const PoolWorkerReport& worker,
+void ApplyCrash(GraphState& state, const PoolWorkerReport& worker,
                 Time restarted) {
   WorkerCrash crash =
       CountCrash(state.crashes_, worker.id_, worker.incarnation_,
@@ -236,8 +236,9 @@
   if (!crash.suspects_.empty()) state.new_crashes_.push_back(std::move(crash));
 }
 
-// Whether the report shows that the other worker's process is over.
-bool IsOverBy(const PoolWorkerReport& worker, const PoolWorkerReport& report) {
+// Whether the report replaces the listed worker, which is then over.
+bool IsReplacedBy(const PoolWorkerReport& worker,
+                  const PoolWorkerReport& report) {
   return worker.id_ == report.id_ ? worker.incarnation_ < report.incarnation_
                                   : worker.address_ == report.address_;
 }
@@ -252,9 +253,12 @@
             std::pair(report.incarnation_, report.sequence_);
     if (stale) continue;
     for (const auto& [id, worker] : state.workers_) {
-      if (!IsOverBy(worker, report)) continue;
+      if (!IsReplacedBy(worker, report)) continue;
       // A worker's incarnation is the Unix time of its start.
-      CountCrash(state, worker, Time(report.incarnation_.value()));
+      if (worker.incarnation_ < report.incarnation_) {
+        ApplyCrash(state, worker, Time(report.incarnation_.value()));
+      }
+      ForgetWorker(state.crashes_, id);
     }
     std::erase_if(state.workers_, [&state, &report](const auto& item) {
       if (item.second.address_ != report.address_) return false;
@@ -266,7 +270,7 @@
   for (const WorkerId& id : record.gone_) {
     const auto found = state.workers_.find(id);
     if (found != state.workers_.end()) {
-      if (!found->second.draining_) CountCrash(state, found->second, Time());
+      if (!found->second.draining_) ApplyCrash(state, found->second, Time());
       ForgetWorker(state.crashes_, id);
     }
     state.workers_.erase(id);
--- a/flamingohollow/rpc.h
+++ b/flamingohollow/rpc.h
@@ -60,8 +60,8 @@
   // Calls `address`; thread-safe. `done` runs on the RPC thread, exactly once.
   void Call(const std::string& address, RpcKind kind, std::string body,
             Duration timeout, const CallCallback& done);
-  // Ends the RPC thread: open calls fail, and so do all later ones. Threads that
-  // may still make calls have to end before the node is destroyed.
+  // Ends the RPC thread: open calls fail, and so do all later ones. Threads
+  // that may still make calls have to end before the node is destroyed.
   void Stop();
   // Port that the server listens on.
   std::uint16_t port() const;
--- a/flamingohollow/testing/graph_state_test.cc
+++ b/flamingohollow/testing/graph_state_test.cc
@@ -213,6 +213,28 @@
   CHECK(state.worker_speeds_.empty());
 }
 
+TEST_CASE("only a later process shows that a worker has crashed") {
+  GraphState state;
+  PoolWorkerReport report = MakeReport("w0");
+  report.incarnation_ = WorkerIncarnation(5);
+  Submit(state, 1, {MakeStep(1, 1, Duration(1))}, {});
+  ApplyRecord(state, WorkerRecord{{report}, {}});
+  ApplyRecord(
+      state, OpenRecord{{{Attempt(0, 0, 1), report.id_, report.incarnation_}}});
+  bool crashed = false;
+  SUBCASE("its next report") { report.sequence_ = 2; }
+  SUBCASE("a delayed report of an earlier process at its address") {
+    report = MakeReport("w1");
+  }
+  SUBCASE("a later process at its address") {
+    report = MakeReport("w1");
+    report.incarnation_ = WorkerIncarnation(6);
+    crashed = true;
+  }
+  ApplyRecord(state, WorkerRecord{{report}, {}});
+  CHECK_EQ(state.new_crashes_.size(), crashed ? 1 : 0);
+}
+
 TEST_CASE("a snapshot of the first version is read, and the other way round") {
   GraphState state;
   ApplyRecord(state, CatalogRecord{MakeCatalog(5)});
--- a/flamingohollow/worker_crashes.cc
+++ b/flamingohollow/worker_crashes.cc
@@ -25,6 +25,7 @@
     WorkerIncarnation incarnation, const std::vector<AttemptRef>& open,
     Time restarted) {
   std::vector<AttemptOnWorker> all;
+  all.reserve(open.size());
   for (const AttemptRef& attempt : open) {
     all.push_back({attempt, IsAccused(ledger, attempt.task_, worker), Time()});
   }
