A crash is blamed on a task only if it is known to have begun on the worker

Cause: a start that was lost on its way to a worker that had crashed behind a cut counted as one that had crashed it. Change: the leader commits which suspects are known to have begun (ConfirmedRecord): the start was answered, a poll shows the task, or the connection broke after the start had been sent to a worker that had answered until then. Other crashes only count.

--- a/flamingohollow/fleet.h
+++ b/flamingohollow/fleet.h
@@ -76,6 +76,9 @@
   bool command_in_flight_ = false;
   // A start command was not answered, so it may still be carried out.
   bool start_unanswered_ = false;
+  // The connection ended after the start command was sent, on a worker that had
+  // answered until then: the task may have crashed it.
+  bool start_broke_off_ = false;
   // Commands sent in this phase.
   std::uint32_t commands_sent_ = 0;
   // The end is proposed to the log but not yet committed.
--- a/flamingohollow/graph_records.h
+++ b/flamingohollow/graph_records.h
@@ -183,11 +183,22 @@
   }
 };
 
+// Attempts that began on the worker, of tasks that may crash it.
+struct ConfirmedRecord {
+  WorkerId worker_;
+  std::vector<AttemptRef> attempts_;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(worker_, attempts_);
+  }
+};
+
 // The log stores the position of the alternative, so new kinds are appended.
 using GraphRecord =
     std::variant<CatalogRecord, SubmitRecord, CancelRecord, OpenRecord,
                  EndRecord, DueRecord, ForgetRecord, WorkerRecord,
-                 EvacuationRecord, WorkerSpeedsRecord>;
+                 EvacuationRecord, WorkerSpeedsRecord, ConfirmedRecord>;
 
 }  // namespace flamingohollow
 
--- a/flamingohollow/graph_scheduler.h
+++ b/flamingohollow/graph_scheduler.h
@@ -126,6 +126,9 @@
   std::int64_t clock_ms_ = 0;
   // The worker's reason for a refusal, for the log.
   std::string reason_;
+  // With kNoAnswer: the command was sent, and the connection ended before the
+  // time for the answer was over.
+  bool broke_off_ = false;
 };
 
 struct StopResult {
--- a/flamingohollow/graph_scheduler_commands.cc
+++ b/flamingohollow/graph_scheduler_commands.cc
@@ -159,6 +159,23 @@
   SendStop(ctx, worker, attempt, run);
 }
 
+void ProposeConfirmed(Context& ctx, const FleetWorker& worker) {
+  const WorkerId& id = worker.report_.id_;
+  if (!ctx.state_.crashes_.accused_.contains(id)) return;
+  ConfirmedRecord record{id, {}};
+  for (const auto& [attempt, run] : worker.runs_) {
+    const bool began = run.phase_ == RunPhase::kRunning || run.start_broke_off_;
+    const GraphJob* job = FindJob(ctx.state_, attempt.task_.job_);
+    if (!began || run.end_proposed_ || job == nullptr) continue;
+    const StepSpec& spec = job->spec_.steps_[attempt.task_.step_.value()];
+    const AttemptRef listed = ListedAttempt(attempt, spec);
+    if (AwaitsConfirmation(ctx.state_.crashes_, listed, id)) {
+      record.attempts_.push_back(attempt);
+    }
+  }
+  if (!record.attempts_.empty()) Propose(ctx, std::move(record));
+}
+
 void SendPoll(Context& ctx, FleetWorker& worker) {
   const SchedulerOptions& options = ctx.scheduler_.options_;
   PollCommand command;
--- a/flamingohollow/graph_scheduler_polls.cc
+++ b/flamingohollow/graph_scheduler_polls.cc
@@ -229,6 +229,7 @@
   HandleRunning(ctx, *worker, result, seen);
   HandleEnds(ctx, *worker, result);
   HandleMissing(ctx, *worker, result, seen);
+  ProposeConfirmed(ctx, *worker);
 }
 
 }  // namespace flamingohollow::graph_scheduler_internal
--- a/flamingohollow/graph_scheduler_records.cc
+++ b/flamingohollow/graph_scheduler_records.cc
@@ -127,6 +127,7 @@
 
 void OnApplied(Context& /*ctx*/, const EvacuationRecord& /*record*/) {}
 void OnApplied(Context& /*ctx*/, const WorkerSpeedsRecord& /*record*/) {}
+void OnApplied(Context& /*ctx*/, const ConfirmedRecord& /*record*/) {}
 
 void OnLost(Context& ctx, const OpenRecord& record) {
   if (ctx.scheduler_.open_records_in_flight_ > 0)
--- a/flamingohollow/graph_scheduler_step.h
+++ b/flamingohollow/graph_scheduler_step.h
@@ -60,6 +60,9 @@
 void StopRun(Context& ctx, FleetWorker& worker, const AttemptRef& attempt,
              Run& run, std::string_view why);
 void SendPoll(Context& ctx, FleetWorker& worker);
+// Records which of the worker's accused attempts are known to have begun (see
+// worker_crashes.h).
+void ProposeConfirmed(Context& ctx, const FleetWorker& worker);
 
 // graph_scheduler_workers.cc
 
--- a/flamingohollow/graph_scheduler_workers.cc
+++ b/flamingohollow/graph_scheduler_workers.cc
@@ -222,7 +222,8 @@
     case CommandOutcome::kDone:
       run->began_ = ctx.now_;
       run->first_valid_poll_ = worker->polls_sent_ + 1;
-      return SetPhase(ctx, *run, RunPhase::kRunning);
+      SetPhase(ctx, *run, RunPhase::kRunning);
+      return ProposeConfirmed(ctx, *worker);
     case CommandOutcome::kRefused:
     case CommandOutcome::kRetryLater:
       LogDetail("start_refused", {{"attempt", Describe(result.attempt_)},
@@ -239,6 +240,11 @@
     case CommandOutcome::kNoAnswer:
       run->start_unanswered_ = true;
       worker->unanswered_starts_[result.attempt_] = run->last_command_at_;
+      // Otherwise an earlier call had shown that the worker is gone.
+      if (result.broke_off_ && worker->unanswered_calls_ == 1) {
+        run->start_broke_off_ = true;
+        ProposeConfirmed(ctx, *worker);
+      }
       return;
     case CommandOutcome::kNotSent:
       // Sent again after `resend_interval_`, which does not count as a resend.
--- a/flamingohollow/graph_state.cc
+++ b/flamingohollow/graph_state.cc
@@ -3,7 +3,6 @@
 #include "flamingohollow/graph_state.h"
 
 #include <algorithm>
-#include <cereal/types/set.hpp>
 #include <istream>
 #include <utility>
 
@@ -288,6 +287,15 @@
   }
 }
 
+void Apply(GraphState& state, const ConfirmedRecord& record) {
+  for (const AttemptRef& attempt : record.attempts_) {
+    if (!IsOpen(state, attempt)) continue;
+    const GraphJob& job = *FindJob(state, attempt.task_.job_);
+    const StepSpec& spec = job.spec_.steps_[attempt.task_.step_.value()];
+    NoteConfirmed(state.crashes_, ListedAttempt(attempt, spec), record.worker_);
+  }
+}
+
 // The parts of a snapshot that every version knows.
 template <class State>
 struct BaseParts {
--- a/flamingohollow/http_client.cc
+++ b/flamingohollow/http_client.cc
@@ -185,6 +185,7 @@
       const auto [read_error, bytes] = co_await http::async_read(
           connection->stream_, connection->buffer_, parser, kUseTuple);
       error = read_error;
+      result.broke_off_ = read_error && !expired();
     }
     if (!error) {
       result.error_ = HttpClientError::kNone;
--- a/flamingohollow/http_client.h
+++ b/flamingohollow/http_client.h
@@ -50,6 +50,9 @@
   // Set when `error_` is kNone.
   unsigned status_ = 0;
   std::string body_;
+  // With kNoAnswer: the whole request was sent, and the connection ended before
+  // the time was over.
+  bool broke_off_ = false;
 };
 
 struct HttpPost {
--- a/flamingohollow/testing/graph_state_test.cc
+++ b/flamingohollow/testing/graph_state_test.cc
@@ -235,6 +235,33 @@
   CHECK_EQ(state.new_crashes_.size(), crashed ? 1 : 0);
 }
 
+// Opens the next attempt of the job's task on a worker, which then restarts.
+void CrashUnder(GraphState& state, std::uint32_t attempt, bool confirmed) {
+  const std::string id = "w" + std::to_string(attempt);
+  PoolWorkerReport report = MakeReport(id);
+  report.address_ = id;
+  ApplyRecord(state, WorkerRecord{{report}, {}});
+  Open(state, Attempt(0, 0, attempt), id);
+  if (confirmed) {
+    ApplyRecord(state, ConfirmedRecord{WorkerId(id), {Attempt(0, 0, attempt)}});
+  }
+  report.incarnation_ = WorkerIncarnation(1000 + attempt);
+  ApplyRecord(state, WorkerRecord{{report}, {}});
+  End(state, Attempt(0, 0, attempt), AttemptEnd::kLost);
+}
+
+// A start that was lost on its way has not crashed the worker.
+TEST_CASE("crashes are blamed on a task that the worker had confirmed only") {
+  for (const bool confirmed : {true, false}) {
+    CAPTURE(confirmed);
+    GraphState state;
+    Submit(state, 1, {MakeStep(1, 1, Duration(1))}, {});
+    for (std::uint32_t i = 1; i <= 3; ++i) CrashUnder(state, i, confirmed);
+    CHECK_EQ(FindJob(state, MakeKey(1))->state_,
+             confirmed ? GraphJobState::kFailed : GraphJobState::kActive);
+  }
+}
+
 TEST_CASE("a snapshot of the first version is read, and the other way round") {
   GraphState state;
   ApplyRecord(state, CatalogRecord{MakeCatalog(5)});
--- a/flamingohollow/testing/graph_world.cc
+++ b/flamingohollow/testing/graph_world.cc
@@ -391,6 +391,7 @@
   if (deadly->second == Duration()) {
     CrashBy(worker, command.attempt_);
     result.outcome_ = CommandOutcome::kNoAnswer;
+    result.broke_off_ = true;
     return;
   }
   At(now_ + deadly->second, [this, &worker, attempt = command.attempt_] {
@@ -401,7 +402,7 @@
 void GraphWorld::CrashBy(FakeWorker& worker, const AttemptRef& attempt) {
   ++crashes_;
   ++deadly_tasks_[attempt.task_].crashes_;
-  worker.runs_.clear();
+  LoseRuns(worker);
   worker.down_ = true;
   At(now_ + options_.down_, [this, &worker] {
     Restart(worker);
@@ -555,9 +556,23 @@
                              now_, now_);
 }
 
+void GraphWorld::LoseRuns(FakeWorker& worker) {
+  for (const auto& [attempt, run] : worker.runs_) {
+    ++crashes_under_[attempt.task_];
+  }
+  worker.runs_.clear();
+}
+
+bool GraphWorld::HasCrashedTwice(std::uint64_t number) const {
+  return std::any_of(
+      crashes_under_.begin(), crashes_under_.end(), [number](const auto& item) {
+        return item.first.job_ == MakeKey(number) && item.second >= 2;
+      });
+}
+
 void GraphWorld::Restart(FakeWorker& worker) {
   worker.down_ = false;
-  worker.runs_.clear();
+  LoseRuns(worker);
   worker.highest_attempts_.clear();
   worker.ends_.clear();
   worker.ended_.clear();
--- a/flamingohollow/testing/graph_world.h
+++ b/flamingohollow/testing/graph_world.h
@@ -85,6 +85,8 @@
   const GraphState& state() const { return state_; }
   GraphJobState JobState(std::uint64_t number) const;
   bool AllEnded() const;
+  // Whether some task of the job was on two workers when they crashed.
+  bool HasCrashedTwice(std::uint64_t number) const;
   // Number of crashes of workers by deadly tasks.
   int crashes() const { return crashes_; }
   // The violated invariants, each once.
@@ -196,6 +198,7 @@
   void AdvanceWorkers();
   void EndGang(const AttemptRef& attempt);
   void Restart(FakeWorker& worker);
+  void LoseRuns(FakeWorker& worker);
   // Crashes the worker of a deadly task. Another process is there later.
   void CrashBy(FakeWorker& worker, const AttemptRef& attempt);
   const StepSpec& SpecOf(const TaskRef& task) const;
@@ -224,6 +227,8 @@
   };
   std::map<TaskRef, DeadlyTask> deadly_tasks_;
   int crashes_ = 0;
+  // How often a task was on a worker that crashed.
+  std::map<TaskRef, int> crashes_under_;
 };
 
 }  // namespace flamingohollow::testing
--- a/flamingohollow/worker_crashes.cc
+++ b/flamingohollow/worker_crashes.cc
@@ -13,10 +13,17 @@
   return ledger.histories_.contains(task);
 }
 
-bool IsAccused(const CrashLedger& ledger, const TaskRef& task,
-               const WorkerId& worker) {
-  const auto found = ledger.accused_.find(worker);
-  return found != ledger.accused_.end() && found->second.contains(task);
+// Returns what the ledger holds of the attempt, which may be accused.
+AttemptOnWorker Describe(const CrashLedger& ledger, const AttemptRef& attempt,
+                         const WorkerId& worker) {
+  AttemptOnWorker described{attempt, false, false, Time()};
+  const auto here = ledger.accused_.find(worker);
+  if (here == ledger.accused_.end()) return described;
+  const auto found = here->second.find(attempt.task_);
+  if (found == here->second.end()) return described;
+  described.accused_ = true;
+  described.confirmed_ = found->second;
+  return described;
 }
 
 // Returns the attempts that were on the worker, each gang once.
@@ -27,7 +34,7 @@
   std::vector<AttemptOnWorker> all;
   all.reserve(open.size());
   for (const AttemptRef& attempt : open) {
-    all.push_back({attempt, IsAccused(ledger, attempt.task_, worker), Time()});
+    all.push_back(Describe(ledger, attempt, worker));
   }
   const auto lost = ledger.lost_.find(worker);
   if (lost != ledger.lost_.end() && lost->second.incarnation_ == incarnation) {
@@ -85,20 +92,33 @@
                 const WorkerId& worker) {
   const TaskRef& task = listed.task_;
   if (SuspicionOf(ledger, task) == Suspicion::kStrong) {
-    ledger.accused_[worker] = {task};
+    ledger.accused_[worker] = {{task, false}};
   } else if (HasHistory(ledger, task) || ledger.accused_.contains(worker)) {
-    ledger.accused_[worker].insert(task);
+    ledger.accused_[worker].emplace(task, false);
   }
 }
 
+void NoteConfirmed(CrashLedger& ledger, const AttemptRef& listed,
+                   const WorkerId& worker) {
+  if (AwaitsConfirmation(ledger, listed, worker)) {
+    ledger.accused_.at(worker).at(listed.task_) = true;
+  }
+}
+
+bool AwaitsConfirmation(const CrashLedger& ledger, const AttemptRef& listed,
+                        const WorkerId& worker) {
+  const AttemptOnWorker attempt = Describe(ledger, listed, worker);
+  return attempt.accused_ && !attempt.confirmed_;
+}
+
 void NoteEnded(CrashLedger& ledger, const AttemptRef& listed,
                const WorkerId& worker, WorkerIncarnation incarnation, bool lost,
                Time at) {
-  const bool accused = IsAccused(ledger, listed.task_, worker);
-  if (accused) {
-    auto& tasks = ledger.accused_.at(worker);
-    tasks.erase(listed.task_);
-    if (tasks.empty()) ledger.accused_.erase(worker);
+  AttemptOnWorker ended = Describe(ledger, listed, worker);
+  if (ended.accused_) {
+    auto& accused = ledger.accused_.at(worker);
+    accused.erase(listed.task_);
+    if (accused.empty()) ledger.accused_.erase(worker);
   }
   if (!lost) return;
   CrashLedger::Lost& here = ledger.lost_[worker];
@@ -106,7 +126,8 @@
   std::erase_if(here.attempts_, [at](const AttemptOnWorker& attempt) {
     return at - attempt.lost_ > kMaxRestartTime;
   });
-  here.attempts_.push_back({listed, accused, at});
+  ended.lost_ = at;
+  here.attempts_.push_back(ended);
 }
 
 WorkerCrash CountCrash(CrashLedger& ledger, const WorkerId& worker,
@@ -124,7 +145,7 @@
     const Time at = std::max(restarted, candidate.lost_);
     if (at - history.last_crash_ > kCrashMemory) history = {};
     ++history.crashes_;
-    if (candidates.size() == 1) ++history.blamed_;
+    if (candidates.size() == 1 && candidate.confirmed_) ++history.blamed_;
     history.last_attempt_ = candidate.attempt_.attempt_;
     history.last_crash_ = at;
     crash.suspects_.push_back(task);
--- a/flamingohollow/worker_crashes.h
+++ b/flamingohollow/worker_crashes.h
@@ -16,7 +16,6 @@
 
 #include <cstdint>
 #include <map>
-#include <set>
 #include <vector>
 
 #include "flamingohollow/graph_types.h"
@@ -61,12 +60,14 @@
   AttemptRef attempt_;
   // See CrashLedger.
   bool accused_ = false;
+  // The worker had confirmed that it runs. Known of the accused only.
+  bool confirmed_ = false;
   // Unix time at which it was taken for lost; unset if it is open.
   Time lost_;
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(attempt_, accused_, lost_);
+    archive(attempt_, accused_, confirmed_, lost_);
   }
 };
 
@@ -76,8 +77,9 @@
   // By worker with a suspect: the open tasks to which a crash would be
   // attributed. These are the suspects and what was placed there later. Since a
   // strong suspect is only placed beside tasks that have run for a while, it
-  // replaces all others.
-  std::map<WorkerId, std::set<TaskRef>> accused_;
+  // replaces all others. The value tells whether the worker has confirmed that
+  // the task runs.
+  std::map<WorkerId, std::map<TaskRef, bool>> accused_;
   // Attempts that were taken for lost on a worker, which may have crashed.
   struct Lost {
     WorkerIncarnation incarnation_;
@@ -112,6 +114,12 @@
 // An attempt was opened on the worker.
 void NoteOpened(CrashLedger& ledger, const AttemptRef& listed,
                 const WorkerId& worker);
+// The worker has confirmed that the attempt runs.
+void NoteConfirmed(CrashLedger& ledger, const AttemptRef& listed,
+                   const WorkerId& worker);
+// Whether the attempt is accused and not confirmed yet.
+bool AwaitsConfirmation(const CrashLedger& ledger, const AttemptRef& listed,
+                        const WorkerId& worker);
 // An attempt on the worker ended. `lost` says that the worker may have crashed.
 void NoteEnded(CrashLedger& ledger, const AttemptRef& listed,
                const WorkerId& worker, WorkerIncarnation incarnation, bool lost,
