A node that stops starts no call that arrives meanwhile

An entry or a control node may abort like this instead of ending its graceful stop. Cause: the loop's shutdown destroyed its set of tasks first, and then ran the work left in the mailbox. A call among it was added to the destroyed set, so its promise was never destroyed. A caller that repeats a failed call makes this likely. Change: the work that is left runs first, and a stopped loop refuses calls at once. Evidence: the new test aborts on the old code each time.

--- a/flamingohollow/rpc.cc
+++ b/flamingohollow/rpc.cc
@@ -206,8 +206,12 @@
   void Stop() { stopped_ = true; }
 
   void StartCall(PendingCall call) {
+    if (stopped_ || call.body_.size() > kMaxRpcBody) {
+      call.done_(false, "");
+      return;
+    }
     const LinkPtr link = GetLink(call.address_);
-    if (call.body_.size() > kMaxRpcBody || link->calls_ >= kMaxCallsPerLink) {
+    if (link->calls_ >= kMaxCallsPerLink) {
       call.done_(false, "");
       return;
     }
@@ -302,11 +306,10 @@
 
   // Ends every call as failed: each callback runs exactly once.
   void Shutdown() {
-    tasks_.reset();
-    for (auto& [id, call] : std::exchange(calls_, {})) call.done_(false, "");
+    stopped_ = true;
     for (auto& work : mailbox_->Close()) work();
-    for (auto& [id, call] : std::exchange(calls_, {})) call.done_(false, "");
     tasks_.reset();
+    for (auto& [id, call] : std::exchange(calls_, {})) call.done_(false, "");
     links_.clear();
     answers_->owed_.clear();
     server_.reset();
--- a/flamingohollow/testing/rpc_test.cc
+++ b/flamingohollow/testing/rpc_test.cc
@@ -133,6 +133,32 @@
   CHECK_FALSE(RpcNode::Create("127.0.0.1:notaport", {}));
 }
 
+TEST_CASE("a call that is repeated as its node stops does not abort the node") {
+  std::mutex mutex;
+  std::vector<RpcResponder> kept;
+  std::promise<void> arrived;
+  const auto server = MakeNode("127.0.0.1:0", [&](RpcKind, const std::string&,
+                                                  const RpcResponder& respond) {
+    const std::lock_guard<std::mutex> lock(mutex);
+    if (kept.empty()) arrived.set_value();
+    kept.push_back(respond);
+  });
+  const auto client = MakeClient();
+  std::atomic<int> failed{0};
+  const auto count = [&failed](bool ok, const std::string&) {
+    failed += ok ? 0 : 1;
+  };
+  const auto repeat = [&](bool ok, const std::string& body) {
+    count(ok, body);
+    client->Call(AddressOf(*server), RpcKind::kCall, "again", kAmpleTime,
+                 count);
+  };
+  client->Call(AddressOf(*server), RpcKind::kCall, "first", kAmpleTime, repeat);
+  arrived.get_future().wait();
+  client->Stop();
+  CHECK(failed == 2);
+}
+
 TEST_CASE("calls to a node that is being stopped fail, each once") {
   const auto node = MakeClient();
   std::atomic<int> made{0};
