--- a/flamingohollow/graph_state.cc
+++ b/flamingohollow/graph_state.cc
@@ -63,19 +63,54 @@
   }
 }
 
-void CloseTask(StepRecord& step, TaskRecord& task) {
+void RemoveFromIndex(GraphState& state, const TaskRef& ref,
+                     const TaskRecord& task) {
+  const auto here = state.open_on_.find(task.worker_);
+  if (here == state.open_on_.end()) return;
+  here->second.erase({ref, task.attempt_});
+  if (here->second.empty()) state.open_on_.erase(here);
+}
+
+void CloseTask(GraphState& state, const TaskRef& ref, StepRecord& step,
+               TaskRecord& task) {
   if (!task.open_) return;
+  RemoveFromIndex(state, ref, task);
   task.open_ = false;
   --step.open_;
 }
 
-void MarkDone(StepRecord& step, TaskRecord& task) {
-  CloseTask(step, task);
+void MarkDone(GraphState& state, const TaskRef& ref, StepRecord& step,
+              TaskRecord& task) {
+  CloseTask(state, ref, step, task);
   if (task.done_) return;
   task.done_ = true;
   ++step.done_;
 }
 
+// Calls `visit` with each open task of the job.
+template <class Visitor>
+void ForEachOpen(const GraphJob& job, const Visitor& visit) {
+  for (const auto& [number, occurrence] : job.occurrences_) {
+    for (std::uint32_t i = 0; i < occurrence.steps_.size(); ++i) {
+      const StepRecord& step = occurrence.steps_[i];
+      if (step.open_ == 0) continue;
+      for (std::uint32_t index = 0; index < step.tasks_.size(); ++index) {
+        const TaskRecord& task = step.tasks_[index];
+        if (!task.open_) continue;
+        visit(TaskRef{job.key_, number, StepIndex(i), TaskIndex(index)}, task);
+      }
+    }
+  }
+}
+
+void IndexOpenAttempts(GraphState& state) {
+  for (const auto& [key, job] : state.jobs_) {
+    ForEachOpen(job, [&state](const TaskRef& ref, const TaskRecord& task) {
+      state.open_on_[task.worker_].insert({ref, task.attempt_});
+    });
+  }
+}
+
 // Counts a failed attempt. Returns true if no further attempt is allowed.
 bool CountFailure(const GraphJob& job, const StepSpec& spec, StepRecord& step,
                   TaskRecord& task) {
@@ -93,7 +128,7 @@
   StepRecord& step = *FindStep(job, ref.occurrence_, ref.step_);
   const StepSpec& spec = job.spec_.steps_[ref.step_.value()];
   TaskRecord& task = step.tasks_[ref.index_.value()];
-  CloseTask(step, task);
+  CloseTask(state, ref, step, task);
   // Once the worker's next process is listed, the crash has been counted.
   const auto worker = state.workers_.find(task.worker_);
   const bool listed = worker != state.workers_.end() &&
@@ -108,9 +143,13 @@
   if (ended.end_ == AttemptEnd::kDone && finite) {
     // If one member is done, the whole gang is.
     if (spec.gang_) {
-      for (TaskRecord& member : step.tasks_) MarkDone(step, member);
+      TaskRef member = ref;
+      for (std::uint32_t i = 0; i < step.tasks_.size(); ++i) {
+        member.index_ = TaskIndex(i);
+        MarkDone(state, member, step, step.tasks_[i]);
+      }
     } else {
-      MarkDone(step, task);
+      MarkDone(state, ref, step, task);
     }
   }
   if (ended.end_ == AttemptEnd::kFailed &&
@@ -162,6 +201,7 @@
     task.open_ = true;
     task.worker_ = opened.worker_;
     task.incarnation_ = opened.incarnation_;
+    state.open_on_[opened.worker_].insert(opened.attempt_);
     ++step->open_;
     job->begun_ = true;
     const StepSpec& spec = job->spec_.steps_[ref.step_.value()];
@@ -189,33 +229,29 @@
 void Apply(GraphState& state, const ForgetRecord& record) {
   for (const GraphJobKey& key : record.keys_) {
     const GraphJob* job = FindJob(state, key);
-    if (job != nullptr && job->state_ != GraphJobState::kActive) {
-      state.jobs_.erase(key);
-      ForgetJob(state.crashes_, key);
-    }
+    if (job == nullptr || job->state_ == GraphJobState::kActive) continue;
+    ForEachOpen(*job, [&state](const TaskRef& ref, const TaskRecord& task) {
+      RemoveFromIndex(state, ref, task);
+    });
+    state.jobs_.erase(key);
+    ForgetJob(state.crashes_, key);
   }
 }
 
-// Returns the attempts that are open on the worker.
+// Returns the attempts that are open on the worker, as the crash ledger lists
+// them.
 std::vector<AttemptRef> OpenAttemptsOn(const GraphState& state,
                                        const PoolWorkerReport& worker) {
   std::vector<AttemptRef> open;
-  for (const auto& [key, job] : state.jobs_) {
-    for (const auto& [number, occurrence] : job.occurrences_) {
-      for (std::uint32_t i = 0; i < occurrence.steps_.size(); ++i) {
-        const StepRecord& step = occurrence.steps_[i];
-        if (step.open_ == 0) continue;
-        for (std::uint32_t index = 0; index < step.tasks_.size(); ++index) {
-          const TaskRecord& task = step.tasks_[index];
-          const bool here = task.open_ && task.worker_ == worker.id_ &&
-                            task.incarnation_ == worker.incarnation_;
-          if (!here) continue;
-          const TaskRef ref{key, number, StepIndex(i), TaskIndex(index)};
-          open.push_back(
-              ListedAttempt({ref, task.attempt_}, job.spec_.steps_[i]));
-        }
-      }
-    }
+  const auto here = state.open_on_.find(worker.id_);
+  if (here == state.open_on_.end()) return open;
+  for (const AttemptRef& attempt : here->second) {
+    const TaskRef& ref = attempt.task_;
+    const StepRecord& step = *FindStep(state, ref);
+    const TaskRecord& task = step.tasks_[ref.index_.value()];
+    if (task.incarnation_ != worker.incarnation_) continue;
+    const GraphJob& job = *FindJob(state, ref.job_);
+    open.push_back(ListedAttempt(attempt, job.spec_.steps_[ref.step_.value()]));
   }
   return open;
 }
@@ -356,6 +392,7 @@
       !ReadPart(parts, SnapshotPart::kCrashes, state.crashes_)) {
     return std::nullopt;
   }
+  IndexOpenAttempts(state);
   return state;
 }
 
--- a/flamingohollow/graph_state.h
+++ b/flamingohollow/graph_state.h
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -119,6 +120,9 @@
   // Of workers in `workers_`.
   std::map<WorkerId, LearnedSpeed> worker_speeds_;
   CrashLedger crashes_;
+  // The open attempts of the tasks in `jobs_`, by worker. Not part of
+  // snapshots, since it follows from `jobs_`.
+  std::map<WorkerId, std::set<AttemptRef>> open_on_;
   // The crashes that the last applied WorkerRecord has shown, for logs and
   // metrics. Not part of snapshots.
   std::vector<WorkerCrash> new_crashes_;
--- a/flamingohollow/testing/deadly_task_test.cc
+++ b/flamingohollow/testing/deadly_task_test.cc
@@ -169,6 +169,8 @@
                    {.priority_ = static_cast<std::uint32_t>(pick(3))});
       world.RunFor(Duration(pick(1500)));
       Disturb(world, random);
+      const auto copy = DecodeState(EncodeState(world.state()));
+      CHECK(copy->open_on_ == world.state().open_on_);
     }
     world.EndFaults();
     for (int i = 0; i < world.workers(); ++i) {
