Weak suspects of a step are placed as one unit

Cause: each suspect was a unit of its own, with a search over all workers, and its failed fits were not remembered. The attempts lost on silent workers were collected in each pass, though only a task with three attempts can wait for them. Change: one unit for all weak suspects of a step; a worker chosen for one ranks lower for the next. Lost attempts are collected when a task first needs them. The fixture of "a task lost three times waits" listed lost attempts of tasks that had none; it now sets the tasks' attempts, and the checks are unchanged.

--- a/flamingohollow/graph_placement.cc
+++ b/flamingohollow/graph_placement.cc
@@ -168,10 +168,11 @@
 }
 
 // Whether the unit's fits depend on its resources only. A step with a limit for
-// each worker may fail because of that limit, and a suspect because of others.
+// each worker may fail because of that limit, and a strong suspect because of
+// what has just started.
 bool IsComparable(const Unit& unit) {
   return unit.spec_->max_per_worker_ == 0 &&
-         unit.suspicion_ == Suspicion::kNone;
+         unit.suspicion_ != Suspicion::kStrong;
 }
 
 // Starts a whole gang if it fits now.
--- a/flamingohollow/graph_placement_fit.cc
+++ b/flamingohollow/graph_placement_fit.cc
@@ -49,14 +49,17 @@
 // slow for these, since a gang is as slow as its slowest member, and not for
 // other tasks, so that these leave the warm workers to them. Suspected units
 // prefer workers without another one that has just started, then those where
-// nothing else runs.
-int RankWorker(const PassWorker& worker, const Unit& unit) {
+// nothing else runs. `holds_part` says that the worker is also chosen for
+// another task of the unit.
+int RankWorker(const PassWorker& worker, const Unit& unit, bool holds_part) {
   constexpr int kSuspectRank = 3;
   constexpr int kSharedRank = 8;
   int base = 0;
   if (unit.suspicion_ != Suspicion::kNone) {
     if (!worker.fleet_worker_->runs_.empty()) base += kSharedRank;
-    if (worker.recent_suspicion_ != Suspicion::kNone) base += kSharedRank;
+    const bool beside_suspect = worker.recent_suspicion_ != Suspicion::kNone ||
+                                (holds_part && !unit.spec_->gang_);
+    if (beside_suspect) base += kSharedRank;
   }
   const bool urgent = unit.job_->terms_.priority_ == 0;
   const bool averse = urgent || (unit.spec_->gang_ && unit.tasks_.size() > 1);
@@ -74,11 +77,12 @@
 }  // namespace
 
 FitRank RankFit(const Pass& pass, std::size_t worker, const Unit& unit,
-                const Resources& left) {
+                const Resources& left, bool holds_part) {
   const PassWorker& state = pass.workers_[worker];
   const bool away =
       IsAwayFromData(*unit.spec_, state.fleet_worker_->report_.rack_);
-  return {away, RankWorker(state, unit), left.accelerators_, left.memory_mb_};
+  return {away, RankWorker(state, unit, holds_part), left.accelerators_,
+          left.memory_mb_};
 }
 
 std::uint64_t CountFits(const Resources& need, const Resources& free,
@@ -159,7 +163,7 @@
     const Resources& free = (pass.*free_of)[worker];
     const std::uint64_t fits = CountFitsOn(pass, unit, worker, free);
     if (fits == 0) continue;
-    const FitRank rank = RankFit(pass, worker, unit, free - unit.need_);
+    const FitRank rank = RankFit(pass, worker, unit, free - unit.need_, false);
     heap.push_back({rank, i, worker, free, fits});
   }
   std::make_heap(heap.begin(), heap.end());
@@ -173,7 +177,8 @@
       heap.pop_back();
       continue;
     }
-    best.rank_ = RankFit(pass, best.worker_, unit, best.free_ - unit.need_);
+    best.rank_ =
+        RankFit(pass, best.worker_, unit, best.free_ - unit.need_, true);
     std::push_heap(heap.begin(), heap.end());
   }
   return chosen;
@@ -205,8 +210,8 @@
     const bool away = IsAwayFromData(*unit.spec_, *rack.name_);
     int rank_of_worst = 0;
     for (const std::size_t worker : fit) {
-      rank_of_worst =
-          std::max(rank_of_worst, RankWorker(pass.workers_[worker], unit));
+      rank_of_worst = std::max(rank_of_worst,
+                               RankWorker(pass.workers_[worker], unit, false));
     }
     const std::tuple rank(away, rank_of_worst,
                           FreeAccelerators(pass, rack.workers_, free));
--- a/flamingohollow/graph_placement_pass.h
+++ b/flamingohollow/graph_placement_pass.h
@@ -224,10 +224,10 @@
 std::uint32_t StepTasksOn(const PassWorker& worker, const Unit& unit);
 // Lower is better. Compares distance from the data, then the worker's pace and
 // suspicion as they matter to the unit, then the accelerators and memory left
-// over.
+// over. `holds_part` says that another task of the unit goes there too.
 using FitRank = std::tuple<bool, int, std::int64_t, std::int64_t>;
 FitRank RankFit(const Pass& pass, std::size_t worker, const Unit& unit,
-                const Resources& left);
+                const Resources& left, bool holds_part);
 // Returns a worker index for each of the first `tasks` tasks of the unit, or
 // nothing if not all fit. A unit that wants one rack is placed on several only
 // if `may_spread`.
--- a/flamingohollow/graph_placement_trial.cc
+++ b/flamingohollow/graph_placement_trial.cc
@@ -135,7 +135,9 @@
   const auto change = changes_.find(worker);
   const std::uint32_t version =
       change == changes_.end() ? 0 : change->second.version_;
-  heap_.push_back({offer->cost_, RankFit(pass_, worker, unit_, offer->left_),
+  const bool holds_part = change != changes_.end() && change->second.tasks_ > 0;
+  heap_.push_back({offer->cost_,
+                   RankFit(pass_, worker, unit_, offer->left_, holds_part),
                    position, worker, version});
 }
 
--- a/flamingohollow/graph_placement_units.cc
+++ b/flamingohollow/graph_placement_units.cc
@@ -4,6 +4,7 @@
 #include <functional>
 #include <limits>
 #include <map>
+#include <optional>
 #include <set>
 #include <utility>
 
@@ -116,15 +117,21 @@
 // Collects units of one job.
 struct JobUnits {
   const Pass& pass_;
-  const UnresolvedAttempts& unresolved_;
+  // Unset until a unit first needs it.
+  std::optional<UnresolvedAttempts>& unresolved_;
   std::vector<Unit>& units_;
 };
 
 // Whether the next attempt waits until it is known whether the task has crashed
 // the workers that its last attempts were lost with.
-bool AwaitsVerdict(const JobUnits& out, const TaskRef& listed) {
-  const auto unresolved = out.unresolved_.find(listed);
-  if (unresolved == out.unresolved_.end()) return false;
+bool AwaitsVerdict(JobUnits& out, const TaskRef& listed,
+                   const TaskRecord& task) {
+  if (task.attempt_.value() < kCrashesToGiveUp) return false;
+  if (!out.unresolved_.has_value()) {
+    out.unresolved_ = CollectUnresolved(out.pass_);
+  }
+  const auto unresolved = out.unresolved_->find(listed);
+  if (unresolved == out.unresolved_->end()) return false;
   const auto& histories = out.pass_.state_.crashes_.histories_;
   const auto history = histories.find(listed);
   const std::size_t crashes =
@@ -133,36 +140,45 @@
 }
 
 void CollectGang(Unit unit, const TaskRef& listed, JobUnits& out) {
-  if (unit.step_->open_ > 0 || AwaitsVerdict(out, listed)) return;
+  const StepRecord& step = *unit.step_;
+  if (step.open_ > 0 || AwaitsVerdict(out, listed, step.tasks_.front())) return;
   unit.suspicion_ = SuspicionOf(out.pass_.state_.crashes_, listed);
-  for (std::uint32_t i = 0; i < unit.step_->tasks_.size(); ++i) {
+  for (std::uint32_t i = 0; i < step.tasks_.size(); ++i) {
     unit.tasks_.emplace_back(i);
   }
   out.units_.push_back(std::move(unit));
 }
 
-// Adds one unit for all tasks of the step without a suspicion, and one for each
-// other task.
+// Adds one unit for the tasks of the step without a suspicion, one for the weak
+// suspects, and one for each strong suspect.
 void CollectStep(const Unit& base, JobUnits& out) {
   const StepRecord& step = *base.step_;
   TaskRef task{base.job_->key_, base.occurrence_, base.index_, {}};
   if (base.spec_->gang_) return CollectGang(base, task, out);
   Unit unsuspected = base;
+  Unit weak_suspects = base;
+  weak_suspects.suspicion_ = Suspicion::kSome;
   for (std::uint32_t i = 0; i < step.tasks_.size(); ++i) {
     if (step.tasks_[i].open_ || step.tasks_[i].done_) continue;
     task.index_ = TaskIndex(i);
-    if (AwaitsVerdict(out, task)) continue;
-    const Suspicion suspicion = SuspicionOf(out.pass_.state_.crashes_, task);
-    if (suspicion == Suspicion::kNone) {
-      unsuspected.tasks_.emplace_back(i);
-      continue;
+    if (AwaitsVerdict(out, task, step.tasks_[i])) continue;
+    switch (SuspicionOf(out.pass_.state_.crashes_, task)) {
+      case Suspicion::kNone:
+        unsuspected.tasks_.emplace_back(i);
+        break;
+      case Suspicion::kSome:
+        weak_suspects.tasks_.emplace_back(i);
+        break;
+      case Suspicion::kStrong: {
+        Unit& alone = out.units_.emplace_back(base);
+        alone.suspicion_ = Suspicion::kStrong;
+        alone.tasks_.emplace_back(i);
+        break;
+      }
     }
-    Unit& alone = out.units_.emplace_back(base);
-    alone.suspicion_ = suspicion;
-    alone.tasks_.emplace_back(i);
   }
-  if (!unsuspected.tasks_.empty()) {
-    out.units_.push_back(std::move(unsuspected));
+  for (Unit* unit : {&weak_suspects, &unsuspected}) {
+    if (!unit->tasks_.empty()) out.units_.push_back(std::move(*unit));
   }
 }
 
@@ -211,7 +227,7 @@
 
 std::vector<Unit> CollectUnits(const Pass& pass, const JobQueuedAt& queued_at) {
   std::vector<Unit> units;
-  const UnresolvedAttempts unresolved = CollectUnresolved(pass);
+  std::optional<UnresolvedAttempts> unresolved;
   JobUnits out{pass, unresolved, units};
   for (const auto& [key, job] : pass.state_.jobs_) {
     if (job.state_ != GraphJobState::kActive) continue;
--- a/flamingohollow/testing/graph_placement_test.cc
+++ b/flamingohollow/testing/graph_placement_test.cc
@@ -542,6 +542,11 @@
 // job 1 that was lost there. The attempts are numbered from 1 if `several`.
 Fleet LoseOnThree(GraphState& state, bool several) {
   Fleet fleet = MakeFleet(1, 6, kNow);
+  OccurrenceRecord& occurrence =
+      state.jobs_.at(MakeKey(1)).occurrences_.at(Occurrence());
+  for (TaskRecord& task : occurrence.steps_.front().tasks_) {
+    task.attempt_ = AttemptId(several ? 3 : 1);
+  }
   for (std::uint64_t i = 0; i < 3; ++i) {
     const WorkerId id("w" + std::to_string(i));
     FleetWorker& worker = fleet.at(id);
@@ -578,6 +583,29 @@
   CHECK_EQ(Plan(state, fleet).open_.size(), 1);
 }
 
+TEST_CASE("suspects of one step are placed apart where there is room") {
+  GraphState state;
+  Fleet fleet = MakeFleet(1, 5, kNow);
+  const WorkerId lost("w0");
+  ApplyRecord(state, WorkerRecord{{fleet.at(lost).report_}, {}});
+  Submit(state, 1, {MakeStep(4, 1, Duration(6000))}, {});
+  for (std::uint32_t task = 0; task < 4; ++task) {
+    RunTask(state, fleet, 1, task, lost.value(), kNow);
+  }
+  ApplyRecord(state, WorkerRecord{{}, {lost}});
+  EndRecord ends;
+  for (const AttemptRef& attempt : state.open_on_.at(lost)) {
+    ends.attempts_.push_back({attempt, AttemptEnd::kLost, {}});
+  }
+  ApplyRecord(state, ends);
+  fleet.erase(lost);
+  std::set<WorkerId> workers;
+  for (const OpenedAttempt& opened : Plan(state, fleet).open_) {
+    workers.insert(opened.worker_);
+  }
+  CHECK_EQ(workers.size(), 4);
+}
+
 // A pass that takes longer than the pause between passes leaves no time for the
 // workers and the other control nodes.
 TEST_CASE("a job of many dependent steps does not hold up a leader") {
