A strong suspect holds a worker that has too many recent starts

Cause: a suspect with two crashes starts only on a worker on which nothing has started for 2 s. In a pool that is kept busy by tasks of about that length there is none, and nothing kept one quiet. Sound tasks that shared a crashed worker paid for it. Change: it comes first among units of its priority, and holds the workers whose newest start is the oldest until that has proved harmless.

--- a/flamingohollow/graph_placement.cc
+++ b/flamingohollow/graph_placement.cc
@@ -19,6 +19,7 @@
 using graph_placement_internal::FailedFit;
 using graph_placement_internal::FindCheapestPlacement;
 using graph_placement_internal::FindEligible;
+using graph_placement_internal::FindQuietWorkers;
 using graph_placement_internal::FitMost;
 using graph_placement_internal::FitUnit;
 using graph_placement_internal::Lateness;
@@ -68,7 +69,7 @@
         pass.free_after_stops_[worker] - unit.need_;
     CountPlaced(pass, unit, worker);
     PassWorker& state = pass.workers_[worker];
-    state.has_recent_start_ = true;
+    state.recent_start_ = pass.now_;
     state.recent_suspicion_ =
         std::max(state.recent_suspicion_, unit.suspicion_);
     const PoolWorkerReport& report = state.fleet_worker_->report_;
@@ -191,9 +192,23 @@
   return fit.has_value();
 }
 
+// Keeps other tasks off some workers until a strong suspect may start there.
+// Returns false if it waits for room instead.
+bool HoldQuietWorkers(Pass& pass, const Unit& unit, bool may_spread) {
+  if (unit.suspicion_ != Suspicion::kStrong || pass.reservations_ == 0) {
+    return false;
+  }
+  const auto workers = FindQuietWorkers(pass, unit, may_spread);
+  if (workers.empty()) return false;
+  --pass.reservations_;
+  for (const std::size_t worker : workers) pass.workers_[worker].held_ = true;
+  return true;
+}
+
 void PlaceGang(Pass& pass, const Unit& unit) {
   const bool may_spread = MaySpread(pass, unit);
   if (StartGang(pass, unit, may_spread)) return;
+  if (HoldQuietWorkers(pass, unit, may_spread)) return;
   const std::size_t tasks = unit.tasks_.size();
   if (unit.job_->terms_.priority_ == 0) {
     return PlaceUrgent(pass, unit, tasks, may_spread);
@@ -216,6 +231,7 @@
     const bool failed = started < unit.tasks_.size();
     if (failed && comparable) pass.failed_fits_.push_back(request);
   }
+  if (started == 0 && HoldQuietWorkers(pass, unit, false)) return;
   if (unit.job_->terms_.priority_ != 0) return;
   for (std::size_t i = started; i < unit.tasks_.size(); ++i) {
     PlaceUrgent(pass, unit, 1, false);
--- a/flamingohollow/graph_placement_fit.cc
+++ b/flamingohollow/graph_placement_fit.cc
@@ -103,7 +103,8 @@
 // kept apart from what else may crash the worker soon. This answers loads in
 // which a few tasks crash each worker that starts them.
 bool MayShare(const PassWorker& worker, const Unit& unit) {
-  if (unit.suspicion_ == Suspicion::kStrong) return !worker.has_recent_start_;
+  if (worker.held_) return false;
+  if (unit.suspicion_ == Suspicion::kStrong) return !worker.recent_start_;
   return worker.recent_suspicion_ != Suspicion::kStrong;
 }
 
@@ -259,6 +260,51 @@
   return FitBest(pass, unit, tasks, workers, free);
 }
 
+namespace {
+
+// As FindQuietWorkers, among `workers`.
+std::vector<std::size_t> FindQuietAmong(const Pass& pass, const Unit& unit,
+                                        std::vector<std::size_t> workers) {
+  std::stable_sort(
+      workers.begin(), workers.end(), [&pass](std::size_t a, std::size_t b) {
+        return pass.workers_[a].recent_start_ < pass.workers_[b].recent_start_;
+      });
+  std::vector<std::size_t> chosen;
+  std::uint64_t room = 0;
+  for (const std::size_t worker : workers) {
+    const PassWorker& state = pass.workers_[worker];
+    if (state.held_) continue;
+    const std::uint64_t fits =
+        CountFits(unit.need_, pass.free_[worker], TasksAllowed(state, unit));
+    if (fits == 0) continue;
+    chosen.push_back(worker);
+    room += fits;
+    if (room >= unit.tasks_.size()) return chosen;
+  }
+  return {};
+}
+
+}  // namespace
+
+std::vector<std::size_t> FindQuietWorkers(const Pass& pass, const Unit& unit,
+                                          bool may_spread) {
+  if (!WantsOneRack(unit) || may_spread) {
+    return FindQuietAmong(pass, unit, unit.eligible_->all_);
+  }
+  std::vector<std::size_t> best;
+  const auto newest_start = [&pass](const std::vector<std::size_t>& workers) {
+    return pass.workers_[workers.back()].recent_start_;
+  };
+  for (const EligibleWorkers::OnRack& rack : unit.eligible_->racks_) {
+    auto workers = FindQuietAmong(pass, unit, rack.workers_);
+    if (workers.empty()) continue;
+    if (best.empty() || newest_start(workers) < newest_start(best)) {
+      best = std::move(workers);
+    }
+  }
+  return best;
+}
+
 std::vector<std::size_t> FitMost(const Pass& pass, const Unit& unit,
                                  ResourcesOf free) {
   return FitBest(pass, unit, unit.tasks_.size(), unit.eligible_->all_, free);
--- a/flamingohollow/graph_placement_pass.cc
+++ b/flamingohollow/graph_placement_pass.cc
@@ -129,15 +129,15 @@
 // A task that has run this long has not crashed its worker at the start.
 constexpr Duration kProvenAfter = Duration(2000);
 
-// Sets `has_recent_start_` and `recent_suspicion_`.
+// Sets `recent_start_` and `recent_suspicion_`.
 void SetRecentStarts(const Pass& pass, PassWorker& worker) {
   const CrashLedger& ledger = pass.state_.crashes_;
   if (ledger.histories_.empty()) return;
   for (const auto& [attempt, run] : worker.fleet_worker_->runs_) {
-    const bool proven =
-        run.began_.has_value() && pass.now_ - *run.began_ >= kProvenAfter;
-    if (proven) continue;
-    worker.has_recent_start_ = true;
+    const Time began = run.began_.value_or(pass.now_);
+    if (pass.now_ - began >= kProvenAfter) continue;
+    worker.recent_start_ =
+        std::max(worker.recent_start_.value_or(began), began);
     const GraphJob* job = FindJob(pass.state_, attempt.task_.job_);
     if (job == nullptr) continue;
     const StepSpec& spec = job->spec_.steps_[attempt.task_.step_.value()];
--- a/flamingohollow/graph_placement_pass.h
+++ b/flamingohollow/graph_placement_pass.h
@@ -101,10 +101,12 @@
   bool suspect_ = false;
   // Slow because it was started lately.
   bool cold_ = false;
-  // A task that started lately runs here, and the highest suspicion against
-  // those.
-  bool has_recent_start_ = false;
+  // The newest start of a task that has run for too short a time to have proved
+  // harmless, and the highest suspicion against such tasks.
+  std::optional<Time> recent_start_;
   Suspicion recent_suspicion_ = Suspicion::kNone;
+  // Takes no other task in this pass; see FindQuietWorkers.
+  bool held_ = false;
   // Steps of the tasks that this pass has placed here or holds resources for;
   // only steps with `max_per_worker_`.
   std::vector<const StepRecord*> placed_;
@@ -236,6 +238,12 @@
                                                 std::size_t tasks,
                                                 ResourcesOf free,
                                                 bool may_spread);
+// For a strong suspect that only has to wait until the tasks on the workers
+// have proved harmless: returns the workers with room for it whose newest start
+// is the oldest, or nothing if it doesn't fit. In a pool of short tasks, a
+// worker has no lack of recent starts unless it is held.
+std::vector<std::size_t> FindQuietWorkers(const Pass& pass, const Unit& unit,
+                                          bool may_spread);
 // Returns worker indices for as many of the unit's tasks as fit.
 std::vector<std::size_t> FitMost(const Pass& pass, const Unit& unit,
                                  ResourcesOf free);
--- a/flamingohollow/graph_placement_units.cc
+++ b/flamingohollow/graph_placement_units.cc
@@ -238,8 +238,11 @@
   // preempted again, forever.
   const auto order = [](const Unit& unit) {
     const bool too_late = unit.lateness_ == Lateness::kTooLate;
+    // Strong suspects need a worker without recent starts, which a pool of
+    // short tasks has only if it is held before these are placed.
+    const bool strong = unit.suspicion_ == Suspicion::kStrong;
     return std::tuple(!unit.guaranteed_, too_late, unit.job_->terms_.priority_,
-                      unit.lateness_, unit.deadline_);
+                      !strong, unit.lateness_, unit.deadline_);
   };
   std::stable_sort(
       units.begin(), units.end(),
--- a/flamingohollow/testing/deadly_task_test.cc
+++ b/flamingohollow/testing/deadly_task_test.cc
@@ -208,6 +208,32 @@
   CHECK_EQ(world.JobState(2), GraphJobState::kCompleted);
 }
 
+// Returns the number of the worker on which the job's only task runs.
+int WorkerOf(const GraphWorld& world, std::uint64_t job) {
+  const auto& occurrences = world.state().jobs_.at(MakeKey(job)).occurrences_;
+  const TaskRecord& task = occurrences.begin()->second.steps_[0].tasks_[0];
+  REQUIRE(task.open_);
+  return std::stoi(task.worker_.value().substr(1));
+}
+
+TEST_CASE("a sound task under two crashes runs in a pool of short tasks") {
+  for (const int workers : {1, 2, 4}) {
+    CAPTURE(workers);
+    GraphWorld world({.racks_ = 1, .per_rack_ = workers});
+    world.RunFor(Duration(2000));
+    const std::uint64_t job = 2;
+    world.Submit(job, {MakeStep(1, 1, Duration(4000))}, {});
+    // The tasks take three quarters of the accelerators.
+    const auto tasks = static_cast<std::uint32_t>(workers * 6 / 4);
+    for (std::uint64_t i = 0; i < 120; ++i) {
+      world.Submit(100 + i, {MakeStep(tasks, 1, Duration(1000))}, {});
+      if (i == 4 || i == 14) world.Crash(WorkerOf(world, job));
+      world.RunFor(Duration(250));
+    }
+    CHECK_EQ(world.JobState(job), GraphJobState::kCompleted);
+  }
+}
+
 // Months of a service see more crashes of workers than a deadly task causes.
 TEST_CASE("a long-running task survives crashes that are far apart") {
   GraphWorld world({.racks_ = 1, .per_rack_ = 1});
