Attempts that were reclaimed or evacuated don't use up a job's five

Cause: all attempts that may have run count towards the limit that gives up a job which crashes its workers. A stop by the scheduler itself says nothing about the job. Change: JobRequeued says whether the attempt was stopped on order; the records count those apart. Evacuation is a cause of its own. Nodes of an earlier version ignore the new fields.

--- a/flamingohollow/codec_records.cc
+++ b/flamingohollow/codec_records.cc
@@ -173,6 +173,7 @@
   builder.setAttempt(requeued.attempt_.value());
   builder.setReason(requeued.reason_);
   builder.setAtMs(requeued.at_.ms());
+  builder.setOnOrder(requeued.on_order_);
 }
 
 void Get(wire::JobRequeued::Reader reader, JobRequeued& requeued) {
@@ -180,6 +181,7 @@
   requeued.attempt_ = AttemptId(reader.getAttempt());
   requeued.reason_ = ToString(reader.getReason());
   requeued.at_ = Time(reader.getAtMs());
+  requeued.on_order_ = reader.getOnOrder();
 }
 
 void Put(wire::JobEnded::Builder builder, const JobEnded& ended) {
@@ -311,6 +313,7 @@
   PutList(builder.initSlices(record.slices_.size()), record.slices_);
   builder.setMayBeRunning(record.may_be_running_);
   builder.setMayRunAttempts(record.may_run_attempts_);
+  builder.setAttemptsStoppedOnOrder(record.attempts_stopped_on_order_);
   if (record.end_) Put(builder.getEnd().initSome(), *record.end_);
 }
 
@@ -322,6 +325,7 @@
   GetList(reader.getSlices(), record.slices_);
   record.may_be_running_ = reader.getMayBeRunning();
   record.may_run_attempts_ = reader.getMayRunAttempts();
+  record.attempts_stopped_on_order_ = reader.getAttemptsStoppedOnOrder();
   // Earlier versions did not count the attempts.
   const bool ran = record.may_run_attempt_ != AttemptId(0);
   if (ran && record.may_run_attempts_ == 0) record.may_run_attempts_ = 1;
--- a/flamingohollow/command.h
+++ b/flamingohollow/command.h
@@ -80,6 +80,9 @@
   AttemptId attempt_;
   std::string reason_;
   Time at_;
+  // The scheduler stopped a sound attempt, to reclaim its accelerators or to
+  // evacuate a failure domain.
+  bool on_order_ = false;
 
   friend bool operator==(const JobRequeued&, const JobRequeued&) = default;
 };
--- a/flamingohollow/graph_placement.h
+++ b/flamingohollow/graph_placement.h
@@ -15,7 +15,8 @@
 // - Workers that are likely to make tasks fail get none, unless they are many;
 //   gangs, which break if one member fails, and urgent units go to suspects
 //   last (see worker_suspicion.h).
-// - Tasks that may have crashed workers are placed apart. A strong suspect comes
+// - Tasks that may have crashed workers are placed apart. A strong suspect
+// comes
 //   before other units of its priority and holds workers until their newest
 //   tasks have proved harmless (see worker_crashes.h).
 // - Best fit: a task goes to the worker with the least resources left over, so
--- a/flamingohollow/job.h
+++ b/flamingohollow/job.h
@@ -45,6 +45,9 @@
   AttemptId may_run_attempt_;
   // Number of attempts that may have run.
   std::uint32_t may_run_attempts_ = 0;
+  // Of these, those that ended by JobRequeued with `on_order_`. They say
+  // nothing about the job.
+  std::uint32_t attempts_stopped_on_order_ = 0;
   std::vector<Slice> slices_;
   // True from JobMayRun until JobRequeued or JobEnded.
   bool may_be_running_ = false;
@@ -106,7 +109,7 @@
   // Added when waiting for leases to expire, for differences between clocks.
   Duration clock_margin_ = Duration(2000);
   // An idempotent job is not requeued after this many attempts that may have
-  // run.
+  // run and were not stopped on order.
   std::uint32_t max_attempts_ = 5;
   // Wall time at which the controller is made. It gives the times in proposed
   // records and the deadlines of jobs that an earlier leader accepted. If 0,
--- a/flamingohollow/job_attempt.h
+++ b/flamingohollow/job_attempt.h
@@ -67,6 +67,8 @@
   kTaskFailed,
   kCancelled,
   kReclaimed,
+  // A failure domain with one of its tasks is evacuated.
+  kEvacuated,
   // The job's deadline passed.
   kDeadline,
 };
--- a/flamingohollow/job_phases.cc
+++ b/flamingohollow/job_phases.cc
@@ -177,7 +177,7 @@
     return;
   }
   if (const AttemptTask* task = FindEvacuated(step, attempt)) {
-    BeginStop(step, job, StopCause::kLost,
+    BeginStop(step, job, StopCause::kEvacuated,
               fmt::format("the failure domain of worker \"{}\" is evacuated",
                           task->slice_.worker_.value()));
     return;
--- a/flamingohollow/job_records.cc
+++ b/flamingohollow/job_records.cc
@@ -94,6 +94,7 @@
   if (requeued.attempt_ != record->may_run_attempt_) return false;
   if (!record->spec_.idempotent_) return false;
   record->may_be_running_ = false;
+  if (requeued.on_order_) ++record->attempts_stopped_on_order_;
   record->slices_.clear();
   return true;
 }
--- a/flamingohollow/job_stopping.cc
+++ b/flamingohollow/job_stopping.cc
@@ -71,6 +71,11 @@
   if (repeated || AnyUnreachable(step, attempt)) ExcludeFromRenewal(step, job);
 }
 
+// Whether the scheduler stops an attempt that may be sound.
+bool IsOnOrder(StopCause cause) {
+  return cause == StopCause::kReclaimed || cause == StopCause::kEvacuated;
+}
+
 StopFacts FactsOf(const Step& step, const LiveJob& job) {
   const Attempt& attempt = *job.attempt_;
   StopFacts facts;
@@ -86,8 +91,10 @@
       IsGuaranteedOver(attempt, OptionsOf(step), step.now_);
   facts.no_confirmation_expected_ = NoConfirmationExpected(step, attempt);
   const JobRecord& record = step.controller_.records_->jobs_.at(job.id_);
-  facts.attempts_left_ =
-      record.may_run_attempts_ < OptionsOf(step).max_attempts_;
+  std::uint32_t counted =
+      record.may_run_attempts_ - record.attempts_stopped_on_order_;
+  if (IsOnOrder(facts.cause_)) --counted;
+  facts.attempts_left_ = counted < OptionsOf(step).max_attempts_;
   return facts;
 }
 
@@ -96,6 +103,7 @@
   requeued.job_ = job.id_;
   requeued.attempt_ = job.attempt_->id_;
   requeued.reason_ = job.attempt_->stop_reason_;
+  requeued.on_order_ = IsOnOrder(*job.attempt_->stop_cause_);
   Propose(step, job, std::move(requeued));
 }
 
--- a/flamingohollow/testing/codec_test.cc
+++ b/flamingohollow/testing/codec_test.cc
@@ -61,7 +61,7 @@
       change,
       JobAccepted{SampleSpec(), Time(1)},
       JobMayRun{JobId(17), AttemptId(2), SampleSlices(), Time(2)},
-      JobRequeued{JobId(17), AttemptId(2), "worker lost", Time(3)},
+      JobRequeued{JobId(17), AttemptId(2), "worker lost", Time(3), true},
       SampleEnd(),
       EvacuationOrder{FailureDomain("north"), true, 3, Time(4)}};
   for (const Command& command : commands) {
--- a/flamingohollow/testing/job_test.cc
+++ b/flamingohollow/testing/job_test.cc
@@ -325,7 +325,7 @@
   CHECK(apply(3, Accepted("r", 4)) == ApplyOutcome::kRequestIdReused);
   CHECK(apply(4, JobMayRun{JobId(1), AttemptId(1), {}, Time()}) ==
         ApplyOutcome::kApplied);
-  CHECK(apply(5, JobRequeued{JobId(1), AttemptId(1), "", Time()}) ==
+  CHECK(apply(5, JobRequeued{JobId(1), AttemptId(1), "", Time(), false}) ==
         ApplyOutcome::kIgnored);
   records.jobs_.at(JobId(1)).may_be_running_ = false;
   CHECK(apply(6, JobMayRun{JobId(1), AttemptId(2), {}, Time()}) ==
@@ -453,5 +453,43 @@
   CHECK(View(harness, 1).outcome_ == Outcome::kFailed);
 }
 
+// Runs for a second with reports of the worker.
+void RunWith(Harness& harness, const WorkerId& worker) {
+  for (int i = 0; i < 10; ++i) {
+    Report(harness, worker);
+    Tick(harness);
+  }
+}
+
+TEST_CASE("a job that is reclaimed often is not given up") {
+  Harness harness = MakeHarness(1);
+  const WorkerId worker("w0");
+  Row borrower;
+  borrower.customer_ = CustomerId("borrower");
+  borrower.max_borrowed_ = 8;
+  borrower.max_queued_ = 10;
+  harness.table_.rows_[borrower.customer_] = borrower;
+  harness.table_.rows_.at(CustomerId("c")).guaranteed_.front().count_ = 1;
+  BecomeLeader(harness, 2);
+  Report(harness, worker);
+  JobAccepted accepted = Accepted("r", 8);
+  accepted.spec_.customer_ = borrower.customer_;
+  accepted.spec_.idempotent_ = true;
+  Commit(harness, accepted);
+  Tick(harness);
+  for (std::uint64_t i = 0; i <= JobControllerOptions().max_attempts_; ++i) {
+    CAPTURE(i);
+    REQUIRE(View(harness, 1).outcome_ == Outcome::kRunning);
+    const std::uint64_t next = harness.last_index_ + 1;
+    Commit(harness, Accepted("guaranteed" + std::to_string(i), 8));
+    RunWith(harness, worker);
+    REQUIRE(View(harness, next).outcome_ == Outcome::kRunning);
+    FinishAll(harness);
+    RunWith(harness, worker);
+  }
+  FinishAll(harness);
+  CHECK(View(harness, 1).outcome_ == Outcome::kCompleted);
+}
+
 }  // namespace
 }  // namespace flamingohollow
--- a/schema/wire.capnp
+++ b/schema/wire.capnp
@@ -88,6 +88,7 @@
   attempt @1 :UInt32;
   reason @2 :Text;
   atMs @3 :Int64;
+  onOrder @4 :Bool;
 }
 
 struct JobEnded {
@@ -137,6 +138,7 @@
     some @7 :JobEnded;
   }
   mayRunAttempts @8 :UInt32;
+  attemptsStoppedOnOrder @9 :UInt32;
 }
 
 struct JobRecords {
--- a/schema/wire.capnp.h
+++ b/schema/wire.capnp.h
@@ -1580,6 +1580,8 @@
 
   inline  ::int64_t getAtMs() const;
 
+  inline bool getOnOrder() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1624,6 +1626,9 @@
   inline  ::int64_t getAtMs();
   inline void setAtMs( ::int64_t value);
 
+  inline bool getOnOrder();
+  inline void setOnOrder(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2134,6 +2139,8 @@
 
   inline  ::uint32_t getMayRunAttempts() const;
 
+  inline  ::uint32_t getAttemptsStoppedOnOrder() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2194,6 +2201,9 @@
   inline  ::uint32_t getMayRunAttempts();
   inline void setMayRunAttempts( ::uint32_t value);
 
+  inline  ::uint32_t getAttemptsStoppedOnOrder();
+  inline void setAttemptsStoppedOnOrder( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4936,6 +4946,20 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool JobRequeued::Reader::getOnOrder() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<96>() * ::capnp::ELEMENTS);
+}
+
+inline bool JobRequeued::Builder::getOnOrder() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<96>() * ::capnp::ELEMENTS);
+}
+inline void JobRequeued::Builder::setOnOrder(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<96>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t JobEnded::Reader::getJob() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -5708,6 +5732,20 @@
       ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t JobRecord::Reader::getAttemptsStoppedOnOrder() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t JobRecord::Builder::getAttemptsStoppedOnOrder() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+inline void JobRecord::Builder::setAttemptsStoppedOnOrder( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::flamingohollow::wire::JobRecord::End::Which JobRecord::End::Reader::which() const {
   return _reader.getDataField<Which>(
       ::capnp::bounded<11>() * ::capnp::ELEMENTS);
