Urgent gangs preempt on other workers rather than start late on slow ones

Cause: the speed of workers only ordered the free ones. An urgent gang took free slow workers, on which it is late, though less urgent work held others. Change: an urgent gang that would be late on slow workers and can be on time on others starts, holds or frees resources there first. It takes effect only in pools whose speeds are known to differ widely.

--- a/flamingohollow/graph_placement.cc
+++ b/flamingohollow/graph_placement.cc
@@ -123,23 +123,30 @@
   if (trial.has_value()) DeductFromFree(pass, unit, trial->chosen_);
 }
 
-// Holds or frees resources for `tasks` tasks of the unit.
-void PlaceUrgent(Pass& pass, const Unit& unit, std::size_t tasks,
-                 bool may_spread) {
+// Holds resources that are being freed for `tasks` tasks of the unit, or frees
+// some. Returns false if it may not preempt, or not enough.
+bool HoldOrPreempt(Pass& pass, const Unit& unit, std::size_t tasks,
+                   bool may_spread) {
   if (const auto fit =
           FitUnit(pass, unit, tasks, &Pass::free_after_stops_, may_spread)) {
-    return DeductFromFree(pass, unit, *fit);
+    DeductFromFree(pass, unit, *fit);
+    return true;
   }
   // A late result has too little value to lose other work for it.
   const bool may_preempt =
       unit.guaranteed_ || unit.lateness_ == Lateness::kOnTime;
-  if (may_preempt && pass.now_ >= EarliestPreemption(pass, unit)) {
-    if (const auto trial =
-            FindCheapestPlacement(pass, unit, tasks, {}, may_spread)) {
-      StopGroups(pass, *trial);
-      return DeductFromFree(pass, unit, trial->chosen_);
-    }
-  }
+  if (!may_preempt || pass.now_ < EarliestPreemption(pass, unit)) return false;
+  const auto trial = FindCheapestPlacement(pass, unit, tasks, {}, may_spread);
+  if (!trial.has_value()) return false;
+  StopGroups(pass, *trial);
+  DeductFromFree(pass, unit, trial->chosen_);
+  return true;
+}
+
+// Holds or frees resources for `tasks` tasks of the unit.
+void PlaceUrgent(Pass& pass, const Unit& unit, std::size_t tasks,
+                 bool may_spread) {
+  if (HoldOrPreempt(pass, unit, tasks, may_spread)) return;
   const bool may_reserve =
       unit.guaranteed_ || unit.lateness_ != Lateness::kTooLate;
   if (may_reserve) ReserveSoonestFree(pass, unit, tasks, may_spread);
@@ -205,8 +212,25 @@
   return true;
 }
 
+// An urgent gang that would be late on slow workers and can be on time on
+// others starts, holds or frees resources there. This answers a load of urgent
+// gangs in a pool where slow workers are the first to be free.
+bool PlaceOffSlowWorkers(Pass& pass, const Unit& unit, bool may_spread) {
+  const auto spread = pass.plan_.spreads_.find(unit.job_->terms_.pool_);
+  if (spread == pass.plan_.spreads_.end()) return false;
+  const bool on_time_elsewhere = unit.job_->terms_.priority_ == 0 &&
+                                 unit.lateness_ == Lateness::kOnTime &&
+                                 unit.required_speed_ > spread->second.slow_;
+  if (!on_time_elsewhere) return false;
+  Unit elsewhere = unit;
+  elsewhere.eligible_ = &FindEligible(pass, unit, /*without_slow=*/true);
+  return StartGang(pass, elsewhere, may_spread) ||
+         HoldOrPreempt(pass, elsewhere, unit.tasks_.size(), may_spread);
+}
+
 void PlaceGang(Pass& pass, const Unit& unit) {
   const bool may_spread = MaySpread(pass, unit);
+  if (PlaceOffSlowWorkers(pass, unit, may_spread)) return;
   if (StartGang(pass, unit, may_spread)) return;
   if (HoldQuietWorkers(pass, unit, may_spread)) return;
   const std::size_t tasks = unit.tasks_.size();
@@ -344,7 +368,7 @@
   for (Unit& unit : units) {
     const bool urgent = unit.job_->terms_.priority_ == 0;
     if (!urgent && !std::exchange(kept, true)) KeepFree(pass, keep_free);
-    unit.eligible_ = &FindEligible(pass, unit);
+    unit.eligible_ = &FindEligible(pass, unit, /*without_slow=*/false);
     if (unit.spec_->gang_) {
       PlaceGang(pass, unit);
     } else {
--- a/flamingohollow/graph_placement_pass.cc
+++ b/flamingohollow/graph_placement_pass.cc
@@ -192,13 +192,18 @@
   }
 }
 
-const EligibleWorkers& FindEligible(Pass& pass, const Unit& unit) {
-  const auto [found, added] =
-      pass.eligible_.try_emplace({unit.job_->terms_.pool_, unit.spec_->label_});
+const EligibleWorkers& FindEligible(Pass& pass, const Unit& unit,
+                                    bool without_slow) {
+  const auto [found, added] = pass.eligible_.try_emplace(
+      {unit.job_->terms_.pool_, unit.spec_->label_, without_slow});
   EligibleWorkers& eligible = found->second;
   if (!added) return eligible;
   const auto matches = [&](std::size_t index) {
-    return MatchesStep(pass.workers_[index].fleet_worker_->report_, *unit.spec_,
+    const PassWorker& worker = pass.workers_[index];
+    const bool slow =
+        worker.spread_ != nullptr && worker.speed_class_ == SpeedClass::kSlow;
+    return !(slow && without_slow) &&
+           MatchesStep(worker.fleet_worker_->report_, *unit.spec_,
                        unit.job_->terms_.pool_);
   };
   const auto accepts = [&](std::size_t index) {
--- a/flamingohollow/graph_placement_pass.h
+++ b/flamingohollow/graph_placement_pass.h
@@ -57,6 +57,9 @@
   std::vector<OnRack> racks_;
 };
 
+// Pool, label, and whether slow workers are left out.
+using EligibleKey = std::tuple<PoolName, std::string, bool>;
+
 // A whole gang that waits to start, or the waiting tasks of a step that is no
 // gang, which start one by one.
 struct Unit {
@@ -164,7 +167,7 @@
   std::vector<Resources> free_;
   std::vector<Resources> free_after_stops_;
   std::vector<PassRack> racks_;
-  std::map<std::pair<PoolName, std::string>, EligibleWorkers> eligible_;
+  std::map<EligibleKey, EligibleWorkers> eligible_;
   // Jobs of priority 0 that are within their customer's guarantee.
   std::unordered_set<const GraphJob*> guaranteed_;
   // Filled by CollectGroups when a unit first needs them.
@@ -199,7 +202,10 @@
 void CollectGroups(Pass& pass);
 // Sets `busy_`.
 void MeasureUse(Pass& pass);
-const EligibleWorkers& FindEligible(Pass& pass, const Unit& unit);
+// With `without_slow`, leaves out the slow workers of a pool whose speeds
+// differ widely.
+const EligibleWorkers& FindEligible(Pass& pass, const Unit& unit,
+                                    bool without_slow);
 bool MayPreempt(const Pass& pass, const RunGroup& group, const Unit& unit);
 
 // graph_placement_units.cc
--- a/flamingohollow/testing/slow_placement.cc
+++ b/flamingohollow/testing/slow_placement.cc
@@ -45,6 +45,8 @@
   // long again as estimated.
   double required_speed_ = 0;
   Time queued_at_;
+  // Not placed on slow workers.
+  bool avoids_slow_ = false;
 };
 
 // A worker's state within one pass.
@@ -399,6 +401,9 @@
 
 bool MayRunOn(const PassWorker& worker, const Unit& unit) {
   if (!worker.usable_) return false;
+  const bool slow =
+      worker.spread_.has_value() && worker.speed_class_ == SpeedClass::kSlow;
+  if (slow && unit.avoids_slow_) return false;
   return MatchesStep(worker.fleet_worker_->report_, *unit.spec_,
                      unit.job_->terms_.pool_);
 }
@@ -952,12 +957,14 @@
   if (trial.has_value()) DeductFromFree(pass, unit, trial->chosen_);
 }
 
-void PlaceUrgent(Pass& pass, const Unit& unit, bool may_spread) {
+// Returns whether it holds resources for the unit.
+bool PlaceUrgent(Pass& pass, const Unit& unit, bool may_spread) {
   const FreeResourcesFn free_after_stops = [&pass](std::size_t worker) {
     return pass.workers_[worker].free_after_stops_;
   };
   if (const auto fit = FitUnit(pass, unit, free_after_stops, may_spread)) {
-    return DeductFromFree(pass, unit, *fit);
+    DeductFromFree(pass, unit, *fit);
+    return true;
   }
   const bool guaranteed = pass.guaranteed_.contains(unit.job_->key_);
   const bool may_preempt = guaranteed || unit.lateness_ != Lateness::kTooLate;
@@ -965,10 +972,14 @@
   if (worth_stops && pass.now_ >= EarliestPreemption(pass, unit)) {
     if (const auto trial = FindCheapestPlacement(pass, unit, {}, may_spread)) {
       StopGroups(pass, *trial);
-      return DeductFromFree(pass, unit, trial->chosen_);
+      DeductFromFree(pass, unit, trial->chosen_);
+      return true;
     }
   }
-  if (may_preempt) ReserveSoonestFree(pass, unit, may_spread);
+  if (may_preempt && !unit.avoids_slow_) {
+    ReserveSoonestFree(pass, unit, may_spread);
+  }
+  return false;
 }
 
 // Whether a gang that wants one rack may now be placed on several. An urgent
@@ -983,6 +994,20 @@
   return !AnyRackCouldHold(pass, unit);
 }
 
+// Whether the gang is urgent, would be late on slow workers and may be on time
+// on others.
+bool ShouldAvoidSlow(const Pass& pass, const Unit& unit) {
+  const bool urgent = unit.job_->terms_.priority_ == 0;
+  if (!urgent || !unit.spec_->gang_ || unit.lateness_ != Lateness::kOnTime) {
+    return false;
+  }
+  return std::any_of(
+      pass.workers_.begin(), pass.workers_.end(), [&](const PassWorker& w) {
+        return w.fleet_worker_->report_.pool_ == unit.job_->terms_.pool_ &&
+               w.spread_.has_value() && unit.required_speed_ > w.spread_->slow_;
+      });
+}
+
 // Starts the unit or, if it does not fit now, may hold or free resources for
 // it. Returns false if other tasks of its step need not be tried in this pass.
 bool PlaceUnit(Pass& pass, const Unit& unit) {
@@ -990,6 +1015,15 @@
     return pass.workers_[worker].free_;
   };
   const bool may_spread = MaySpread(pass, unit);
+  if (ShouldAvoidSlow(pass, unit)) {
+    Unit elsewhere = unit;
+    elsewhere.avoids_slow_ = true;
+    if (const auto fit = FitUnit(pass, elsewhere, free, may_spread)) {
+      OpenAttempts(pass, unit, *fit);
+      return true;
+    }
+    if (PlaceUrgent(pass, elsewhere, may_spread)) return true;
+  }
   if (const auto fit = FitUnit(pass, unit, free, may_spread)) {
     OpenAttempts(pass, unit, *fit);
     return true;
