A crash counts for every task that was on the worker

Our own model did not show it, since it counted only those crashes that a deadly task had set off itself. Cause: a crash was counted for the suspects on the worker and for nobody else. Among many deadly tasks the first crashes under a task were put down to others, so it was a new task to the state when it had three. Two ways made it worse: a gang whose member had crashed elsewhere in the same attempt stood as the suspect, and a strong suspect whose start had been lost replaced those that were there. Change: a crash counts for all; only the blame needs a single accused task that is known to have begun. What a task must show to be given up is one table. Nothing starts beside a task with three crashes for 10 s, so that sound ones don't gather crashes of their neighbours. Evidence: the model now counts each crash under a task.

--- a/flamingohollow/graph_placement_pass.cc
+++ b/flamingohollow/graph_placement_pass.cc
@@ -128,6 +128,15 @@
 
 // A task that has run this long has not crashed its worker at the start.
 constexpr Duration kProvenAfter = Duration(2000);
+// The same for a task with many crashes. What starts beside it may crash the
+// worker, and the crash would count for both.
+constexpr Duration kProvenAfterManyCrashes = Duration(10'000);
+
+// Returns the task under which the crash ledger lists it.
+TaskRef ListedTask(const TaskRef& task, const GraphJob& job) {
+  const StepSpec& spec = job.spec_.steps_[task.step_.value()];
+  return ListedAttempt({task, {}}, spec).task_;
+}
 
 // Sets `recent_start_` and `recent_suspicion_`.
 void SetRecentStarts(const Pass& pass, PassWorker& worker) {
@@ -135,15 +144,17 @@
   if (ledger.histories_.empty()) return;
   for (const auto& [attempt, run] : worker.fleet_worker_->runs_) {
     const Time began = run.began_.value_or(pass.now_);
-    if (pass.now_ - began >= kProvenAfter) continue;
+    const Duration age = pass.now_ - began;
+    if (age >= kProvenAfterManyCrashes) continue;
+    const GraphJob* job = FindJob(pass.state_, attempt.task_.job_);
+    const Suspicion suspicion =
+        job == nullptr ? Suspicion::kNone
+                       : SuspicionOf(ledger, ListedTask(attempt.task_, *job));
+    const bool many_crashes = suspicion == Suspicion::kDecisive;
+    if (age >= kProvenAfter && !many_crashes) continue;
     worker.recent_start_ =
         std::max(worker.recent_start_.value_or(began), began);
-    const GraphJob* job = FindJob(pass.state_, attempt.task_.job_);
-    if (job == nullptr) continue;
-    const StepSpec& spec = job->spec_.steps_[attempt.task_.step_.value()];
-    const TaskRef listed = ListedAttempt(attempt, spec).task_;
-    worker.recent_suspicion_ =
-        std::max(worker.recent_suspicion_, SuspicionOf(ledger, listed));
+    worker.recent_suspicion_ = std::max(worker.recent_suspicion_, suspicion);
   }
 }
 
--- a/flamingohollow/graph_placement_units.cc
+++ b/flamingohollow/graph_placement_units.cc
@@ -126,7 +126,7 @@
 // the workers that its last attempts were lost with.
 bool AwaitsVerdict(JobUnits& out, const TaskRef& listed,
                    const TaskRecord& task) {
-  if (task.attempt_.value() < kCrashesToGiveUp) return false;
+  if (task.attempt_.value() < kCrashesOfDecisiveSuspect) return false;
   if (!out.unresolved_.has_value()) {
     out.unresolved_ = CollectUnresolved(out.pass_);
   }
@@ -136,7 +136,7 @@
   const auto history = histories.find(listed);
   const std::size_t crashes =
       history == histories.end() ? 0 : history->second.crashes_;
-  return crashes + unresolved->second.size() >= kCrashesToGiveUp;
+  return crashes + unresolved->second.size() >= kCrashesOfDecisiveSuspect;
 }
 
 void CollectGang(Unit unit, const TaskRef& listed, JobUnits& out) {
@@ -157,25 +157,20 @@
   if (base.spec_->gang_) return CollectGang(base, task, out);
   Unit unsuspected = base;
   Unit weak_suspects = base;
-  weak_suspects.suspicion_ = Suspicion::kSome;
+  weak_suspects.suspicion_ = Suspicion::kWeak;
   for (std::uint32_t i = 0; i < step.tasks_.size(); ++i) {
     if (step.tasks_[i].open_ || step.tasks_[i].done_) continue;
     task.index_ = TaskIndex(i);
     if (AwaitsVerdict(out, task, step.tasks_[i])) continue;
-    switch (SuspicionOf(out.pass_.state_.crashes_, task)) {
-      case Suspicion::kNone:
-        unsuspected.tasks_.emplace_back(i);
-        break;
-      case Suspicion::kSome:
-        weak_suspects.tasks_.emplace_back(i);
-        break;
-      case Suspicion::kStrong: {
-        Unit& alone = out.units_.emplace_back(base);
-        alone.suspicion_ = Suspicion::kStrong;
-        alone.tasks_.emplace_back(i);
-        break;
-      }
+    const Suspicion suspicion = SuspicionOf(out.pass_.state_.crashes_, task);
+    if (IsStrong(suspicion)) {
+      Unit& alone = out.units_.emplace_back(base);
+      alone.suspicion_ = suspicion;
+      alone.tasks_.emplace_back(i);
+      continue;
     }
+    const bool weak = suspicion == Suspicion::kWeak;
+    (weak ? weak_suspects : unsuspected).tasks_.emplace_back(i);
   }
   for (Unit* unit : {&weak_suspects, &unsuspected}) {
     if (!unit->tasks_.empty()) out.units_.push_back(std::move(*unit));
@@ -240,7 +235,7 @@
     const bool too_late = unit.lateness_ == Lateness::kTooLate;
     // Strong suspects need a worker without recent starts, which a pool of
     // short tasks has only if it is held before these are placed.
-    const bool strong = unit.suspicion_ == Suspicion::kStrong;
+    const bool strong = IsStrong(unit.suspicion_);
     return std::tuple(!unit.guaranteed_, too_late, unit.job_->terms_.priority_,
                       !strong, unit.lateness_, unit.deadline_);
   };
--- a/flamingohollow/graph_scheduler_records.cc
+++ b/flamingohollow/graph_scheduler_records.cc
@@ -106,15 +106,15 @@
   constexpr std::size_t kMaxTasksLogged = 8;
   for (const WorkerCrash& crash : ctx.state_.new_crashes_) {
     std::string tasks;
-    for (std::size_t i = 0;
-         i < std::min(crash.suspects_.size(), kMaxTasksLogged); ++i) {
+    for (std::size_t i = 0; i < std::min(crash.tasks_.size(), kMaxTasksLogged);
+         ++i) {
       if (i > 0) tasks += ',';
-      tasks += Describe(crash.suspects_[i]);
+      tasks += Describe(crash.tasks_[i]);
     }
     LogEvent("worker_crashed", {{"worker", crash.worker_.value()},
                                 {"life", crash.incarnation_.value()},
-                                {"suspects", crash.suspects_.size()},
-                                {"tasks", tasks}});
+                                {"tasks", crash.tasks_.size()},
+                                {"first", tasks}});
     for (const TaskRef& task : crash.given_up_) {
       const CrashHistory& history = ctx.state_.crashes_.histories_.at(task);
       LogEvent("task_given_up", {{"task", Describe(task)},
--- a/flamingohollow/graph_state.cc
+++ b/flamingohollow/graph_state.cc
@@ -268,7 +268,7 @@
     GraphJob* job = FindJob(state, task.job_);
     if (job != nullptr) EndJob(*job, GraphJobState::kFailed, at);
   }
-  if (!crash.suspects_.empty()) state.new_crashes_.push_back(std::move(crash));
+  if (!crash.tasks_.empty()) state.new_crashes_.push_back(std::move(crash));
 }
 
 // Whether the report replaces the listed worker, which is then over.
--- a/flamingohollow/testing/graph_load.cc
+++ b/flamingohollow/testing/graph_load.cc
@@ -5,9 +5,11 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 #include <functional>
 #include <map>
+#include <optional>
 #include <random>
 #include <utility>
 
@@ -46,6 +48,8 @@
   double size_ = 0;
   Duration longest_task_;
   bool cancelled_ = false;
+  // Set if the job is deadly.
+  std::optional<Duration> crashes_after_;
 };
 
 class RandomSource {
@@ -124,7 +128,8 @@
               .queue_ = index,
               .record_ = {},
               .work_ = {},
-              .longest_task_ = {}};
+              .longest_task_ = {},
+              .crashes_after_ = {}};
   job.record_.key_ = MakeKey(number);
   job.record_.queue_ = QueueName(queue.name_);
   const std::size_t customer =
@@ -138,6 +143,18 @@
   return job;
 }
 
+// Draws which jobs of the first queue are deadly, and after what time. They are
+// drawn last, so that a seed gives the same jobs with and without them.
+void DrawDeadly(const GraphLoad& load, std::uint64_t seed,
+                std::vector<Arrival>& jobs) {
+  constexpr std::array kDelaysMs = {0, 300, 1200};
+  RandomSource random(seed);
+  for (Arrival& job : jobs) {
+    if (job.queue_ != 0 || !random.Bernoulli(load.deadly_share_)) continue;
+    job.crashes_after_ = Duration(kDelaysMs.at(random.Below(kDelaysMs.size())));
+  }
+}
+
 std::vector<Arrival> DrawArrivals(const GraphLoad& load, std::uint64_t seed) {
   std::vector<Arrival> all;
   for (std::size_t queue = 0; queue < load.queues_.size(); ++queue) {
@@ -159,6 +176,7 @@
             [](const Arrival& a, const Arrival& b) { return a.at_ < b.at_; });
   std::uint64_t number = 0;
   for (Arrival& job : all) job.record_.key_ = MakeKey(++number);
+  DrawDeadly(load, seed, all);
   return all;
 }
 
@@ -186,6 +204,13 @@
 void AddJobValue(const GraphLoad& load, const Arrival& job, double mean_size,
                  const GraphJob* ended, Time start, LoadResult& result) {
   if (job.cancelled_) return;
+  if (job.crashes_after_.has_value()) {
+    ++result.deadly_;
+    const bool failed =
+        ended != nullptr && ended->state_ == GraphJobState::kFailed;
+    if (failed) ++result.deadly_failed_;
+    return;
+  }
   const QueueLoad& queue = load.queues_[job.queue_];
   QueueResult& sums = result.queues_[job.queue_];
   const double weight =
@@ -229,9 +254,16 @@
                   [&load, &world] { SetDisturbance(load, world, true); });
   actions.emplace(begin + kDisturbanceLength,
                   [&load, &world] { SetDisturbance(load, world, false); });
+  if (load.deadly_share_ > 0) {
+    actions.emplace(begin + kDisturbanceLength / 2,
+                    [&world] { world.ChangeLeader(); });
+  }
   std::uint64_t number = 0;
   for (const Arrival& job : jobs) {
     ++number;
+    if (job.crashes_after_.has_value()) {
+      world.SetDeadly(number, *job.crashes_after_);
+    }
     actions.emplace(job.at_,
                     [&job, &world] { world.Submit(job.record_, job.work_); });
     if (!job.cancelled_) continue;
--- a/flamingohollow/testing/graph_load.h
+++ b/flamingohollow/testing/graph_load.h
@@ -76,6 +76,9 @@
   double slow_third_factor_ = 1.3;
   // Every other third is this many times as fast.
   double fast_third_factor_ = 1;
+  // Share of the first queue's jobs that crash each worker that starts one of
+  // their tasks. If there are any, the leader changes in between.
+  double deadly_share_ = 0;
   std::vector<QueueLoad> queues_;
 };
 
@@ -92,7 +95,11 @@
 };
 
 struct LoadResult {
+  // Without deadly jobs.
   std::vector<QueueResult> queues_;
+  std::uint32_t deadly_ = 0;
+  // Of these, those that were given up.
+  std::uint32_t deadly_failed_ = 0;
   double max_value_ = 0;
   double earned_value_ = 0;
   // Core-seconds of work that was lost. An accelerator counts as 8 cores.
--- a/flamingohollow/testing/graph_load_test.cc
+++ b/flamingohollow/testing/graph_load_test.cc
@@ -77,6 +77,19 @@
   CHECK_EQ(totals.violations_, "");
 }
 
+TEST_CASE("sound jobs go on while most urgent jobs crash their workers") {
+  GraphLoad load = MakeTimecastLoad(kWorkers, LoadDisturbance::kNone);
+  load.deadly_share_ = 0.6;
+  for (std::uint64_t seed = 1; seed <= kSeeds / 2; ++seed) {
+    CAPTURE(seed);
+    const LoadResult result = SimulateLoad(load, {}, seed);
+    CHECK_EQ(result.violations_, "");
+    for (const QueueResult& queue : result.queues_) {
+      CHECK_EQ(queue.failed_, 0);
+    }
+  }
+}
+
 // A member that fails breaks its gang, and gangs have few attempts, so workers
 // that fail half of their tasks must be found by their first failures.
 TEST_CASE(
--- a/flamingohollow/testing/graph_state_test.cc
+++ b/flamingohollow/testing/graph_state_test.cc
@@ -186,7 +186,7 @@
   CHECK(IsEvacuated(copy->evacuations_, FailureDomain("a")));
   CHECK_EQ(copy->worker_speeds_.at(WorkerId("w0")).centilogs_, 47);
   const TaskRef gang{MakeKey(1), {}, {}, {}};
-  CHECK_EQ(SuspicionOf(copy->crashes_, gang), Suspicion::kSome);
+  CHECK_EQ(SuspicionOf(copy->crashes_, gang), Suspicion::kWeak);
   // The first versions wrote no further parts.
   const std::size_t first_version =
       Pack(std::tie(state.catalog_, state.jobs_, state.workers_)).size();
--- a/flamingohollow/testing/graph_world.cc
+++ b/flamingohollow/testing/graph_world.cc
@@ -330,9 +330,9 @@
       if (attempt.task_ == task) violations_.insert("a task ran twice at once");
     }
   }
-  DeadlyTask& deadly = deadly_tasks_[task];
-  if (deadly.crashes_ >= kCrashesBeforeLimit &&
-      ++deadly.starts_after_ > kStartsAfterLimit) {
+  if (deadly_.contains(task.job_) &&
+      crashes_under_[task] >= kCrashesBeforeLimit &&
+      ++starts_after_limit_[task] > kStartsAfterLimit) {
     violations_.insert("a deadly task was started again and again");
   }
   if (acknowledged_done_.contains(task)) {
@@ -389,19 +389,18 @@
   const auto deadly = deadly_.find(task.job_);
   if (deadly == deadly_.end()) return;
   if (deadly->second == Duration()) {
-    CrashBy(worker, command.attempt_);
+    CrashBy(worker);
     result.outcome_ = CommandOutcome::kNoAnswer;
     result.broke_off_ = true;
     return;
   }
   At(now_ + deadly->second, [this, &worker, attempt = command.attempt_] {
-    if (worker.runs_.contains(attempt)) CrashBy(worker, attempt);
+    if (worker.runs_.contains(attempt)) CrashBy(worker);
   });
 }
 
-void GraphWorld::CrashBy(FakeWorker& worker, const AttemptRef& attempt) {
+void GraphWorld::CrashBy(FakeWorker& worker) {
   ++crashes_;
-  ++deadly_tasks_[attempt.task_].crashes_;
   LoseRuns(worker);
   worker.down_ = true;
   At(now_ + options_.down_, [this, &worker] {
--- a/flamingohollow/testing/graph_world.h
+++ b/flamingohollow/testing/graph_world.h
@@ -200,7 +200,7 @@
   void Restart(FakeWorker& worker);
   void LoseRuns(FakeWorker& worker);
   // Crashes the worker of a deadly task. Another process is there later.
-  void CrashBy(FakeWorker& worker, const AttemptRef& attempt);
+  void CrashBy(FakeWorker& worker);
   const StepSpec& SpecOf(const TaskRef& task) const;
 
   GraphWorldOptions options_;
@@ -220,15 +220,11 @@
   std::set<TaskRef> acknowledged_done_;
   // How long after its start a task of a deadly job crashes its worker.
   std::map<GraphJobKey, Duration> deadly_;
-  // By deadly task: its crashes, and its starts after the third.
-  struct DeadlyTask {
-    int crashes_ = 0;
-    int starts_after_ = 0;
-  };
-  std::map<TaskRef, DeadlyTask> deadly_tasks_;
   int crashes_ = 0;
-  // How often a task was on a worker that crashed.
+  // How often a task was on a worker that crashed, and how often a deadly one
+  // has started after the third such crash.
   std::map<TaskRef, int> crashes_under_;
+  std::map<TaskRef, int> starts_after_limit_;
 };
 
 }  // namespace flamingohollow::testing
--- a/flamingohollow/worker_crashes.cc
+++ b/flamingohollow/worker_crashes.cc
@@ -3,7 +3,7 @@
 #include "flamingohollow/worker_crashes.h"
 
 #include <algorithm>
-#include <functional>
+#include <optional>
 #include <utility>
 
 namespace flamingohollow {
@@ -14,8 +14,9 @@
 }
 
 // Returns what the ledger holds of the attempt, which may be accused.
-AttemptOnWorker Describe(const CrashLedger& ledger, const AttemptRef& attempt,
-                         const WorkerId& worker) {
+AttemptOnWorker LookUpAttempt(const CrashLedger& ledger,
+                              const AttemptRef& attempt,
+                              const WorkerId& worker) {
   AttemptOnWorker described{attempt, false, false, Time()};
   const auto here = ledger.accused_.find(worker);
   if (here == ledger.accused_.end()) return described;
@@ -34,7 +35,7 @@
   std::vector<AttemptOnWorker> all;
   all.reserve(open.size());
   for (const AttemptRef& attempt : open) {
-    all.push_back(Describe(ledger, attempt, worker));
+    all.push_back(LookUpAttempt(ledger, attempt, worker));
   }
   const auto lost = ledger.lost_.find(worker);
   if (lost != ledger.lost_.end() && lost->second.incarnation_ == incarnation) {
@@ -55,29 +56,25 @@
   return all;
 }
 
-// Returns the attempts that may have caused the crash: those that are accused,
-// otherwise the suspects, otherwise all.
-std::vector<AttemptOnWorker> FindCandidates(const CrashLedger& ledger,
-                                            std::vector<AttemptOnWorker> all) {
-  const auto keep = [&all](const auto& predicate) {
-    const bool any = std::any_of(all.begin(), all.end(), predicate);
-    if (any) std::erase_if(all, std::not_fn(predicate));
-    return any;
-  };
-  const bool accused =
-      keep([](const AttemptOnWorker& attempt) { return attempt.accused_; });
-  if (!accused) {
-    keep([&ledger](const AttemptOnWorker& attempt) {
-      return HasHistory(ledger, attempt.attempt_.task_);
-    });
+// Returns the only task that may have caused the crash if it is known to have
+// begun.
+std::optional<TaskRef> FindBlamed(const std::vector<AttemptOnWorker>& all) {
+  const AttemptOnWorker* only = nullptr;
+  for (const AttemptOnWorker& here : all) {
+    if (!here.accused_) continue;
+    if (only != nullptr) return std::nullopt;
+    only = &here;
   }
-  return all;
+  if (only == nullptr || !only->confirmed_) return std::nullopt;
+  return only->attempt_.task_;
 }
 
 bool ShouldGiveUp(const CrashHistory& history) {
-  const bool blamed = history.crashes_ >= kCrashesToGiveUp &&
-                      history.blamed_ >= kBlamedToGiveUp;
-  return blamed || history.crashes_ >= kMaxCrashes;
+  return std::any_of(kGiveUpRules.begin(), kGiveUpRules.end(),
+                     [&history](const GiveUpRule& rule) {
+                       return history.crashes_ >= rule.crashes_ &&
+                              history.blamed_ >= rule.blamed_;
+                     });
 }
 
 }  // namespace
@@ -91,30 +88,29 @@
 void NoteOpened(CrashLedger& ledger, const AttemptRef& listed,
                 const WorkerId& worker) {
   const TaskRef& task = listed.task_;
-  if (SuspicionOf(ledger, task) == Suspicion::kStrong) {
-    ledger.accused_[worker] = {{task, false}};
-  } else if (HasHistory(ledger, task) || ledger.accused_.contains(worker)) {
+  if (HasHistory(ledger, task) || ledger.accused_.contains(worker)) {
     ledger.accused_[worker].emplace(task, false);
   }
 }
 
 void NoteConfirmed(CrashLedger& ledger, const AttemptRef& listed,
                    const WorkerId& worker) {
-  if (AwaitsConfirmation(ledger, listed, worker)) {
-    ledger.accused_.at(worker).at(listed.task_) = true;
-  }
+  if (!AwaitsConfirmation(ledger, listed, worker)) return;
+  auto& accused = ledger.accused_.at(worker);
+  if (IsStrong(SuspicionOf(ledger, listed.task_))) accused.clear();
+  accused[listed.task_] = true;
 }
 
 bool AwaitsConfirmation(const CrashLedger& ledger, const AttemptRef& listed,
                         const WorkerId& worker) {
-  const AttemptOnWorker attempt = Describe(ledger, listed, worker);
+  const AttemptOnWorker attempt = LookUpAttempt(ledger, listed, worker);
   return attempt.accused_ && !attempt.confirmed_;
 }
 
 void NoteEnded(CrashLedger& ledger, const AttemptRef& listed,
                const WorkerId& worker, WorkerIncarnation incarnation, bool lost,
                Time at) {
-  AttemptOnWorker ended = Describe(ledger, listed, worker);
+  AttemptOnWorker ended = LookUpAttempt(ledger, listed, worker);
   if (ended.accused_) {
     auto& accused = ledger.accused_.at(worker);
     accused.erase(listed.task_);
@@ -134,21 +130,22 @@
                        WorkerIncarnation incarnation,
                        const std::vector<AttemptRef>& open, Time restarted) {
   WorkerCrash crash{worker, incarnation, {}, {}};
-  const auto candidates = FindCandidates(
-      ledger, CollectAttempts(ledger, worker, incarnation, open, restarted));
+  const std::vector<AttemptOnWorker> all =
+      CollectAttempts(ledger, worker, incarnation, open, restarted);
+  const std::optional<TaskRef> blamed = FindBlamed(all);
   ForgetWorker(ledger, worker);
-  for (const AttemptOnWorker& candidate : candidates) {
-    const TaskRef& task = candidate.attempt_.task_;
+  for (const AttemptOnWorker& here : all) {
+    const TaskRef& task = here.attempt_.task_;
     CrashHistory& history = ledger.histories_[task];
     // Another member of the gang was on another worker that crashed.
-    if (candidate.attempt_.attempt_ <= history.last_attempt_) continue;
-    const Time at = std::max(restarted, candidate.lost_);
+    if (here.attempt_.attempt_ <= history.last_attempt_) continue;
+    const Time at = std::max(restarted, here.lost_);
     if (at - history.last_crash_ > kCrashMemory) history = {};
     ++history.crashes_;
-    if (candidates.size() == 1 && candidate.confirmed_) ++history.blamed_;
-    history.last_attempt_ = candidate.attempt_.attempt_;
+    if (blamed == task) ++history.blamed_;
+    history.last_attempt_ = here.attempt_.attempt_;
     history.last_crash_ = at;
-    crash.suspects_.push_back(task);
+    crash.tasks_.push_back(task);
     if (ShouldGiveUp(history)) crash.given_up_.push_back(task);
   }
   return crash;
@@ -180,8 +177,10 @@
 Suspicion SuspicionOf(const CrashLedger& ledger, const TaskRef& listed) {
   const auto found = ledger.histories_.find(listed);
   if (found == ledger.histories_.end()) return Suspicion::kNone;
-  return found->second.crashes_ >= kCrashesToIsolate ? Suspicion::kStrong
-                                                     : Suspicion::kSome;
+  const std::uint32_t crashes = found->second.crashes_;
+  if (crashes >= kCrashesOfDecisiveSuspect) return Suspicion::kDecisive;
+  return crashes >= kCrashesOfStrongSuspect ? Suspicion::kStrong
+                                            : Suspicion::kWeak;
 }
 
 }  // namespace flamingohollow
--- a/flamingohollow/worker_crashes.h
+++ b/flamingohollow/worker_crashes.h
@@ -1,11 +1,11 @@
 // Finds tasks that crash the workers that start them.
 //
-// A crash of a worker is evidence against everything that may have run there. A
-// *suspect* has been on a worker when it crashed. If suspects are there when
-// the next one crashes, the crash counts for them and for what was placed there
-// since, otherwise for all; it is blamed on a task that it counts for alone. A
-// task is given up once enough crashes were blamed on it; the others that were
-// there go on (docs/design/deadly-tasks.md).
+// A crash of a worker counts for all tasks that were there: each may have
+// caused it. A task with crashes is a *suspect*, and is placed the further
+// apart from others the more it has. So the next crash soon has a single
+// possible cause, and is *blamed* on it. A task is given up by its crashes and
+// by how many of them were blamed on it; the others go on
+// (docs/design/deadly-tasks.md).
 //
 // The ledger is a part of the replicated state and changes only with committed
 // records, so a new leader knows what its predecessor knew. A gang is listed as
@@ -14,6 +14,7 @@
 #ifndef FLAMINGOHOLLOW_WORKER_CRASHES_H_
 #define FLAMINGOHOLLOW_WORKER_CRASHES_H_
 
+#include <array>
 #include <cstdint>
 #include <map>
 #include <vector>
@@ -23,15 +24,17 @@
 
 namespace flamingohollow {
 
-// A task is given up after this many crashes, of which so many were blamed on
-// it.
-inline constexpr std::uint32_t kCrashesToGiveUp = 3;
-inline constexpr std::uint32_t kBlamedToGiveUp = 2;
-// A task is given up after this many crashes even if none was blamed on it.
-inline constexpr std::uint32_t kMaxCrashes = 5;
-// A suspect with this many crashes runs only beside tasks that have proved
-// harmless.
-inline constexpr std::uint32_t kCrashesToIsolate = 2;
+// A task is given up if it has at least `crashes_`, of which at least `blamed_`
+// were blamed on it, for one of these.
+struct GiveUpRule {
+  std::uint32_t crashes_ = 0;
+  std::uint32_t blamed_ = 0;
+};
+inline constexpr std::array<GiveUpRule, 3> kGiveUpRules = {
+    {{3, 2}, {5, 1}, {10, 0}}};
+// From this many crashes on, a task is a strong or a decisive suspect.
+inline constexpr std::uint32_t kCrashesOfStrongSuspect = 2;
+inline constexpr std::uint32_t kCrashesOfDecisiveSuspect = 3;
 // Crashes that are further apart are not counted together, as every worker
 // crashes now and then.
 inline constexpr Duration kCrashMemory = Duration(10 * 60 * 1000);
@@ -40,6 +43,7 @@
 inline constexpr Duration kMaxRestartTime = Duration(30 * 1000);
 
 struct CrashHistory {
+  // Workers that crashed with the task on them.
   std::uint32_t crashes_ = 0;
   // Of `crashes_`, those that were blamed on the task.
   std::uint32_t blamed_ = 0;
@@ -74,11 +78,11 @@
 struct CrashLedger {
   // Tasks of active jobs.
   std::map<TaskRef, CrashHistory> histories_;
-  // By worker with a suspect: the open tasks to which a crash would be
-  // attributed. These are the suspects and what was placed there later. Since a
-  // strong suspect is only placed beside tasks that have run for a while, it
-  // replaces all others. The value tells whether the worker has confirmed that
-  // the task runs.
+  // By worker with a suspect: the open tasks that may be blamed for a crash.
+  // These are the suspects and what was placed there later. Since a strong
+  // suspect is only placed beside tasks that have run for a while, it replaces
+  // all others once it has begun. The value tells whether the worker has
+  // confirmed that the task runs.
   std::map<WorkerId, std::map<TaskRef, bool>> accused_;
   // Attempts that were taken for lost on a worker, which may have crashed.
   struct Lost {
@@ -102,8 +106,8 @@
 struct WorkerCrash {
   WorkerId worker_;
   WorkerIncarnation incarnation_;
-  // Tasks that the crash was counted for; it was blamed on a single one.
-  std::vector<TaskRef> suspects_;
+  // Tasks that the crash was counted for.
+  std::vector<TaskRef> tasks_;
   // Tasks to give up.
   std::vector<TaskRef> given_up_;
 };
@@ -139,12 +143,19 @@
 enum class Suspicion : std::uint8_t {
   kNone,
   // Kept apart from other suspects where there is room.
-  kSome,
+  kWeak,
   // Never started on a worker on which another task has just started, nor the
   // other way round.
   kStrong,
+  // As kStrong, and nothing starts beside it for longer, as its next crash may
+  // be its last.
+  kDecisive,
 };
 
+inline bool IsStrong(Suspicion suspicion) {
+  return suspicion >= Suspicion::kStrong;
+}
+
 Suspicion SuspicionOf(const CrashLedger& ledger, const TaskRef& listed);
 
 }  // namespace flamingohollow
