A task has proved harmless once its worker was heard of, not by the clock

Cause: a suspect was taken as harmless 2 s after its start although its worker had crashed meanwhile and was only known to be silent. The next suspect was placed beside it, so neither was blamed. A permission that had run out: the clock said so, no answer of the worker did. Change: the worker must have answered 2 s after the start. The 10 s and their kind of suspect are gone.

--- a/flamingohollow/graph_placement.cc
+++ b/flamingohollow/graph_placement.cc
@@ -179,7 +179,8 @@
 // each worker may fail because of that limit, and a strong suspect because of
 // what has just started.
 bool IsComparable(const Unit& unit) {
-  return unit.spec_->max_per_worker_ == 0 && !IsStrong(unit.suspicion_);
+  return unit.spec_->max_per_worker_ == 0 &&
+         unit.suspicion_ != Suspicion::kStrong;
 }
 
 // Starts a whole gang if it fits now.
@@ -201,7 +202,7 @@
 // Keeps other tasks off some workers until a strong suspect may start there.
 // Returns false if it waits for room instead.
 bool HoldQuietWorkers(Pass& pass, const Unit& unit, bool may_spread) {
-  if (!IsStrong(unit.suspicion_) || pass.reservations_ == 0) {
+  if (unit.suspicion_ != Suspicion::kStrong || pass.reservations_ == 0) {
     return false;
   }
   const auto workers = FindQuietWorkers(pass, unit, may_spread);
--- a/flamingohollow/graph_placement_fit.cc
+++ b/flamingohollow/graph_placement_fit.cc
@@ -104,8 +104,8 @@
 // which a few tasks crash each worker that starts them.
 bool MayShare(const PassWorker& worker, const Unit& unit) {
   if (worker.held_) return false;
-  if (IsStrong(unit.suspicion_)) return !worker.recent_start_;
-  return !IsStrong(worker.recent_suspicion_);
+  if (unit.suspicion_ == Suspicion::kStrong) return !worker.recent_start_;
+  return worker.recent_suspicion_ != Suspicion::kStrong;
 }
 
 namespace {
--- a/flamingohollow/graph_placement_pass.cc
+++ b/flamingohollow/graph_placement_pass.cc
@@ -126,11 +126,9 @@
 
 namespace {
 
-// A task that has run this long has not crashed its worker at the start.
+// A task has not crashed its worker at the start if the worker was heard of
+// this long after it.
 constexpr Duration kProvenAfter = Duration(2000);
-// The same for a task with many crashes. What starts beside it may crash the
-// worker, and the crash would count for both.
-constexpr Duration kProvenAfterManyCrashes = Duration(10'000);
 
 // Returns the task under which the crash ledger lists it.
 TaskRef ListedTask(const TaskRef& task, const GraphJob& job) {
@@ -144,17 +142,14 @@
   if (ledger.histories_.empty()) return;
   for (const auto& [attempt, run] : worker.fleet_worker_->runs_) {
     const Time began = run.began_.value_or(pass.now_);
-    const Duration age = pass.now_ - began;
-    if (age >= kProvenAfterManyCrashes) continue;
-    const GraphJob* job = FindJob(pass.state_, attempt.task_.job_);
-    const Suspicion suspicion =
-        job == nullptr ? Suspicion::kNone
-                       : SuspicionOf(ledger, ListedTask(attempt.task_, *job));
-    const bool many_crashes = suspicion == Suspicion::kDecisive;
-    if (age >= kProvenAfter && !many_crashes) continue;
+    if (worker.fleet_worker_->last_heard_at_ - began >= kProvenAfter) continue;
     worker.recent_start_ =
         std::max(worker.recent_start_.value_or(began), began);
-    worker.recent_suspicion_ = std::max(worker.recent_suspicion_, suspicion);
+    const GraphJob* job = FindJob(pass.state_, attempt.task_.job_);
+    if (job == nullptr) continue;
+    const TaskRef listed = ListedTask(attempt.task_, *job);
+    worker.recent_suspicion_ =
+        std::max(worker.recent_suspicion_, SuspicionOf(ledger, listed));
   }
 }
 
--- a/flamingohollow/graph_placement_units.cc
+++ b/flamingohollow/graph_placement_units.cc
@@ -122,11 +122,15 @@
   std::vector<Unit>& units_;
 };
 
+// A task with this many attempts that may have crashed workers waits for news
+// of these workers.
+constexpr std::uint32_t kCrashesToAwait = 3;
+
 // Whether the next attempt waits until it is known whether the task has crashed
 // the workers that its last attempts were lost with.
 bool AwaitsVerdict(JobUnits& out, const TaskRef& listed,
                    const TaskRecord& task) {
-  if (task.attempt_.value() < kCrashesOfDecisiveSuspect) return false;
+  if (task.attempt_.value() < kCrashesToAwait) return false;
   if (!out.unresolved_.has_value()) {
     out.unresolved_ = CollectUnresolved(out.pass_);
   }
@@ -136,7 +140,7 @@
   const auto history = histories.find(listed);
   const std::size_t crashes =
       history == histories.end() ? 0 : history->second.crashes_;
-  return crashes + unresolved->second.size() >= kCrashesOfDecisiveSuspect;
+  return crashes + unresolved->second.size() >= kCrashesToAwait;
 }
 
 void CollectGang(Unit unit, const TaskRef& listed, JobUnits& out) {
@@ -163,7 +167,7 @@
     task.index_ = TaskIndex(i);
     if (AwaitsVerdict(out, task, step.tasks_[i])) continue;
     const Suspicion suspicion = SuspicionOf(out.pass_.state_.crashes_, task);
-    if (IsStrong(suspicion)) {
+    if (suspicion == Suspicion::kStrong) {
       Unit& alone = out.units_.emplace_back(base);
       alone.suspicion_ = suspicion;
       alone.tasks_.emplace_back(i);
@@ -235,7 +239,7 @@
     const bool too_late = unit.lateness_ == Lateness::kTooLate;
     // Strong suspects need a worker without recent starts, which a pool of
     // short tasks has only if it is held before these are placed.
-    const bool strong = IsStrong(unit.suspicion_);
+    const bool strong = unit.suspicion_ == Suspicion::kStrong;
     return std::tuple(!unit.guaranteed_, too_late, unit.job_->terms_.priority_,
                       !strong, unit.lateness_, unit.deadline_);
   };
--- a/flamingohollow/worker_crashes.cc
+++ b/flamingohollow/worker_crashes.cc
@@ -97,7 +97,7 @@
                    const WorkerId& worker) {
   if (!AwaitsConfirmation(ledger, listed, worker)) return;
   auto& accused = ledger.accused_.at(worker);
-  if (IsStrong(SuspicionOf(ledger, listed.task_))) accused.clear();
+  if (SuspicionOf(ledger, listed.task_) == Suspicion::kStrong) accused.clear();
   accused[listed.task_] = true;
 }
 
@@ -178,7 +178,6 @@
   const auto found = ledger.histories_.find(listed);
   if (found == ledger.histories_.end()) return Suspicion::kNone;
   const std::uint32_t crashes = found->second.crashes_;
-  if (crashes >= kCrashesOfDecisiveSuspect) return Suspicion::kDecisive;
   return crashes >= kCrashesOfStrongSuspect ? Suspicion::kStrong
                                             : Suspicion::kWeak;
 }
--- a/flamingohollow/worker_crashes.h
+++ b/flamingohollow/worker_crashes.h
@@ -32,9 +32,8 @@
 };
 inline constexpr std::array<GiveUpRule, 3> kGiveUpRules = {
     {{3, 2}, {5, 1}, {10, 0}}};
-// From this many crashes on, a task is a strong or a decisive suspect.
+// A task with this many crashes is a strong suspect.
 inline constexpr std::uint32_t kCrashesOfStrongSuspect = 2;
-inline constexpr std::uint32_t kCrashesOfDecisiveSuspect = 3;
 // Crashes that are further apart are not counted together, as every worker
 // crashes now and then.
 inline constexpr Duration kCrashMemory = Duration(10 * 60 * 1000);
@@ -147,15 +146,8 @@
   // Never started on a worker on which another task has just started, nor the
   // other way round.
   kStrong,
-  // As kStrong, and nothing starts beside it for longer, as its next crash may
-  // be its last.
-  kDecisive,
 };
 
-inline bool IsStrong(Suspicion suspicion) {
-  return suspicion >= Suspicion::kStrong;
-}
-
 Suspicion SuspicionOf(const CrashLedger& ledger, const TaskRef& listed);
 
 }  // namespace flamingohollow
