The silence of a worker is not blamed on the task that ran there

What callers would see: a sound task that was alone on three workers which were cut off for over a minute, within ten minutes, was given up. Cause: a worker that is removed after 60 s of silence counts as crashed. Silence is no evidence against a task. Change: it still counts as a crash, so that the task is kept apart, but blames nobody.

--- a/flamingohollow/graph_placement.h
+++ b/flamingohollow/graph_placement.h
@@ -16,9 +16,10 @@
 //   gangs, which break if one member fails, and urgent units go to suspects
 //   last (see worker_suspicion.h).
 // - Tasks that may have crashed workers are placed apart. A strong suspect
-// comes
-//   before other units of its priority and holds workers until their newest
-//   tasks have proved harmless (see worker_crashes.h).
+//   comes before other units of its priority, and holds workers until their
+//   newest tasks have proved harmless (see worker_crashes.h).
+// - In a pool whose speeds differ widely, an urgent gang that would be late on
+//   slow workers preempts on others before it takes slow ones.
 // - Best fit: a task goes to the worker with the least resources left over, so
 //   that whole workers stay free for tasks that need them. A gang that wants
 //   one rack gets the rack with the least left over that holds it.
--- a/flamingohollow/graph_placement_fit.cc
+++ b/flamingohollow/graph_placement_fit.cc
@@ -104,7 +104,9 @@
 // which a few tasks crash each worker that starts them.
 bool MayShare(const PassWorker& worker, const Unit& unit) {
   if (worker.held_) return false;
-  if (unit.suspicion_ == Suspicion::kStrong) return !worker.recent_start_;
+  if (unit.suspicion_ == Suspicion::kStrong) {
+    return !worker.recent_start_.has_value();
+  }
   return worker.recent_suspicion_ != Suspicion::kStrong;
 }
 
--- a/flamingohollow/testing/graph_state_test.cc
+++ b/flamingohollow/testing/graph_state_test.cc
@@ -235,8 +235,10 @@
   CHECK_EQ(state.new_crashes_.size(), crashed ? 1 : 0);
 }
 
-// Opens the next attempt of the job's task on a worker, which then restarts.
-void CrashUnder(GraphState& state, std::uint32_t attempt, bool confirmed) {
+// Opens the next attempt of the job's task on a worker, which then restarts, or
+// is removed after a long silence.
+void LoseWorkerUnder(GraphState& state, std::uint32_t attempt, bool confirmed,
+                     bool returns) {
   const std::string id = "w" + std::to_string(attempt);
   PoolWorkerReport report = MakeReport(id);
   report.address_ = id;
@@ -245,8 +247,12 @@
   if (confirmed) {
     ApplyRecord(state, ConfirmedRecord{WorkerId(id), {Attempt(0, 0, attempt)}});
   }
-  report.incarnation_ = WorkerIncarnation(1000 + attempt);
-  ApplyRecord(state, WorkerRecord{{report}, {}});
+  if (returns) {
+    report.incarnation_ = WorkerIncarnation(1000 + attempt);
+    ApplyRecord(state, WorkerRecord{{report}, {}});
+  } else {
+    ApplyRecord(state, WorkerRecord{{}, {WorkerId(id)}});
+  }
   End(state, Attempt(0, 0, attempt), AttemptEnd::kLost);
 }
 
@@ -256,12 +262,23 @@
     CAPTURE(confirmed);
     GraphState state;
     Submit(state, 1, {MakeStep(1, 1, Duration(1))}, {});
-    for (std::uint32_t i = 1; i <= 3; ++i) CrashUnder(state, i, confirmed);
+    for (std::uint32_t i = 1; i <= 3; ++i) {
+      LoseWorkerUnder(state, i, confirmed, /*returns=*/true);
+    }
     CHECK_EQ(FindJob(state, MakeKey(1))->state_,
              confirmed ? GraphJobState::kFailed : GraphJobState::kActive);
   }
 }
 
+TEST_CASE("workers that are cut off for long are not blamed on a task") {
+  GraphState state;
+  Submit(state, 1, {MakeStep(1, 1, Duration(1))}, {});
+  for (std::uint32_t i = 1; i <= 5; ++i) {
+    LoseWorkerUnder(state, i, /*confirmed=*/true, /*returns=*/false);
+  }
+  CHECK_EQ(FindJob(state, MakeKey(1))->state_, GraphJobState::kActive);
+}
+
 TEST_CASE("a snapshot of the first version is read, and the other way round") {
   GraphState state;
   ApplyRecord(state, CatalogRecord{MakeCatalog(5)});
--- a/flamingohollow/worker_crashes.cc
+++ b/flamingohollow/worker_crashes.cc
@@ -132,7 +132,9 @@
   WorkerCrash crash{worker, incarnation, {}, {}};
   const std::vector<AttemptOnWorker> all =
       CollectAttempts(ledger, worker, incarnation, open, restarted);
-  const std::optional<TaskRef> blamed = FindBlamed(all);
+  // A worker that doesn't return may only be cut off.
+  const std::optional<TaskRef> blamed =
+      restarted == Time() ? std::nullopt : FindBlamed(all);
   ForgetWorker(ledger, worker);
   for (const AttemptOnWorker& here : all) {
     const TaskRef& task = here.attempt_.task_;
