--- a/flamingohollow/graph_placement_pass.h
+++ b/flamingohollow/graph_placement_pass.h
@@ -246,8 +246,8 @@
                                                 bool may_spread);
 // For a strong suspect that only has to wait until the tasks on the workers
 // have proved harmless: returns the workers with room for it whose newest start
-// is the oldest, or nothing if it doesn't fit. In a pool of short tasks, a
-// worker has no lack of recent starts unless it is held.
+// is the oldest, or nothing if it doesn't fit. In a pool of short tasks, each
+// worker has recent starts until it is held.
 std::vector<std::size_t> FindQuietWorkers(const Pass& pass, const Unit& unit,
                                           bool may_spread);
 // Returns worker indices for as many of the unit's tasks as fit.
