The load test of deadly jobs checks that most are given up

Found on reading the diff: the test passed if no deadly job was ever started again, and nothing read the counts of such jobs.

--- a/flamingohollow/testing/graph_load_test.cc
+++ b/flamingohollow/testing/graph_load_test.cc
@@ -87,6 +87,7 @@
     for (const QueueResult& queue : result.queues_) {
       CHECK_EQ(queue.failed_, 0);
     }
+    CHECK_GT(result.deadly_failed_, result.deadly_ / 2);
   }
 }
 
