--- a/app/flamingohollow.cc
+++ b/app/flamingohollow.cc
@@ -53,7 +53,7 @@
 ABSL_FLAG(std::uint64_t, base_version, 0,
           "table apply: the version the change is based on; 0 for the present");
 ABSL_FLAG(std::vector<std::string>, logs, {},
-          "explain: log files, FILE,FILE; standard input when empty");
+          "explain, delays: log files, FILE,FILE; standard input when empty");
 ABSL_FLAG(bool, dry_run, false, "table apply: check, change nothing");
 ABSL_FLAG(bool, end, false, "evacuate: take the failure domain back");
 ABSL_FLAG(bool, list, false, "evacuate: list what is evacuated");
@@ -110,6 +110,9 @@
     "  workers                 all workers\n"
     "  status                  leader, voters, entries, guarantees\n"
     "  explain ID              the story of a job or request from log lines\n"
+    "  delays                  what became of all jobs, and why late ones "
+    "were\n"
+    "                          late, from log lines\n"
     "                          (--logs)\n"
     "  evacuate DOMAIN         starts no more work in a failure domain\n"
     "                          (--end DOMAIN takes it back, --list)\n"
@@ -455,7 +458,8 @@
   return lines;
 }
 
-int ExplainId(const std::string& id) {
+// Calls `print` with the lines of the files of --logs, or of standard input.
+int WithLogLines(const std::function<int(const std::vector<LogLine>&)>& print) {
   std::vector<LogLine> lines;
   const std::vector<std::string> files = absl::GetFlag(FLAGS_logs);
   if (files.empty()) lines = ReadLogLines(std::cin);
@@ -464,9 +468,22 @@
     if (!file) return Usage(fmt::format("{} can't be read", path));
     for (LogLine& line : ReadLogLines(file)) lines.push_back(std::move(line));
   }
-  const Story story = Explain(lines, id);
-  fmt::print("{}", PrintStory(story));
-  return story.lines_.empty() ? kDefiniteNo : kDone;
+  return print(lines);
+}
+
+int ExplainId(const std::string& id) {
+  return WithLogLines([&id](const std::vector<LogLine>& lines) {
+    const Story story = Explain(lines, id);
+    fmt::print("{}", PrintStory(story));
+    return story.lines_.empty() ? kDefiniteNo : kDone;
+  });
+}
+
+int ExplainDelays() {
+  return WithLogLines([](const std::vector<LogLine>& lines) {
+    fmt::print("{}", PrintDelays(SumDelays(lines)));
+    return kDone;
+  });
 }
 
 const std::vector<CommandEntry>& Commands() {
@@ -500,6 +517,7 @@
       {{"explain"},
        {"ID"},
        [](const Words& arguments) { return ExplainId(arguments[0]); }},
+      {{"delays"}, {}, [](const Words&) { return ExplainDelays(); }},
       {{"evacuate"},
        {"DOMAIN"},
        [](const Words& arguments) { return Evacuate(arguments[0]); }},
--- a/flamingohollow/explain.cc
+++ b/flamingohollow/explain.cc
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <set>
+#include <tuple>
 #include <utility>
 
 #include "util/json_fields.h"
@@ -176,6 +177,50 @@
   return story;
 }
 
+std::vector<DelayRow> SumDelays(const std::vector<LogLine>& lines) {
+  // Jobs that were accepted, with their ends if there are any.
+  std::map<std::string, std::pair<std::string, const LogLine*>> jobs;
+  for (const LogLine& line : lines) {
+    const bool ended = line.event_ == "job_end";
+    if (!ended && line.event_ != "accept") continue;
+    auto& [queue, end] = jobs[FieldOf(line, "job")];
+    queue = FieldOf(line, "queue");
+    if (ended) end = &line;
+  }
+  std::map<std::tuple<std::string, std::string, std::string>, DelayRow> rows;
+  for (const auto& [id, job] : jobs) {
+    const auto& [queue, end] = job;
+    const std::string outcome =
+        end == nullptr ? "open" : FieldOf(*end, "outcome");
+    const std::string cause = end == nullptr ? "" : FieldOf(*end, "cause");
+    DelayRow& row = rows[{queue, outcome, cause}];
+    row.queue_ = queue;
+    row.outcome_ = outcome;
+    row.cause_ = cause;
+    ++row.jobs_;
+    if (end == nullptr) continue;
+    row.preempted_ += ParseUnsigned(FieldOf(*end, "preempted")).value_or(0);
+    // A job that was on time has a negative value, which doesn't parse.
+    row.late_ms_ += static_cast<std::int64_t>(
+        ParseUnsigned(FieldOf(*end, "late_ms")).value_or(0));
+  }
+  std::vector<DelayRow> sums;
+  for (auto& [key, row] : rows) sums.push_back(std::move(row));
+  return sums;
+}
+
+std::string PrintDelays(const std::vector<DelayRow>& rows) {
+  std::string text =
+      "queue            outcome    cause       jobs  preempted  late s\n";
+  for (const DelayRow& row : rows) {
+    constexpr double kMsPerSecond = 1000;
+    text += fmt::format("{:16} {:10} {:10} {:5}  {:9}  {:6.1f}\n", row.queue_,
+                        row.outcome_, row.cause_, row.jobs_, row.preempted_,
+                        static_cast<double>(row.late_ms_) / kMsPerSecond);
+  }
+  return text;
+}
+
 std::string PrintStory(const Story& story) {
   std::string text = story.cause_ + '\n';
   if (story.dropped_ > 0) {
--- a/flamingohollow/explain.h
+++ b/flamingohollow/explain.h
@@ -42,6 +42,23 @@
 
 std::string PrintStory(const Story& story);
 
+// Jobs of one queue with the same outcome and the same cause of delay.
+struct DelayRow {
+  std::string queue_;
+  // `completed`, `failed`, `cancelled`, or `open` for a job without an end.
+  std::string outcome_;
+  std::string cause_;
+  std::uint64_t jobs_ = 0;
+  // Sums over the jobs.
+  std::uint64_t preempted_ = 0;
+  std::int64_t late_ms_ = 0;
+};
+
+// Counts what became of all jobs, ordered by queue, outcome and cause. Jobs
+// that several leaders knew count once.
+std::vector<DelayRow> SumDelays(const std::vector<LogLine>& lines);
+std::string PrintDelays(const std::vector<DelayRow>& rows);
+
 }  // namespace flamingohollow
 
 #endif  // FLAMINGOHOLLOW_EXPLAIN_H_
--- a/flamingohollow/graph_scheduler.cc
+++ b/flamingohollow/graph_scheduler.cc
@@ -107,6 +107,8 @@
     const StepSpec& spec = job->spec_.steps_[attempt.task_.step_.value()];
     if (ShouldStopBeforeDrain(ctx, run, spec, time_left)) {
       StopRun(ctx, worker, attempt, run, "its worker leaves");
+      const auto trace = ctx.scheduler_.traces_.find(attempt.task_.job_);
+      if (trace != ctx.scheduler_.traces_.end()) ++trace->second.evacuated_;
       StopRestOfGang(ctx, attempt, "the worker of a gang member leaves");
     }
   }
@@ -329,6 +331,8 @@
     Run* run = FindRun(worker, stop.attempt_);
     if (run != nullptr) {
       StopRun(ctx, worker, stop.attempt_, *run, "more urgent work");
+      const auto trace = ctx.scheduler_.traces_.find(stop.attempt_.task_.job_);
+      if (trace != ctx.scheduler_.traces_.end()) ++trace->second.preempted_;
     }
   }
 }
@@ -462,6 +466,12 @@
     const Duration age =
         std::clamp(wall - job.accepted_, Duration(0), kMaxInheritedAge);
     scheduler.queued_since_.emplace(key, now - age);
+    if (job.state_ == GraphJobState::kActive) {
+      JobTrace& trace = scheduler.traces_[key];
+      trace.queued_at_ = now - age;
+      // What the job waited for under earlier leaders is not known.
+      if (job.begun_) trace.first_open_ = trace.last_open_ = trace.queued_at_;
+    }
     if (!job.occurrences_.empty()) scheduler.jobs_to_check_.insert(key);
     RecoverRuns(scheduler, job, now);
   }
--- a/flamingohollow/graph_scheduler.h
+++ b/flamingohollow/graph_scheduler.h
@@ -33,6 +33,7 @@
 #include "flamingohollow/graph_placement.h"
 #include "flamingohollow/graph_records.h"
 #include "flamingohollow/graph_state.h"
+#include "flamingohollow/job_trace.h"
 #include "flamingohollow/urgent_demand.h"
 #include "flamingohollow/worker_pace.h"
 #include "util/clock.h"
@@ -215,6 +216,8 @@
   Time next_speeds_record_;
   // When this scheduler learned of each job; its waiting time starts then.
   std::map<GraphJobKey, Time> queued_since_;
+  // Of the active jobs.
+  std::map<GraphJobKey, JobTrace> traces_;
   // What urgent jobs needed lately, by pool.
   UrgentDemands urgent_demands_;
   // Number of polls in flight that the workers may hold open. Counted anew at
--- a/flamingohollow/graph_scheduler_records.cc
+++ b/flamingohollow/graph_scheduler_records.cc
@@ -22,6 +22,45 @@
          job->spec_.steps_[task.step_.value()].gang_;
 }
 
+// Counts an attempt's end in its job's trace.
+void TraceEnd(Context& ctx, const EndedAttempt& ended) {
+  const auto found = ctx.scheduler_.traces_.find(ended.attempt_.task_.job_);
+  if (found == ctx.scheduler_.traces_.end()) return;
+  if (ended.end_ == AttemptEnd::kFailed) ++found->second.failed_;
+  if (ended.end_ == AttemptEnd::kLost) ++found->second.lost_;
+}
+
+// Logs what became of the job, and what delayed it most, once it has ended.
+void LogIfEnded(Context& ctx, const GraphJobKey& key) {
+  const auto found = ctx.scheduler_.traces_.find(key);
+  const GraphJob* job = FindJob(ctx.state_, key);
+  if (found == ctx.scheduler_.traces_.end() || job == nullptr ||
+      job->state_ == GraphJobState::kActive) {
+    return;
+  }
+  const JobTrace& trace = found->second;
+  const JobTimes times = MeasureTimes(trace, *job, ctx.now_);
+  const DelayCause cause = FindDelayCause(trace, times, *job);
+  LogEvent("job_end", {{"job", key.value()},
+                       {"queue", job->queue_.value()},
+                       {"priority", job->terms_.priority_},
+                       {"customer", job->customer_.value()},
+                       {"outcome", GraphJobStateName(job->state_)},
+                       {"late_ms", times.late_.ms()},
+                       {"cause", DelayCauseName(cause)},
+                       {"total_ms", times.total_.ms()},
+                       {"waited_ms", times.waited_.ms()},
+                       {"repeated_ms", times.repeated_.ms()},
+                       {"ran_ms", times.ran_.ms()},
+                       {"estimate_ms", LongestChain(job->spec_).ms()},
+                       {"attempts", trace.attempts_},
+                       {"preempted", trace.preempted_},
+                       {"evacuated", trace.evacuated_},
+                       {"failed", trace.failed_},
+                       {"lost", trace.lost_}});
+  ctx.scheduler_.traces_.erase(found);
+}
+
 void OnApplied(Context& ctx, const OpenRecord& record) {
   if (ctx.scheduler_.open_records_in_flight_ > 0)
     --ctx.scheduler_.open_records_in_flight_;
@@ -35,6 +74,10 @@
       RemoveRun(worker, opened.attempt_);
       continue;
     }
+    const auto trace = ctx.scheduler_.traces_.find(opened.attempt_.task_.job_);
+    if (trace != ctx.scheduler_.traces_.end()) {
+      RecordOpened(trace->second, ctx.now_);
+    }
     SetPhase(ctx, *run, RunPhase::kStarting);
     // The job may have been cancelled since the attempt was proposed.
     CheckJob(ctx, opened.attempt_.task_.job_);
@@ -55,6 +98,8 @@
   for (const EndedAttempt& ended : record.attempts_) {
     const TaskRef& task = ended.attempt_.task_;
     if (MayStopOthers(ctx, task)) CheckJob(ctx, task.job_);
+    TraceEnd(ctx, ended);
+    LogIfEnded(ctx, task.job_);
     FleetWorker* holder = FindWorkerOf(ctx, ended.attempt_);
     if (holder == nullptr) continue;
     if (FindRun(*holder, ended.attempt_)->end_proposed_) {
@@ -71,6 +116,7 @@
 
 void OnApplied(Context& ctx, const SubmitRecord& record) {
   ctx.scheduler_.queued_since_.emplace(record.key_, ctx.now_);
+  ctx.scheduler_.traces_[record.key_].queued_at_ = ctx.now_;
   if (record.terms_.priority_ == 0) ctx.scheduler_.urgent_placement_due_ = true;
 }
 
@@ -84,6 +130,7 @@
   for (const GraphJobKey& key : record.keys_) {
     ctx.scheduler_.forget_proposed_.erase(key);
     ctx.scheduler_.queued_since_.erase(key);
+    ctx.scheduler_.traces_.erase(key);
     const auto forget = [&key](auto& steps) {
       auto step = steps.lower_bound({key, Occurrence(), StepIndex()});
       while (step != steps.end() && step->first.job_ == key) {
@@ -97,6 +144,7 @@
 
 void OnApplied(Context& ctx, const CancelRecord& record) {
   CheckJob(ctx, record.key_);
+  LogIfEnded(ctx, record.key_);
 }
 
 void OnApplied(Context& /*ctx*/, const CatalogRecord& /*record*/) {}
@@ -121,6 +169,7 @@
                                  {"crashes", history.crashes_},
                                  {"blamed", history.blamed_}});
       CheckJob(ctx, task.job_);
+      LogIfEnded(ctx, task.job_);
     }
   }
 }
--- a/flamingohollow/graph_service.cc
+++ b/flamingohollow/graph_service.cc
@@ -184,10 +184,11 @@
                  queue.slack_, queue.objective_},
       .spec_ = *call.spec_,
       .accepted_ = clocks_.wall_()};
-  ProposeFor(record, respond, [this, key, name = queue.name_] {
+  ProposeFor(record, respond, [this, key, queue] {
     Count("jobs_accepted_total");
     LogEvent("accept", {{"job", key.value()},
-                        {"queue", name.value()},
+                        {"queue", queue.name_.value()},
+                        {"priority", queue.priority_},
                         {"catalog", state_.catalog_.version_.value()}});
     return Reply(GraphOutcome::kOk, "accepted");
   });
--- a/flamingohollow/graph_state.cc
+++ b/flamingohollow/graph_state.cc
@@ -3,6 +3,7 @@
 #include "flamingohollow/graph_state.h"
 
 #include <algorithm>
+#include <array>
 #include <istream>
 #include <utility>
 
@@ -396,6 +397,12 @@
   return state;
 }
 
+std::string_view GraphJobStateName(GraphJobState state) {
+  static constexpr std::array<std::string_view, 4> kNames = {
+      "active", "completed", "failed", "cancelled"};
+  return kNames.at(static_cast<std::size_t>(state));
+}
+
 std::uint32_t TotalOccurrences(const GraphSpec& spec) {
   return std::max<std::uint32_t>(1, spec.occurrences_);
 }
--- a/flamingohollow/graph_state.h
+++ b/flamingohollow/graph_state.h
@@ -84,6 +84,9 @@
   kCancelled = 3,
 };
 
+// For log lines.
+std::string_view GraphJobStateName(GraphJobState state);
+
 struct GraphJob {
   GraphJobKey key_;
   QueueName queue_;
