--- a/flamingohollow/graph_placement.cc
+++ b/flamingohollow/graph_placement.cc
@@ -158,7 +158,12 @@
 bool MaySpread(const Pass& pass, const Unit& unit) {
   if (!WantsOneRack(unit)) return false;
   const Duration waited = pass.now_ - unit.queued_at_;
-  if (unit.guaranteed_ && waited > pass.options_.max_rack_wait_) return true;
+  // A customer may reclaim its guarantee until a job has begun. One that was
+  // stopped since is served better by a wait for a rack than by a spread.
+  const bool begun = unit.step_->tasks_.front().attempt_ != AttemptId();
+  if (unit.guaranteed_ && !begun && waited > pass.options_.max_rack_wait_) {
+    return true;
+  }
   if (!pass.busy_ && waited > pass.options_.max_idle_rack_wait_) return true;
   return !AnyRackCouldHold(pass, unit);
 }
