Estimates that are too short don't make a job worthless; urgent runs stop last

Cause: urgent estimates are off by half, and a job taken for worthless came after all others and was never served; urgent runs, being young, were the cheapest to stop for a guarantee. Change: a job counts as too late at twice the limit that its estimate gives; runs of priority 0 are stopped only if no others can be.

--- a/flamingohollow/graph_placement_pass.cc
+++ b/flamingohollow/graph_placement_pass.cc
@@ -258,7 +258,8 @@
   group.members_.push_back({worker, &attempt, run.need_});
   // A task that takes checkpoints also takes one when it is stopped.
   std::int64_t lost = spec.checkpoints_ ? 0 : (now - began).ms();
-  if (attempt.attempt_.value() > kMaxRepeats) lost += kLastResortMs;
+  const bool urgent = group.job_->terms_.priority_ == 0;
+  if (urgent || attempt.attempt_.value() > kMaxRepeats) lost += kLastResortMs;
   group.lost_work_ += (lost + kStopCostMs) * WeightOf(run.need_);
   group.remaining_ms_ = std::max(group.remaining_ms_, left);
   const bool runs = run.phase_ == RunPhase::kRunning && !run.end_proposed_;
--- a/flamingohollow/graph_placement_units.cc
+++ b/flamingohollow/graph_placement_units.cc
@@ -67,6 +67,10 @@
 // Work takes up to this many times as long as estimated, unless it is odd.
 constexpr double kEstimateError = 1.5;
 
+// Jobs aren't taken for worthless unless they would be with estimates that are
+// this much too short.
+constexpr std::int64_t kMaxUnderestimate = 2;
+
 void SetUrgency(Unit& unit, const OccurrenceRecord& occurrence, Time queued_at,
                 Time now) {
   const GraphJob& job = *unit.job_;
@@ -78,8 +82,9 @@
   unit.remaining_ = RemainingChain(job, occurrence);
   const Time finish = now + unit.remaining_;
   // A late job has reduced value until three times the allowed time, and none
-  // after that.
-  const Time late = queued_at + allowed * 3;
+  // after that. The allowed time depends on the real length, which may be twice
+  // the estimate.
+  const Time late = queued_at + allowed * 3 * kMaxUnderestimate;
   unit.queued_at_ = queued_at;
   unit.deadline_ = queued_at + allowed;
   const Duration left = unit.deadline_ - now;
