Urgent work is moved off workers that stand still or are far too slow

Cause: such faults last 6 s, and an urgent gang waits for its slowest member. Change: slow_runs.h compares the predicted end with that of a new attempt, from the members' progress; workers with urgent work answer polls within 0.7 s, so that it is known in time; the worker gets nothing for 6 s.

--- a/flamingohollow/graph_scheduler.cc
+++ b/flamingohollow/graph_scheduler.cc
@@ -30,6 +30,9 @@
 // A worker that has sent nothing for this long is considered gone for good.
 // Network partitions are several times shorter.
 constexpr Duration kRemoveWorkerAfter = Duration(60000);
+// A worker on which urgent work was found to be slow gets no new tasks for this
+// long. Such faults last seconds.
+constexpr Duration kAvoidSlowWorker = Duration(6000);
 // Remaining times are accurate to about a third: a task that needs more than
 // this many tenths of its worker's remaining time won't finish there.
 constexpr std::int64_t kRemainingTimeMarginTenths = 13;
@@ -337,6 +340,20 @@
   }
 }
 
+// Stops urgent work on workers that stand still or are far too slow, so that
+// the next pass starts it elsewhere.
+void StopSlow(Context& ctx) {
+  for (const SlowRun& slow :
+       FindSlowRuns(ctx.state_, ctx.scheduler_.fleet_,
+                    ctx.scheduler_.options_.slow_runs_, ctx.now_)) {
+    FleetWorker& worker = ctx.scheduler_.fleet_.at(slow.worker_);
+    worker.avoid_until_ = ctx.now_ + kAvoidSlowWorker;
+    StopRun(ctx, worker, slow.attempt_, *FindRun(worker, slow.attempt_),
+            "its worker is slow");
+    StopRestOfGang(ctx, slow.attempt_, "the worker of a gang member is slow");
+  }
+}
+
 // The ratio of fast to slow workers in the most uneven pool of the plan.
 double SpeedRatio(const PlacementPlan& plan) {
   double ratio = 1;
@@ -365,6 +382,7 @@
       ctx.state_, ctx.scheduler_.fleet_, ctx.scheduler_.options_.placement_,
       since, ctx.now_, RoomToKeep(demands, need, ctx.now_));
   ctx.scheduler_.speed_ratio_ = SpeedRatio(plan);
+  StopSlow(ctx);
   StopPlanned(ctx, plan);
   StartPlanned(ctx, plan);
 }
--- a/flamingohollow/graph_scheduler.h
+++ b/flamingohollow/graph_scheduler.h
@@ -34,6 +34,7 @@
 #include "flamingohollow/graph_records.h"
 #include "flamingohollow/graph_state.h"
 #include "flamingohollow/job_trace.h"
+#include "flamingohollow/slow_runs.h"
 #include "flamingohollow/urgent_demand.h"
 #include "flamingohollow/worker_pace.h"
 #include "util/clock.h"
@@ -48,6 +49,9 @@
   Duration start_lease_ = Duration(4000);
   // How long the worker holds a poll open while no attempt ends.
   Duration poll_wait_ = Duration(2000);
+  // The same while urgent work runs there, so that its progress is known in
+  // time to move it (see slow_runs.h).
+  Duration urgent_poll_wait_ = Duration(700);
   // Polls that may be held open at the same time, as each takes a connection.
   // Further workers are polled every `poll_wait_` instead.
   std::size_t max_held_polls_ = 4096;
@@ -63,6 +67,7 @@
   // How long ended jobs are kept.
   Duration ended_job_retention_ = Duration(150000);
   GraphPlacementOptions placement_;
+  SlowRunOptions slow_runs_;
 };
 
 // The worker that a command is sent to, and the leader's token.
--- a/flamingohollow/graph_scheduler_commands.cc
+++ b/flamingohollow/graph_scheduler_commands.cc
@@ -190,10 +190,13 @@
   // over.
   bool runs = false;
   bool settled = worker.answered_poll_;
+  bool urgent = false;
   for (const auto& [attempt, run] : worker.runs_) {
     runs = runs || run.phase_ == RunPhase::kRunning ||
            run.phase_ == RunPhase::kRecovering;
     settled = settled && run.phase_ == RunPhase::kRunning;
+    const GraphJob* job = FindJob(ctx.state_, attempt.task_.job_);
+    urgent = urgent || (job != nullptr && job->terms_.priority_ == 0);
   }
   // The end of a lease is given on the worker's clock, which is unknown until
   // the worker has answered or reported.
@@ -209,6 +212,8 @@
     command.wait_ = Duration(0);
     worker.next_poll_at_ = ctx.now_ + options.poll_wait_;
   }
+  if (urgent)
+    command.wait_ = std::min(command.wait_, options.urgent_poll_wait_);
   worker.poll_held_ = command.wait_ > Duration(0);
   if (worker.poll_held_) ++ctx.scheduler_.held_polls_;
   worker.poll_in_flight_ = true;
