--- a/flamingohollow/graph_placement_pass.cc
+++ b/flamingohollow/graph_placement_pass.cc
@@ -130,6 +130,9 @@
 // this long after it.
 constexpr Duration kProvenAfter = Duration(2000);
 
+// A worker counts as proven for this long after a task ended well there.
+constexpr Duration kProvenFor = Duration(3000);
+
 // Returns the task under which the crash ledger lists it.
 TaskRef ListedTask(const TaskRef& task, const GraphJob& job) {
   const StepSpec& spec = job.spec_.steps_[task.step_.value()];
@@ -163,6 +166,8 @@
     PassWorker added;
     added.fleet_worker_ = &worker;
     added.cold_ = IsCold(worker, pass.now_);
+    added.proven_ = worker.last_success_.has_value() &&
+                    pass.now_ - *worker.last_success_ < kProvenFor;
     SetRecentStarts(pass, added);
     const bool evacuated =
         IsEvacuated(pass.state_.evacuations_, worker.report_.failure_domain_);
--- a/flamingohollow/graph_placement_pass.h
+++ b/flamingohollow/graph_placement_pass.h
@@ -83,6 +83,8 @@
   Time queued_at_;
   // The job is within its customer's guarantee.
   bool guaranteed_ = false;
+  // Has failed before, so that another failure may be the last one allowed.
+  bool failed_before_ = false;
   // Whether its tasks may have crashed workers.
   Suspicion suspicion_ = Suspicion::kNone;
   // Set before the unit is placed.
@@ -102,6 +104,8 @@
   // Relative to a typical worker of its pool (1).
   double speed_ = 1;
   bool suspect_ = false;
+  // A task ended well there a short time ago.
+  bool proven_ = false;
   // Slow because it was started lately.
   bool cold_ = false;
   // The newest start of a task that has run for too short a time to have proved
--- a/flamingohollow/testing/graph_placement_test.cc
+++ b/flamingohollow/testing/graph_placement_test.cc
@@ -50,6 +50,11 @@
   return jobs;
 }
 
+// The job's first step.
+StepRecord& StepOf(GraphState& state, std::uint64_t job) {
+  return state.jobs_.at(MakeKey(job)).occurrences_.begin()->second.steps_[0];
+}
+
 std::set<std::string> StoppedJobs(const PlacementPlan& plan) {
   std::set<std::string> jobs;
   for (const PlacementPlan::Stop& stop : plan.stop_) {
@@ -476,6 +481,79 @@
   CHECK_EQ(Plan(state, fleet, kNow - Duration(2500)).open_.size(), 3);
 }
 
+// Two of three racks have one idle worker each. A job that has not begun may
+// have to spread to get its guarantee in time; one that was stopped since would
+// run three times as long.
+TEST_CASE("a gang that has begun waits for a rack rather than spread") {
+  GraphState state;
+  SetGuarantee(state, "owner", 48);
+  Fleet fleet = MakeFleet(3, 2, kNow);
+  Submit(state, 1, {MakeGang(2, 8, Duration(2500), true)},
+         {.priority_ = 0, .customer_ = "owner"});
+  Submit(state, 2, {MakeGang(4, 8, Duration(2500), true)},
+         {.priority_ = 0, .customer_ = "owner"});
+  const std::vector<std::string> busy = {"w0", "w2", "w4", "w5"};
+  for (std::uint32_t i = 0; i < busy.size(); ++i) {
+    RunTask(state, fleet, 2, i, busy[i], kNow - Duration(500));
+  }
+  const Time queued_at = kNow - Duration(2500);
+  SUBCASE("not begun") {
+    CHECK_EQ(Plan(state, fleet, queued_at).open_.size(), 2);
+  }
+  SUBCASE("stopped after its first attempt") {
+    for (TaskRecord& task : StepOf(state, 1).tasks_) {
+      task.attempt_ = Next(task.attempt_);
+    }
+    CHECK(Plan(state, fleet, queued_at).open_.empty());
+  }
+}
+
+// A job within its guarantee needs a worker. The urgent run there has begun
+// later than the other, so less of its work would be lost.
+TEST_CASE("urgent runs are stopped only if no others can be") {
+  GraphState state;
+  SetGuarantee(state, "owner", 8);
+  Fleet fleet = MakeFleet(1, 2, kNow);
+  Submit(state, 1, {MakeStep(1, 8, Duration(9000))}, {.priority_ = 2});
+  RunTask(state, fleet, 1, 0, "w0", kNow - Duration(5000));
+  Submit(state, 2, {MakeStep(1, 8, Duration(2500))},
+         {.priority_ = 0, .customer_ = "other"});
+  RunTask(state, fleet, 2, 0, "w1", kNow - Duration(200));
+  Submit(state, 3, {MakeStep(1, 8, Duration(1000))},
+         {.priority_ = 0, .customer_ = "owner"});
+  CHECK_EQ(StoppedJobs(Plan(state, fleet, kUrgentQueuedAt)),
+           std::set<std::string>{MakeKey(1).value()});
+}
+
+// A job that was estimated at half of its length has value for twice as long.
+TEST_CASE("a job is not taken for worthless by its estimate alone") {
+  GraphState state;
+  Fleet fleet = MakeFleet(1, 1, kNow);
+  Submit(state, 1, {MakeStep(1, 8, Duration(1000))},
+         {.priority_ = 0, .slack_ = 1.5});
+  Submit(state, 2, {MakeStep(1, 8, Duration(1000))}, {.priority_ = 2});
+  const GraphPlacementOptions options;
+  const JobQueuedAt queued_at = [](const GraphJob& job) {
+    return job.key_ == MakeKey(1) ? kNow - Duration(5000) : kNow;
+  };
+  const PlacementPlan plan =
+      PlanPlacement(state, fleet, options, queued_at, kNow);
+  CHECK_EQ(JobsOf(plan), std::set<std::string>{MakeKey(1).value()});
+}
+
+// Workers that fail all tasks at once are idle and attract gangs, until each of
+// them is known by a failure of its own.
+TEST_CASE("a gang that has failed prefers workers where tasks end well") {
+  GraphState state;
+  Fleet fleet = MakeFleet(2, 2, kNow);
+  Submit(state, 1, {MakeGang(2, 8, Duration(2500), true)}, {.priority_ = 0});
+  fleet.at(WorkerId("w2")).last_success_ = kNow - Duration(500);
+  fleet.at(WorkerId("w3")).last_success_ = kNow - Duration(500);
+  CHECK_EQ(RacksOf(Plan(state, fleet), fleet), std::set<std::string>{"r0"});
+  StepOf(state, 1).failures_ = 1;
+  CHECK_EQ(RacksOf(Plan(state, fleet), fleet), std::set<std::string>{"r1"});
+}
+
 // Three of four workers have one accelerator free each; the fourth is empty, so
 // the room is kept there.
 TEST_CASE("room kept for urgent jobs is used by no other job") {
