Gangs don't go to suspects while other workers can be had, a trial

Cause: faulty workers are idle since they fail at once, so they were the only free room for a retry. Change: an urgent gang preempts elsewhere, other gangs wait.

--- a/flamingohollow/fleet.h
+++ b/flamingohollow/fleet.h
@@ -149,8 +149,6 @@
   // Lately started workers are slow until then.
   Time warm_at_;
   WorkerSuspicion suspicion_;
-  // When a task last ended well there.
-  std::optional<Time> last_success_;
   WorkerPace pace_;
   WorkerSpeed speed_;
 };
--- a/flamingohollow/graph_placement_fit.cc
+++ b/flamingohollow/graph_placement_fit.cc
@@ -63,9 +63,7 @@
   }
   const bool urgent = unit.job_->terms_.priority_ == 0;
   const bool averse = urgent || (unit.spec_->gang_ && unit.tasks_.size() > 1);
-  const bool unproven = unit.failed_before_ && !worker.proven_;
-  const int suspect =
-      base + (averse && (worker.suspect_ || unproven) ? kSuspectRank : 0);
+  const int suspect = base + (averse && worker.suspect_ ? kSuspectRank : 0);
   const PaceClass pace =
       averse && worker.cold_ ? PaceClass::kVerySlow : worker.pace_;
   if (worker.spread_ != nullptr) {
--- a/flamingohollow/graph_placement_pass.cc
+++ b/flamingohollow/graph_placement_pass.cc
@@ -112,9 +112,18 @@
 
 void SetSuspects(Pass& pass, const std::vector<std::size_t>& pool) {
   if (!pass.options_.avoid_suspects_) return;
+  std::size_t suspects = 0;
   for (const std::size_t index : pool) {
     PassWorker& worker = pass.workers_[index];
     worker.suspect_ = IsSuspect(worker.fleet_worker_->suspicion_, pass.now_);
+    if (worker.suspect_) ++suspects;
+  }
+  if (suspects * kExcludedShareDivisor <= pool.size()) {
+    for (const std::size_t index : pool) {
+      PassWorker& worker = pass.workers_[index];
+      worker.shunned_ = worker.suspect_;
+    }
+    pass.any_shunned_ = pass.any_shunned_ || suspects > 0;
   }
   Exclude(pass, pool, [&pass](const PassWorker& worker) {
     return worker.suspect_ &&
@@ -130,9 +139,6 @@
 // this long after it.
 constexpr Duration kProvenAfter = Duration(2000);
 
-// A worker counts as proven for this long after a task ended well there.
-constexpr Duration kProvenFor = Duration(3000);
-
 // Returns the task under which the crash ledger lists it.
 TaskRef ListedTask(const TaskRef& task, const GraphJob& job) {
   const StepSpec& spec = job.spec_.steps_[task.step_.value()];
@@ -166,8 +172,6 @@
     PassWorker added;
     added.fleet_worker_ = &worker;
     added.cold_ = IsCold(worker, pass.now_);
-    added.proven_ = worker.last_success_.has_value() &&
-                    pass.now_ - *worker.last_success_ < kProvenFor;
     SetRecentStarts(pass, added);
     const bool evacuated =
         IsEvacuated(pass.state_.evacuations_, worker.report_.failure_domain_);
@@ -204,16 +208,17 @@
 }
 
 const EligibleWorkers& FindEligible(Pass& pass, const Unit& unit,
-                                    bool without_slow) {
+                                    LeftOut left_out) {
   const auto [found, added] = pass.eligible_.try_emplace(
-      {unit.job_->terms_.pool_, unit.spec_->label_, without_slow});
+      {unit.job_->terms_.pool_, unit.spec_->label_, left_out});
   EligibleWorkers& eligible = found->second;
   if (!added) return eligible;
   const auto matches = [&](std::size_t index) {
     const PassWorker& worker = pass.workers_[index];
     const bool slow =
         worker.spread_ != nullptr && worker.speed_class_ == SpeedClass::kSlow;
-    return !(slow && without_slow) &&
+    if (worker.shunned_ && left_out != LeftOut::kNone) return false;
+    return !(slow && left_out == LeftOut::kSuspectsAndSlow) &&
            MatchesStep(worker.fleet_worker_->report_, *unit.spec_,
                        unit.job_->terms_.pool_);
   };
--- a/flamingohollow/graph_placement_pass.h
+++ b/flamingohollow/graph_placement_pass.h
@@ -57,8 +57,16 @@
   std::vector<OnRack> racks_;
 };
 
-// Pool, label, and whether slow workers are left out.
-using EligibleKey = std::tuple<PoolName, std::string, bool>;
+// Workers that a unit leaves out, beside those that accept no tasks.
+enum class LeftOut : std::uint8_t {
+  kNone = 0,
+  // Suspects, unless they are many.
+  kSuspects = 1,
+  // Suspects, and the slow workers of a pool whose speeds differ widely.
+  kSuspectsAndSlow = 2,
+};
+
+using EligibleKey = std::tuple<PoolName, std::string, LeftOut>;
 
 // A whole gang that waits to start, or the waiting tasks of a step that is no
 // gang, which start one by one.
@@ -83,8 +91,6 @@
   Time queued_at_;
   // The job is within its customer's guarantee.
   bool guaranteed_ = false;
-  // Has failed before, so that another failure may be the last one allowed.
-  bool failed_before_ = false;
   // Whether its tasks may have crashed workers.
   Suspicion suspicion_ = Suspicion::kNone;
   // Set before the unit is placed.
@@ -104,8 +110,8 @@
   // Relative to a typical worker of its pool (1).
   double speed_ = 1;
   bool suspect_ = false;
-  // A task ended well there a short time ago.
-  bool proven_ = false;
+  // A suspect in a pool that has few of them.
+  bool shunned_ = false;
   // Slow because it was started lately.
   bool cold_ = false;
   // The newest start of a task that has run for too short a time to have proved
@@ -181,6 +187,8 @@
   // and by earliest end.
   std::vector<std::vector<GroupOnWorker>> by_loss_;
   std::vector<std::vector<GroupOnWorker>> by_end_;
+  // Some worker is shunned.
+  bool any_shunned_ = false;
   // More than half of the usable workers' capacity is in use.
   bool busy_ = false;
   // Number of units that may still hold resources in this pass.
@@ -206,10 +214,8 @@
 void CollectGroups(Pass& pass);
 // Sets `busy_`.
 void MeasureUse(Pass& pass);
-// With `without_slow`, leaves out the slow workers of a pool whose speeds
-// differ widely.
 const EligibleWorkers& FindEligible(Pass& pass, const Unit& unit,
-                                    bool without_slow);
+                                    LeftOut left_out);
 bool MayPreempt(const Pass& pass, const RunGroup& group, const Unit& unit);
 
 // graph_placement_units.cc
--- a/flamingohollow/graph_placement_units.cc
+++ b/flamingohollow/graph_placement_units.cc
@@ -206,8 +206,7 @@
                 .deadline_ = {},
                 .remaining_ = {},
                 .queued_at_ = {},
-                .guaranteed_ = guaranteed,
-                .failed_before_ = step.failures_ > 0};
+                .guaranteed_ = guaranteed};
       SetUrgency(unit, occurrence, queued_at, out.pass_.now_);
       CollectStep(unit, out);
     }
--- a/flamingohollow/graph_scheduler_polls.cc
+++ b/flamingohollow/graph_scheduler_polls.cc
@@ -17,7 +17,6 @@
   if (!failed && end != AttemptEnd::kDone) return;
   const bool avoided = IsLikelyFaulty(worker.suspicion_, ctx.now_);
   RecordOutcome(worker.suspicion_, failed, ctx.now_);
-  if (!failed) worker.last_success_ = ctx.now_;
   if (avoided || !IsLikelyFaulty(worker.suspicion_, ctx.now_)) return;
   LogEvent("worker_avoided",
            {{"worker", worker.report_.id_.value()}, {"why", "its tasks fail"}});
--- a/flamingohollow/testing/graph_placement_test.cc
+++ b/flamingohollow/testing/graph_placement_test.cc
@@ -541,17 +541,36 @@
   CHECK_EQ(JobsOf(plan), std::set<std::string>{MakeKey(1).value()});
 }
 
-// Workers that fail all tasks at once are idle and attract gangs, until each of
-// them is known by a failure of its own.
-TEST_CASE("a gang that has failed prefers workers where tasks end well") {
+// The only idle worker failed a task a moment ago; such workers are idle since
+// they fail all that they start.
+TEST_CASE("gangs wait or preempt elsewhere rather than start on a suspect") {
   GraphState state;
-  Fleet fleet = MakeFleet(2, 2, kNow);
-  Submit(state, 1, {MakeGang(2, 8, Duration(2500), true)}, {.priority_ = 0});
-  fleet.at(WorkerId("w2")).last_success_ = kNow - Duration(500);
-  fleet.at(WorkerId("w3")).last_success_ = kNow - Duration(500);
-  CHECK_EQ(RacksOf(Plan(state, fleet), fleet), std::set<std::string>{"r0"});
-  StepOf(state, 1).failures_ = 1;
-  CHECK_EQ(RacksOf(Plan(state, fleet), fleet), std::set<std::string>{"r1"});
+  Fleet fleet = MakeFleet(1, 4, kNow);
+  RecordOutcome(fleet.at(WorkerId("w3")).suspicion_, true, kNow);
+  Submit(state, 1, {MakeStep(3, 8, Duration(9000))}, {.priority_ = 2});
+  RunTask(state, fleet, 1, 0, "w0", kNow - Duration(500));
+  RunTask(state, fleet, 1, 1, "w1", kNow - Duration(700));
+  RunTask(state, fleet, 1, 2, "w2", kNow - Duration(700));
+  const auto submit = [&state](std::uint32_t priority) {
+    Submit(state, 2, {MakeGang(1, 8, Duration(1000), false)},
+           {.priority_ = priority});
+  };
+  SUBCASE("an urgent one preempts") {
+    submit(0);
+    const PlacementPlan plan = Plan(state, fleet, kUrgentQueuedAt);
+    CHECK(plan.open_.empty());
+    REQUIRE_EQ(plan.stop_.size(), 1);
+    CHECK_EQ(plan.stop_[0].worker_, WorkerId("w0"));
+  }
+  SUBCASE("another one waits") {
+    submit(1);
+    CHECK(Plan(state, fleet).open_.empty());
+  }
+  SUBCASE("suspects are used if they are many") {
+    RecordOutcome(fleet.at(WorkerId("w2")).suspicion_, true, kNow);
+    submit(1);
+    CHECK_EQ(Plan(state, fleet).open_.size(), 1);
+  }
 }
 
 // Three of four workers have one accelerator free each; the fourth is empty, so
