--- a/flamingohollow/explain.cc
+++ b/flamingohollow/explain.cc
@@ -205,6 +205,7 @@
         ParseUnsigned(FieldOf(*end, "late_ms")).value_or(0));
   }
   std::vector<DelayRow> sums;
+  sums.reserve(rows.size());
   for (auto& [key, row] : rows) sums.push_back(std::move(row));
   return sums;
 }
--- a/flamingohollow/fleet.h
+++ b/flamingohollow/fleet.h
@@ -70,6 +70,8 @@
 struct Run {
   RunPhase phase_ = RunPhase::kProposed;
   Resources need_;
+  // Its job has priority 0.
+  bool urgent_ = false;
   // When the last command of the phase was sent, or the phase began if none
   // was.
   Time last_command_at_;
--- a/flamingohollow/graph_placement.cc
+++ b/flamingohollow/graph_placement.cc
@@ -16,7 +16,6 @@
 using graph_placement_internal::CollectUnits;
 using graph_placement_internal::CollectWorkers;
 using graph_placement_internal::CountFits;
-using graph_placement_internal::EligibleWorkers;
 using graph_placement_internal::FailedFit;
 using graph_placement_internal::FindCheapestPlacement;
 using graph_placement_internal::FindEligible;
@@ -230,30 +229,27 @@
                                  unit.required_speed_ > spread->second.slow_;
   if (!on_time_elsewhere) return false;
   Unit elsewhere = unit;
-  elsewhere.eligible_ = &FindEligible(pass, unit, LeftOut::kSuspectsAndSlow);
+  elsewhere.eligible_ = &FindEligible(pass, unit, LeftOut::kSlow);
   return StartGang(pass, elsewhere, may_spread) ||
          HoldOrPreempt(pass, elsewhere, unit.tasks_.size(), may_spread);
 }
 
-// One member that fails breaks its gang, and few attempts are allowed. So a
-// gang starts, or holds or frees resources, on other workers than suspects. If
-// that fails, an urgent gang may go to suspects; others wait until these have
-// proved sound. This answers loads in which some workers fail all that they
-// start, and are idle for that reason.
-void PlaceGang(Pass& pass, Unit unit) {
+// One member that fails breaks its gang, and few attempts are allowed. So an
+// urgent gang starts, or holds or frees resources, on other workers than
+// suspects, and goes to these only if that fails. This answers loads in which
+// some workers fail all that they start, and are idle for that reason.
+bool PlaceOffSuspects(Pass& pass, const Unit& unit, bool may_spread) {
+  if (!pass.any_shunned_ || unit.job_->terms_.priority_ != 0) return false;
+  Unit elsewhere = unit;
+  elsewhere.eligible_ = &FindEligible(pass, unit, LeftOut::kSuspects);
+  return StartGang(pass, elsewhere, may_spread) ||
+         HoldOrPreempt(pass, elsewhere, unit.tasks_.size(), may_spread);
+}
+
+void PlaceGang(Pass& pass, const Unit& unit) {
   const bool may_spread = MaySpread(pass, unit);
   if (PlaceOffSlowWorkers(pass, unit, may_spread)) return;
-  if (pass.any_shunned_) {
-    const EligibleWorkers* all = unit.eligible_;
-    unit.eligible_ = &FindEligible(pass, unit, LeftOut::kSuspects);
-    if (unit.job_->terms_.priority_ == 0) {
-      const bool placed =
-          StartGang(pass, unit, may_spread) ||
-          HoldOrPreempt(pass, unit, unit.tasks_.size(), may_spread);
-      if (placed) return;
-      unit.eligible_ = all;
-    }
-  }
+  if (PlaceOffSuspects(pass, unit, may_spread)) return;
   if (StartGang(pass, unit, may_spread)) return;
   if (HoldQuietWorkers(pass, unit, may_spread)) return;
   const std::size_t tasks = unit.tasks_.size();
--- a/flamingohollow/graph_placement_pass.cc
+++ b/flamingohollow/graph_placement_pass.cc
@@ -217,8 +217,8 @@
     const PassWorker& worker = pass.workers_[index];
     const bool slow =
         worker.spread_ != nullptr && worker.speed_class_ == SpeedClass::kSlow;
-    if (worker.shunned_ && left_out != LeftOut::kNone) return false;
-    return !(slow && left_out == LeftOut::kSuspectsAndSlow) &&
+    if (worker.shunned_ && left_out == LeftOut::kSuspects) return false;
+    return !(slow && left_out == LeftOut::kSlow) &&
            MatchesStep(worker.fleet_worker_->report_, *unit.spec_,
                        unit.job_->terms_.pool_);
   };
--- a/flamingohollow/graph_placement_pass.h
+++ b/flamingohollow/graph_placement_pass.h
@@ -62,8 +62,8 @@
   kNone = 0,
   // Suspects, unless they are many.
   kSuspects = 1,
-  // Suspects, and the slow workers of a pool whose speeds differ widely.
-  kSuspectsAndSlow = 2,
+  // The slow workers of a pool whose speeds differ widely.
+  kSlow = 2,
 };
 
 using EligibleKey = std::tuple<PoolName, std::string, LeftOut>;
--- a/flamingohollow/graph_placement_units.cc
+++ b/flamingohollow/graph_placement_units.cc
@@ -9,6 +9,7 @@
 #include <utility>
 
 #include "flamingohollow/graph_placement_pass.h"
+#include "flamingohollow/job_trace.h"
 
 namespace flamingohollow::graph_placement_internal {
 namespace {
@@ -74,11 +75,7 @@
 void SetUrgency(Unit& unit, const OccurrenceRecord& occurrence, Time queued_at,
                 Time now) {
   const GraphJob& job = *unit.job_;
-  const Duration chain = LongestChain(job.spec_);
-  const Duration allowed =
-      Duration(static_cast<std::int64_t>(job.terms_.slack_ *
-                                         static_cast<double>(chain.ms()))) +
-      job.terms_.objective_;
+  const Duration allowed = AllowedTime(job);
   unit.remaining_ = RemainingChain(job, occurrence);
   const Time finish = now + unit.remaining_;
   // A late job has reduced value until three times the allowed time, and none
--- a/flamingohollow/graph_scheduler.cc
+++ b/flamingohollow/graph_scheduler.cc
@@ -110,8 +110,9 @@
     const StepSpec& spec = job->spec_.steps_[attempt.task_.step_.value()];
     if (ShouldStopBeforeDrain(ctx, run, spec, time_left)) {
       StopRun(ctx, worker, attempt, run, "its worker leaves");
-      const auto trace = ctx.scheduler_.traces_.find(attempt.task_.job_);
-      if (trace != ctx.scheduler_.traces_.end()) ++trace->second.evacuated_;
+      if (JobTrace* trace = FindTrace(ctx, attempt.task_.job_)) {
+        ++trace->evacuated_;
+      }
       StopRestOfGang(ctx, attempt, "the worker of a gang member leaves");
     }
   }
@@ -303,6 +304,7 @@
         job->spec_.steps_[opened.attempt_.task_.step_.value()];
     Run run;
     run.need_ = ReservedResources(spec);
+    run.urgent_ = job->terms_.priority_ == 0;
     run.last_command_at_ = ctx.now_;
     AddRun(*worker, opened.attempt_, std::move(run));
     record.attempts_.push_back(opened);
@@ -334,8 +336,9 @@
     Run* run = FindRun(worker, stop.attempt_);
     if (run != nullptr) {
       StopRun(ctx, worker, stop.attempt_, *run, "more urgent work");
-      const auto trace = ctx.scheduler_.traces_.find(stop.attempt_.task_.job_);
-      if (trace != ctx.scheduler_.traces_.end()) ++trace->second.preempted_;
+      if (JobTrace* trace = FindTrace(ctx, stop.attempt_.task_.job_)) {
+        ++trace->preempted_;
+      }
     }
   }
 }
@@ -461,6 +464,7 @@
         Run run;
         run.phase_ = RunPhase::kRecovering;
         run.need_ = ReservedResources(spec);
+        run.urgent_ = job.terms_.priority_ == 0;
         run.last_command_at_ = now;
         AddRun(worker,
                {{job.key_, number, StepIndex(i), TaskIndex(index)},
--- a/flamingohollow/graph_scheduler_commands.cc
+++ b/flamingohollow/graph_scheduler_commands.cc
@@ -38,6 +38,11 @@
                                      worker.report_.failure_domain_);
 }
 
+JobTrace* FindTrace(const Context& ctx, const GraphJobKey& key) {
+  const auto found = ctx.scheduler_.traces_.find(key);
+  return found == ctx.scheduler_.traces_.end() ? nullptr : &found->second;
+}
+
 Run* FindRun(FleetWorker& worker, const AttemptRef& attempt) {
   const auto found = worker.runs_.find(attempt);
   return found == worker.runs_.end() ? nullptr : &found->second;
@@ -195,8 +200,7 @@
     runs = runs || run.phase_ == RunPhase::kRunning ||
            run.phase_ == RunPhase::kRecovering;
     settled = settled && run.phase_ == RunPhase::kRunning;
-    const GraphJob* job = FindJob(ctx.state_, attempt.task_.job_);
-    urgent = urgent || (job != nullptr && job->terms_.priority_ == 0);
+    urgent = urgent || run.urgent_;
   }
   // The end of a lease is given on the worker's clock, which is unknown until
   // the worker has answered or reported.
@@ -212,8 +216,9 @@
     command.wait_ = Duration(0);
     worker.next_poll_at_ = ctx.now_ + options.poll_wait_;
   }
-  if (urgent)
+  if (urgent) {
     command.wait_ = std::min(command.wait_, options.urgent_poll_wait_);
+  }
   worker.poll_held_ = command.wait_ > Duration(0);
   if (worker.poll_held_) ++ctx.scheduler_.held_polls_;
   worker.poll_in_flight_ = true;
--- a/flamingohollow/graph_scheduler_records.cc
+++ b/flamingohollow/graph_scheduler_records.cc
@@ -24,23 +24,20 @@
 
 // Counts an attempt's end in its job's trace.
 void TraceEnd(Context& ctx, const EndedAttempt& ended) {
-  const auto found = ctx.scheduler_.traces_.find(ended.attempt_.task_.job_);
-  if (found == ctx.scheduler_.traces_.end()) return;
-  if (ended.end_ == AttemptEnd::kFailed) ++found->second.failed_;
-  if (ended.end_ == AttemptEnd::kLost) ++found->second.lost_;
+  JobTrace* trace = FindTrace(ctx, ended.attempt_.task_.job_);
+  if (trace == nullptr) return;
+  if (ended.end_ == AttemptEnd::kFailed) ++trace->failed_;
+  if (ended.end_ == AttemptEnd::kLost) ++trace->lost_;
 }
 
 // Logs what became of the job, and what delayed it most, once it has ended.
 void LogIfEnded(Context& ctx, const GraphJobKey& key) {
-  const auto found = ctx.scheduler_.traces_.find(key);
+  const JobTrace* trace = FindTrace(ctx, key);
   const GraphJob* job = FindJob(ctx.state_, key);
-  if (found == ctx.scheduler_.traces_.end() || job == nullptr ||
-      job->state_ == GraphJobState::kActive) {
-    return;
-  }
-  const JobTrace& trace = found->second;
-  const JobTimes times = MeasureTimes(trace, *job, ctx.now_);
-  const DelayCause cause = FindDelayCause(trace, times, *job);
+  const bool ended = job != nullptr && job->state_ != GraphJobState::kActive;
+  if (trace == nullptr || !ended) return;
+  const JobTimes times = MeasureTimes(*trace, *job, ctx.now_);
+  const DelayCause cause = FindDelayCause(*trace, times, *job);
   LogEvent("job_end", {{"job", key.value()},
                        {"queue", job->queue_.value()},
                        {"priority", job->terms_.priority_},
@@ -53,12 +50,12 @@
                        {"repeated_ms", times.repeated_.ms()},
                        {"ran_ms", times.ran_.ms()},
                        {"estimate_ms", LongestChain(job->spec_).ms()},
-                       {"attempts", trace.attempts_},
-                       {"preempted", trace.preempted_},
-                       {"evacuated", trace.evacuated_},
-                       {"failed", trace.failed_},
-                       {"lost", trace.lost_}});
-  ctx.scheduler_.traces_.erase(found);
+                       {"attempts", trace->attempts_},
+                       {"preempted", trace->preempted_},
+                       {"evacuated", trace->evacuated_},
+                       {"failed", trace->failed_},
+                       {"lost", trace->lost_}});
+  ctx.scheduler_.traces_.erase(key);
 }
 
 void OnApplied(Context& ctx, const OpenRecord& record) {
@@ -74,9 +71,8 @@
       RemoveRun(worker, opened.attempt_);
       continue;
     }
-    const auto trace = ctx.scheduler_.traces_.find(opened.attempt_.task_.job_);
-    if (trace != ctx.scheduler_.traces_.end()) {
-      RecordOpened(trace->second, ctx.now_);
+    if (JobTrace* trace = FindTrace(ctx, opened.attempt_.task_.job_)) {
+      RecordOpened(*trace, ctx.now_);
     }
     SetPhase(ctx, *run, RunPhase::kStarting);
     // The job may have been cancelled since the attempt was proposed.
--- a/flamingohollow/graph_scheduler_step.h
+++ b/flamingohollow/graph_scheduler_step.h
@@ -36,6 +36,8 @@
 // Whether the worker's failure domain is evacuated, so that nothing may start
 // there.
 bool IsEvacuated(const Context& ctx, const FleetWorker& worker);
+// Null unless the job is active.
+JobTrace* FindTrace(const Context& ctx, const GraphJobKey& key);
 // Null if the attempt is not on the worker.
 Run* FindRun(FleetWorker& worker, const AttemptRef& attempt);
 // The worker that the attempt is assigned to; null if there is none.
--- a/flamingohollow/slow_runs.cc
+++ b/flamingohollow/slow_runs.cc
@@ -87,8 +87,9 @@
     ++pool_sizes[worker.report_.pool_];
     if (now < worker.avoid_until_) ++left_alone[worker.report_.pool_];
     for (const auto& [attempt, run] : worker.runs_) {
+      if (!run.urgent_) continue;
       const GraphJob* job = FindJob(state, attempt.task_.job_);
-      if (job == nullptr || job->terms_.priority_ != 0) continue;
+      if (job == nullptr) continue;
       const StepSpec& spec = job->spec_.steps_[attempt.task_.step_.value()];
       if (spec.long_running_) continue;
       RunningUnit& unit = units[ListedAttempt(attempt, spec)];
--- a/flamingohollow/testing/graph_fixture.cc
+++ b/flamingohollow/testing/graph_fixture.cc
@@ -91,7 +91,9 @@
               OpenRecord{{{attempt, WorkerId(worker), WorkerIncarnation(1)}}});
   Run run;
   run.phase_ = RunPhase::kRunning;
-  run.need_ = FindJob(state, MakeKey(job))->spec_.steps_[0].need_;
+  const GraphJob& record = *FindJob(state, MakeKey(job));
+  run.need_ = record.spec_.steps_[0].need_;
+  run.urgent_ = record.terms_.priority_ == 0;
   run.began_ = began;
   AddRun(fleet.at(WorkerId(worker)), attempt, std::move(run));
 }
--- a/flamingohollow/testing/slow_placement.cc
+++ b/flamingohollow/testing/slow_placement.cc
@@ -47,6 +47,8 @@
   Time queued_at_;
   // Not placed on slow workers.
   bool avoids_slow_ = false;
+  // Suspects are left out.
+  bool avoids_suspects_ = false;
 };
 
 // A worker's state within one pass.
@@ -58,6 +60,8 @@
   std::optional<SpeedSpread> spread_;
   SpeedClass speed_class_ = SpeedClass::kUnknown;
   bool suspect_ = false;
+  // A suspect in a pool that has few of them.
+  bool shunned_ = false;
   // Resources that are free now and not held for a unit.
   Resources free_;
   // Resources that are free once all runs that are being stopped have ended.
@@ -267,6 +271,15 @@
     worker.suspect_ = IsSuspect(worker.fleet_worker_->suspicion_, pass.now_);
     if (is_faulty(worker)) ++faulty;
   }
+  const auto suspects = std::count_if(
+      pool.begin(), pool.end(),
+      [&pass](std::size_t index) { return pass.workers_[index].suspect_; });
+  for (const std::size_t index : pool) {
+    pass.workers_[index].shunned_ =
+        pass.workers_[index].suspect_ &&
+        static_cast<std::size_t>(suspects) * kVerySlowShareDivisor <=
+            pool.size();
+  }
   if (faulty * kVerySlowShareDivisor > pool.size()) return;
   for (const std::size_t index : pool) {
     PassWorker& worker = pass.workers_[index];
@@ -326,7 +339,8 @@
   group.members_.push_back({worker, attempt, run.need_});
   // A task that takes checkpoints also takes one when it is stopped.
   std::int64_t lost = spec.checkpoints_ ? 0 : (now - began).ms();
-  if (attempt.attempt_.value() > kMaxRepeats) lost += kLastResortMs;
+  const bool urgent = group.job_->terms_.priority_ == 0;
+  if (urgent || attempt.attempt_.value() > kMaxRepeats) lost += kLastResortMs;
   group.lost_work_ += (lost + kStopCostMs) * WeightOf(run.need_);
   group.remaining_ms_ = std::max(group.remaining_ms_, left);
   const bool runs = run.phase_ == RunPhase::kRunning && !run.end_proposed_;
@@ -404,6 +418,7 @@
   const bool slow =
       worker.spread_.has_value() && worker.speed_class_ == SpeedClass::kSlow;
   if (slow && unit.avoids_slow_) return false;
+  if (worker.shunned_ && unit.avoids_suspects_) return false;
   return MatchesStep(worker.fleet_worker_->report_, *unit.spec_,
                      unit.job_->terms_.pool_);
 }
@@ -805,7 +820,7 @@
   const Time finish = now + unit.remaining_;
   // A late job has reduced value until three times the allowed time, and none
   // after that.
-  const Time late = queued_at + allowed * 3;
+  const Time late = queued_at + allowed * 6;
   unit.queued_at_ = queued_at;
   unit.deadline_ = queued_at + allowed;
   const auto left = static_cast<double>((unit.deadline_ - now).ms());
@@ -976,7 +991,7 @@
       return true;
     }
   }
-  if (may_preempt && !unit.avoids_slow_) {
+  if (may_preempt && !unit.avoids_slow_ && !unit.avoids_suspects_) {
     ReserveSoonestFree(pass, unit, may_spread);
   }
   return false;
@@ -989,7 +1004,10 @@
   if (!WantsOneRack(unit)) return false;
   const Duration waited = pass.now_ - unit.queued_at_;
   const bool guaranteed = pass.guaranteed_.contains(unit.job_->key_);
-  if (guaranteed && waited > pass.options_.max_rack_wait_) return true;
+  const bool begun = unit.step_->tasks_.front().attempt_ != AttemptId();
+  if (guaranteed && !begun && waited > pass.options_.max_rack_wait_) {
+    return true;
+  }
   if (!pass.busy_ && waited > pass.options_.max_idle_rack_wait_) return true;
   return !AnyRackCouldHold(pass, unit);
 }
@@ -1015,15 +1033,21 @@
     return pass.workers_[worker].free_;
   };
   const bool may_spread = MaySpread(pass, unit);
-  if (ShouldAvoidSlow(pass, unit)) {
-    Unit elsewhere = unit;
-    elsewhere.avoids_slow_ = true;
+  const auto place_elsewhere = [&](const Unit& elsewhere) {
     if (const auto fit = FitUnit(pass, elsewhere, free, may_spread)) {
       OpenAttempts(pass, unit, *fit);
       return true;
     }
-    if (PlaceUrgent(pass, elsewhere, may_spread)) return true;
-  }
+    return PlaceUrgent(pass, elsewhere, may_spread);
+  };
+  Unit elsewhere = unit;
+  elsewhere.avoids_slow_ = true;
+  if (ShouldAvoidSlow(pass, unit) && place_elsewhere(elsewhere)) return true;
+  elsewhere.avoids_slow_ = false;
+  elsewhere.avoids_suspects_ = true;
+  const bool urgent_gang =
+      unit.spec_->gang_ && unit.job_->terms_.priority_ == 0;
+  if (urgent_gang && place_elsewhere(elsewhere)) return true;
   if (const auto fit = FitUnit(pass, unit, free, may_spread)) {
     OpenAttempts(pass, unit, *fit);
     return true;
