--- a/flamingohollow/graph_placement.h
+++ b/flamingohollow/graph_placement.h
@@ -14,7 +14,7 @@
 //   be on time before late ones, then by earliest deadline.
 // - Workers that are likely to make tasks fail get none, unless they are many;
 //   gangs, which break if one member fails, and urgent units go to suspects
-//   last (see worker_suspicion.h).
+//   last (see worker_suspicion.h). An urgent gang preempts on others first.
 // - Tasks that may have crashed workers are placed apart. A strong suspect
 //   comes before other units of its priority, and holds workers until their
 //   newest tasks have proved harmless (see worker_crashes.h).
@@ -26,7 +26,7 @@
 // - Units of priority 0 may preempt runs of lower priority if they can still be
 //   on time or are within their customer's guarantee. Units within their
 //   customer's guarantee may also preempt runs of priority 0 that exceed their
-//   own customer's guarantee. Preemption happens as late as the deadline or the
+//   own customer's guarantee, if no others can be. Preemption happens as late as the deadline or the
 //   guarantee allows, and where it loses the least work; tasks with several
 //   earlier attempts are stopped last. A gang is counted and stopped as a
 //   whole.
@@ -61,7 +61,8 @@
   // take this many times as long.
   std::int64_t remote_factor_ = 3;
   // A gang of a job of priority 0 within its customer's guarantee waits this
-  // long for a single rack, then may spread so that it starts in time.
+  // long for a single rack, then may spread so that it starts in time. A gang
+  // that has begun before doesn't spread.
   Duration max_rack_wait_ = Duration(1900);
   // Any gang waits this long for a single rack while most of the pool is idle.
   Duration max_idle_rack_wait_ = Duration(2000);
