--- a/flamingohollow/graph_placement.h
+++ b/flamingohollow/graph_placement.h
@@ -26,10 +26,10 @@
 // - Units of priority 0 may preempt runs of lower priority if they can still be
 //   on time or are within their customer's guarantee. Units within their
 //   customer's guarantee may also preempt runs of priority 0 that exceed their
-//   own customer's guarantee, if no others can be. Preemption happens as late as the deadline or the
-//   guarantee allows, and where it loses the least work; tasks with several
-//   earlier attempts are stopped last. A gang is counted and stopped as a
-//   whole.
+//   own customer's guarantee, if no others can be. Preemption happens as late
+//   as the deadline or the guarantee allows, and where it loses the least work;
+//   tasks with several earlier attempts are stopped last. A gang is counted and
+//   stopped as a whole.
 // - In a busy pool, jobs of lower priority leave the room free that urgent jobs
 //   are expected to need (see urgent_demand.h), on the emptiest workers.
 // - Resources that are being freed for a unit of priority 0 are held for it. A
