--- a/flamingohollow/testing/graph_scheduler_test.cc
+++ b/flamingohollow/testing/graph_scheduler_test.cc
@@ -66,6 +66,18 @@
   CHECK_EQ(Broken(world), "");
 }
 
+// A worker of each rack stands still. The objective of the gang is 8.5 s.
+TEST_CASE("an urgent gang leaves a worker that stands still") {
+  GraphWorld world({.racks_ = 2, .per_rack_ = 4});
+  world.RunFor(Duration(2000));
+  for (const int worker : {0, 4}) world.SlowDown(worker, 100);
+  world.Submit(1, {MakeGang(4, 8, Duration(2500), false)}, {.priority_ = 0});
+  world.RunFor(Duration(8000));
+  CHECK_EQ(world.JobState(1), GraphJobState::kCompleted);
+  CHECK_GT(world.starts(), 4);
+  CHECK_EQ(Broken(world), "");
+}
+
 // A lost start command must not block the task for as long as a full lease.
 TEST_CASE("a task whose start command is lost runs elsewhere within seconds") {
   GraphWorld world({.racks_ = 1, .per_rack_ = 2});
