--- a/flamingohollow/testing/graph_placement_test.cc
+++ b/flamingohollow/testing/graph_placement_test.cc
@@ -534,7 +534,7 @@
   Submit(state, 2, {MakeStep(1, 8, Duration(1000))}, {.priority_ = 2});
   const GraphPlacementOptions options;
   const JobQueuedAt queued_at = [](const GraphJob& job) {
-    return job.key_ == MakeKey(1) ? kNow - Duration(5000) : kNow;
+    return job.key_ == MakeKey(1) ? kNow - Duration(10'000) : kNow;
   };
   const PlacementPlan plan =
       PlanPlacement(state, fleet, options, queued_at, kNow);
