--- a/flamingohollow/graph_placement.cc
+++ b/flamingohollow/graph_placement.cc
@@ -218,6 +218,15 @@
   return true;
 }
 
+// Starts the gang, or holds or frees resources for it, without some workers.
+bool PlaceWithout(Pass& pass, const Unit& unit, LeftOut left_out,
+                  bool may_spread) {
+  Unit elsewhere = unit;
+  elsewhere.eligible_ = &FindEligible(pass, unit, left_out);
+  return StartGang(pass, elsewhere, may_spread) ||
+         HoldOrPreempt(pass, elsewhere, unit.tasks_.size(), may_spread);
+}
+
 // An urgent gang that would be late on slow workers and can be on time on
 // others starts, holds or frees resources there. This answers a load of urgent
 // gangs in a pool where slow workers are the first to be free.
@@ -228,10 +237,7 @@
                                  unit.lateness_ == Lateness::kOnTime &&
                                  unit.required_speed_ > spread->second.slow_;
   if (!on_time_elsewhere) return false;
-  Unit elsewhere = unit;
-  elsewhere.eligible_ = &FindEligible(pass, unit, LeftOut::kSlow);
-  return StartGang(pass, elsewhere, may_spread) ||
-         HoldOrPreempt(pass, elsewhere, unit.tasks_.size(), may_spread);
+  return PlaceWithout(pass, unit, LeftOut::kSlow, may_spread);
 }
 
 // One member that fails breaks its gang, and few attempts are allowed. So an
@@ -240,10 +246,7 @@
 // some workers fail all that they start, and are idle for that reason.
 bool PlaceOffSuspects(Pass& pass, const Unit& unit, bool may_spread) {
   if (!pass.any_shunned_ || unit.job_->terms_.priority_ != 0) return false;
-  Unit elsewhere = unit;
-  elsewhere.eligible_ = &FindEligible(pass, unit, LeftOut::kSuspects);
-  return StartGang(pass, elsewhere, may_spread) ||
-         HoldOrPreempt(pass, elsewhere, unit.tasks_.size(), may_spread);
+  return PlaceWithout(pass, unit, LeftOut::kSuspects, may_spread);
 }
 
 void PlaceGang(Pass& pass, const Unit& unit) {
--- a/flamingohollow/graph_placement.h
+++ b/flamingohollow/graph_placement.h
@@ -109,6 +109,9 @@
 
 // Returns the total estimate of the longest chain of dependent steps.
 Duration LongestChain(const GraphSpec& spec);
+// Returns the time that the job has from its acceptance: its slack times its
+// longest chain, and its queue's objective.
+Duration AllowedTime(const GraphJob& job);
 
 // Whether every gang and task of the spec would fit on the pool's known workers
 // if they were empty and had the largest capacity that they have reported. One
--- a/flamingohollow/graph_placement_pass.h
+++ b/flamingohollow/graph_placement_pass.h
@@ -110,7 +110,7 @@
   // Relative to a typical worker of its pool (1).
   double speed_ = 1;
   bool suspect_ = false;
-  // A suspect in a pool that has few of them.
+  // A suspect that urgent gangs leave out, as its pool has few suspects.
   bool shunned_ = false;
   // Slow because it was started lately.
   bool cold_ = false;
--- a/flamingohollow/graph_placement_units.cc
+++ b/flamingohollow/graph_placement_units.cc
@@ -9,7 +9,6 @@
 #include <utility>
 
 #include "flamingohollow/graph_placement_pass.h"
-#include "flamingohollow/job_trace.h"
 
 namespace flamingohollow::graph_placement_internal {
 namespace {
@@ -261,4 +260,11 @@
       spec, [&spec](std::size_t step) { return spec.steps_[step].estimate_; });
 }
 
+Duration AllowedTime(const GraphJob& job) {
+  const Duration chain = LongestChain(job.spec_);
+  return Duration(static_cast<std::int64_t>(job.terms_.slack_ *
+                                            static_cast<double>(chain.ms()))) +
+         job.terms_.objective_;
+}
+
 }  // namespace flamingohollow
--- a/flamingohollow/job_trace.cc
+++ b/flamingohollow/job_trace.cc
@@ -21,13 +21,6 @@
   return kNames.at(static_cast<std::size_t>(cause));
 }
 
-Duration AllowedTime(const GraphJob& job) {
-  const Duration chain = LongestChain(job.spec_);
-  return Duration(static_cast<std::int64_t>(job.terms_.slack_ *
-                                            static_cast<double>(chain.ms()))) +
-         job.terms_.objective_;
-}
-
 JobTimes MeasureTimes(const JobTrace& trace, const GraphJob& job, Time now) {
   const Time first = trace.first_open_.value_or(now);
   const Time last = trace.last_open_.value_or(now);
--- a/flamingohollow/job_trace.h
+++ b/flamingohollow/job_trace.h
@@ -18,14 +18,14 @@
 namespace flamingohollow {
 
 struct JobTrace {
-  // When the job became known to the leader, less its age then.
+  // When the job was accepted, on the leader's steady clock.
   Time queued_at_;
   // When its first and its newest attempt were opened.
   std::optional<Time> first_open_;
   std::optional<Time> last_open_;
   std::uint64_t attempts_ = 0;
-  // Attempts that were stopped for more urgent work, or because their worker
-  // or failure domain was left; attempts that failed, and that were lost.
+  // Attempts that were stopped for more urgent work, those that were stopped
+  // since their worker leaves, those that failed, and those that were lost.
   std::uint64_t preempted_ = 0;
   std::uint64_t evacuated_ = 0;
   std::uint64_t failed_ = 0;
@@ -61,10 +61,6 @@
   Duration late_;
 };
 
-// Returns the time that the job has from its acceptance: its slack times its
-// longest chain of estimates, and its queue's objective.
-Duration AllowedTime(const GraphJob& job);
-
 JobTimes MeasureTimes(const JobTrace& trace, const GraphJob& job, Time now);
 DelayCause FindDelayCause(const JobTrace& trace, const JobTimes& times,
                           const GraphJob& job);
--- a/flamingohollow/slow_runs.cc
+++ b/flamingohollow/slow_runs.cc
@@ -81,11 +81,11 @@
                                   const SlowRunOptions& options, Time now) {
   std::map<AttemptRef, RunningUnit> units;
   std::map<PoolName, std::size_t> pool_sizes;
-  std::map<PoolName, std::size_t> left_alone;
+  std::map<PoolName, std::size_t> avoided;
   for (const auto& [id, worker] : fleet) {
     if (!worker.reported_) continue;
     ++pool_sizes[worker.report_.pool_];
-    if (now < worker.avoid_until_) ++left_alone[worker.report_.pool_];
+    if (now < worker.avoid_until_) ++avoided[worker.report_.pool_];
     for (const auto& [attempt, run] : worker.runs_) {
       if (!run.urgent_) continue;
       const GraphJob* job = FindJob(state, attempt.task_.job_);
@@ -103,7 +103,7 @@
     if (attempt.attempt_.value() > options.max_moves_) continue;
     if (unit.remaining_ <= NewAttemptTime(unit, options)) continue;
     const PoolName& pool = unit.worker_->report_.pool_;
-    if (++left_alone[pool] * options.workers_per_slow_ > pool_sizes[pool]) {
+    if (++avoided[pool] * options.workers_per_avoided_ > pool_sizes[pool]) {
       continue;
     }
     slow.push_back({unit.slowest_, unit.worker_->report_.id_});
--- a/flamingohollow/slow_runs.h
+++ b/flamingohollow/slow_runs.h
@@ -29,9 +29,9 @@
   double estimate_safety_factor_ = 2;
   // A task, or gang, is moved at most this often.
   std::uint64_t max_moves_ = 2;
-  // Of the workers of a pool, at most one in this many is left for slowness;
-  // with more of them the reason is assumed to be another one.
-  std::size_t workers_per_slow_ = 4;
+  // Nothing is moved while more than one in this many workers of a pool is
+  // avoided already: the fault is then not one of single workers.
+  std::size_t workers_per_avoided_ = 4;
 };
 
 struct SlowRun {
