A heartbeat from the future does not replace a worker

What callers saw: after one heartbeat under a worker's id or at its address, with a start time in the future, the worker's tasks were given up and all its later heartbeats were ignored as older ones. Cause: a higher start time marks a later process, and any was believed. Change: the leader rejects a report of a process that starts more than a minute after its own wall clock. Clocks that differ or jump by seconds reject no worker; one that starts while the leader's clock is behind by more is rejected until that clock has caught up. What remains: a heartbeat of another writer that takes a worker's id or address with a start time between the worker's and now is still believed.

--- a/flamingohollow/graph_service.cc
+++ b/flamingohollow/graph_service.cc
@@ -244,6 +244,14 @@
 
 void GraphService::HandleReport(const GraphCall& call,
                                 const Responder& respond) {
+  // It would outrank all reports of the worker and of its next processes.
+  const Time started(call.report_.incarnation_.value());
+  if (started > clocks_.wall_() + kMaxClockError) {
+    LogEvent("report_invalid",
+             {{"worker", call.report_.id_.value()}, {"life", started.ms()}});
+    return respond(
+        Reply(GraphOutcome::kInvalid, "the worker started in the future"));
+  }
   Feed(call.report_);
   Feed(WorkerCold{call.report_.id_, call.report_.incarnation_,
                   call.report_.sequence_, call.cold_left_});
--- a/flamingohollow/graph_service.h
+++ b/flamingohollow/graph_service.h
@@ -45,6 +45,8 @@
 // A report that is not committed within this time is answered kUnavailable,
 // because a worker without an answer would report to another node.
 inline constexpr Duration kReportTimeout = Duration(1000);
+// How far the clocks of workers and control nodes may differ.
+inline constexpr Duration kMaxClockError = Duration(60'000);
 // Limits the memory used by reports that wait to be committed.
 inline constexpr std::size_t kMaxWaitingReports = 4096;
 // Interval of upkeep: membership changes, gauges, and answers to reports.
--- a/flamingohollow/testing/graph_service_test.cc
+++ b/flamingohollow/testing/graph_service_test.cc
@@ -80,6 +80,28 @@
   CHECK_EQ(leader.service_.state().workers_.size(), 1);
 }
 
+TEST_CASE("a report from the future does not replace the worker") {
+  Leader leader;
+  leader.replica_.completes_immediately_ = true;
+  leader.Report(false);
+  GraphCall call;
+  call.kind_ = GraphCallKind::kReport;
+  call.report_ = MakeReport("w", "r");
+  const Time latest = leader.now_ + kMaxClockError;
+  SUBCASE("under its id") {}
+  SUBCASE("at its address") { call.report_.id_ = WorkerId("v"); }
+  call.report_.incarnation_ = WorkerIncarnation(latest.ms() + 1);
+  CHECK_EQ(leader.Send(call), GraphOutcome::kInvalid);
+  const auto& workers = leader.service_.state().workers_;
+  REQUIRE_EQ(workers.size(), 1);
+  CHECK_EQ(workers.at(WorkerId("w")).incarnation_, WorkerIncarnation(1));
+  // Clocks may differ by less.
+  call.report_.incarnation_ = WorkerIncarnation(latest.ms());
+  CHECK_EQ(leader.Send(call), GraphOutcome::kOk);
+  CHECK_EQ(workers.at(call.report_.id_).incarnation_,
+           call.report_.incarnation_);
+}
+
 TEST_CASE("a report without changes is acknowledged at once") {
   Leader leader;
   leader.Report(false);
