A heartbeat at the address of a worker that answers ends no task

What callers saw: after one heartbeat under another id at a worker's address, with a later start time than the worker's, the worker's tasks were taken for lost and started elsewhere at once, while they still ran: twice at the same time. Cause: such a report counted as proof that the worker is over. It also counted as a crash, of which several give up the tasks that were there. A worker that is really replaced stops answering, or its successor answers in its place, and the successor's next report is accepted.

--- a/flamingohollow/testing/graph_scheduler_test.cc
+++ b/flamingohollow/testing/graph_scheduler_test.cc
@@ -441,6 +441,39 @@
   CHECK(again->attempt_ == start->attempt_);
 }
 
+TEST_CASE("a report at the address of a worker that answers ends no task") {
+  OneWorker world;
+  world.RunOneTask();
+  world.Answer(*world.Next<PollCommand>(), CommandOutcome::kDone, 901'000);
+  world.Apply(MakeSubmit(2, {MakeStep(1, 1, Duration(60'000))}, {}));
+  const auto start = world.Next<StartCommand>();
+  world.Feed(StartResult{WorkerId("w"), WorkerIncarnation(1), start->attempt_,
+                         CommandOutcome::kDone, 901'100, ""});
+  const auto poll = world.Next<PollCommand>();
+  REQUIRE(poll.has_value());
+  PoolWorkerReport other = MakeReport("v", "r");
+  other.address_ = MakeReport("w", "r").address_;
+  other.incarnation_ = WorkerIncarnation(2);
+  world.ApplyRecords(world.Feed(other));
+  CHECK(world.IsTaskOpen(2));
+  CHECK(world.state_.workers_.contains(WorkerId("w")));
+  CHECK_FALSE(world.state_.workers_.contains(WorkerId("v")));
+  SUBCASE("it takes the address once a call has no answer") {
+    world.Answer(*poll, CommandOutcome::kNoAnswer, 0);
+  }
+  SUBCASE("it takes the address once it has answered") {
+    world.Answer(*poll, CommandOutcome::kOtherWorker, 0);
+  }
+  SUBCASE("it takes the address after a long silence") {
+    world.Pass(kReportInterval * kMissedReports);
+  }
+  ++other.sequence_;
+  world.ApplyRecords(world.Feed(other));
+  CHECK_FALSE(world.IsTaskOpen(2));
+  CHECK_FALSE(world.state_.workers_.contains(WorkerId("w")));
+  CHECK(world.state_.workers_.contains(WorkerId("v")));
+}
+
 // Polls are numbered anew for each incarnation.
 TEST_CASE("a task whose end got lost with a restart ends with the first poll") {
   OneWorker world;
