Strong suspects wait for calm from the crash on, not from its report

What callers saw: a job that had been under two crashes idled in a mostly free pool for 6 s and more after workers had returned.

Cause: the wait for calm after a wave of crashes counted from the moment at which the leader learned of a crash. A worker that crashed while it was cut off reports late, so sound tasks waited though nothing had crashed for long.

Evidence: the model of the workers with long cuts; the new test "no job idles when it becomes known late that workers had crashed" fails before.

Change: the wait counts from the restart of the worker, and lasts as long as two crashes may be taken for one wave (kMaxWaveTime), which is what it is for. A worker whose clock is ahead counts as restarted now. A second test bounds how long any job idles after waves of cuts and crashes; it passes before, too.

--- a/flamingohollow/graph_scheduler.cc
+++ b/flamingohollow/graph_scheduler.cc
@@ -374,9 +374,8 @@
   }
 }
 
-// Strong suspects start again this long after a wave of crashes, or when waves
-// have gone on for that long.
-constexpr Duration kCalmAfterWave = Duration(6000);
+// Strong suspects start again when their crashes can't be taken for a part of
+// the wave, or when waves have gone on for this long.
 constexpr Duration kMaxWaitForCalm = Duration(20'000);
 
 // Stops urgent work on workers that stand still or are far too slow, so that
@@ -420,7 +419,7 @@
   GraphPlacementOptions options = ctx.scheduler_.options_.placement_;
   options.hold_strong_suspects_ =
       AwaitsCalm(ctx.scheduler_, ctx.now_) &&
-      ctx.now_ - ctx.scheduler_.wave_began_ < kMaxWaitForCalm;
+      ctx.now_ - ctx.scheduler_.waves_began_ < kMaxWaitForCalm;
   const PlacementPlan plan =
       PlanPlacement(ctx.state_, ctx.scheduler_.fleet_, options, since, ctx.now_,
                     RoomToKeep(demands, need, ctx.now_));
@@ -433,8 +432,8 @@
 }  // namespace
 
 bool AwaitsCalm(const Scheduler& scheduler, Time now) {
-  return scheduler.wave_seen_ != Time() &&
-         now - scheduler.wave_seen_ < kCalmAfterWave;
+  return scheduler.last_in_wave_ != Time() &&
+         now - scheduler.last_in_wave_ <= kMaxWaveTime;
 }
 
 void On(Context& ctx, const SchedulerTick& tick) {
--- a/flamingohollow/graph_scheduler.h
+++ b/flamingohollow/graph_scheduler.h
@@ -250,9 +250,9 @@
   // (see worker_crashes.h), and when to look for them next.
   std::map<TaskRef, Time> verdicts_since_;
   Time next_verdicts_;
-  // When the last series of waves of crashes began, and its last crash.
-  Time wave_began_;
-  Time wave_seen_;
+  // When the last series of waves of crashes was noticed, and its last crash.
+  Time waves_began_;
+  Time last_in_wave_;
   Time wall_time_;
 };
 
--- a/flamingohollow/graph_scheduler_records.cc
+++ b/flamingohollow/graph_scheduler_records.cc
@@ -159,10 +159,13 @@
   }
 }
 
-void NoteWave(Context& ctx) {
+void NoteWave(Context& ctx, Time restarted) {
   Scheduler& scheduler = ctx.scheduler_;
-  if (!AwaitsCalm(scheduler, ctx.now_)) scheduler.wave_began_ = ctx.now_;
-  scheduler.wave_seen_ = ctx.now_;
+  // The worker's clock may be ahead.
+  const Duration age = std::max(scheduler.wall_time_ - restarted, Duration());
+  const Time crashed = ctx.now_ - age;
+  if (!AwaitsCalm(scheduler, ctx.now_)) scheduler.waves_began_ = ctx.now_;
+  scheduler.last_in_wave_ = std::max(scheduler.last_in_wave_, crashed);
 }
 
 // Logs the crashes that the record has shown.
@@ -181,7 +184,7 @@
                                 {"first", tasks},
                                 {"blamed", crash.blamed_.size()},
                                 {"in_wave", crash.in_wave_}});
-    if (crash.in_wave_) NoteWave(ctx);
+    if (crash.in_wave_) NoteWave(ctx, crash.restarted_);
   }
   HandleGivenUp(ctx);
 }
--- a/flamingohollow/testing/deadly_task_test.cc
+++ b/flamingohollow/testing/deadly_task_test.cc
@@ -3,10 +3,15 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+#include <array>
+#include <cstddef>
 #include <cstdint>
+#include <map>
 #include <random>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "flamingohollow/testing/graph_world.h"
@@ -273,6 +278,141 @@
   }
 }
 
+// Finds jobs of which nothing runs though a task's turn has come, most of the
+// pool is free, and there is room for the task or gang twice over.
+class IdleJobs {
+ public:
+  void Observe(const GraphWorld& world) {
+    CollectUsed(world);
+    std::map<GraphJobKey, Time> idle;
+    for (const auto& [key, job] : world.state().jobs_) {
+      const bool waits = job.state_ == GraphJobState::kActive &&
+                         world.RunningTasks(key) == 0 &&
+                         HasRoomTwice(world, job);
+      if (!waits) continue;
+      const auto since = since_.find(key);
+      idle[key] = since == since_.end() ? world.now() : since->second;
+    }
+    for (const auto& [key, since] : idle) {
+      longest_ = std::max(longest_, world.now() - since);
+    }
+    since_ = std::move(idle);
+  }
+  Duration longest() const { return longest_; }
+
+ private:
+  void CollectUsed(const GraphWorld& world) {
+    used_.clear();
+    sum_ = {};
+    for (const auto& [key, job] : world.state().jobs_) {
+      for (const auto& [number, occurrence] : job.occurrences_) {
+        for (std::size_t i = 0; i < occurrence.steps_.size(); ++i) {
+          for (const TaskRecord& task : occurrence.steps_[i].tasks_) {
+            if (!task.open_) continue;
+            const Resources& need = job.spec_.steps_[i].need_;
+            used_[task.worker_] = used_[task.worker_] + need;
+            sum_ = sum_ + need;
+          }
+        }
+      }
+    }
+  }
+  // Jobs have one step each.
+  bool HasRoomTwice(const GraphWorld& world, const GraphJob& job) const {
+    const std::int64_t all = world.workers() * kWorkerSize.accelerators_;
+    if (sum_.accelerators_ * 2 >= all) return false;
+    const StepSpec& step = job.spec_.steps_.front();
+    const std::int64_t need = step.need_.accelerators_;
+    std::int64_t places = 0;
+    for (int i = 0; i < world.workers(); ++i) {
+      const auto used = used_.find(WorkerId("w" + std::to_string(i)));
+      const std::int64_t taken =
+          used == used_.end() ? 0 : used->second.accelerators_;
+      places += (kWorkerSize.accelerators_ - taken) / need;
+    }
+    return places >=
+           2 * static_cast<std::int64_t>(step.gang_ ? step.tasks_ : 1);
+  }
+
+  // What the open tasks take, by worker and in all.
+  std::map<WorkerId, Resources> used_;
+  Resources sum_;
+  // Since when each job idles.
+  std::map<GraphJobKey, Time> since_;
+  Duration longest_;
+};
+
+// Submits jobs while waves of workers crash, each shortly after the last, and
+// returns for how long at most a job idles from `calm` after the last wave on.
+Duration LongestIdleAfterWaves(std::uint64_t seed, int per_mille,
+                               Duration calm) {
+  std::mt19937_64 random(seed);
+  GraphWorld world({.seed_ = seed, .racks_ = 6, .per_rack_ = 8});
+  world.RunFor(Duration(2000));
+  std::uint64_t job = 0;
+  for (int wave = 0; wave < 7; ++wave) {
+    for (int i = 0; i < 2; ++i) {
+      const std::array<StepSpec, 3> steps = {
+          MakeGang(4, 8, Duration(2500), false),
+          MakeGang(5, 8, Duration(11'000), true),
+          MakeStep(16, 1, Duration(9500))};
+      const std::uint32_t kind = random() % steps.size();
+      world.Submit(++job, {steps[kind]}, {.priority_ = kind});
+    }
+    world.RunFor(Duration(1000));
+    CrashBehindCut(world, random, per_mille);
+  }
+  world.RunFor(calm);
+  IdleJobs idle;
+  for (int i = 0; i < 600 && !world.AllEnded(); ++i) {
+    world.RunFor(Duration(100));
+    idle.Observe(world);
+  }
+  CHECK(world.AllEnded());
+  CHECK_EQ(Broken(world), "");
+  return idle.longest();
+}
+
+TEST_CASE("no job idles in a free pool after waves of crashes") {
+  for (const int per_mille : {200, 300, 500}) {
+    for (std::uint64_t seed = 1; seed <= 4; ++seed) {
+      CAPTURE(per_mille);
+      CAPTURE(seed);
+      CHECK(LongestIdleAfterWaves(seed, per_mille, Duration(4000)) <=
+            Duration(3000));
+    }
+  }
+}
+
+// Cuts off half of the workers, which crash at once and return later.
+void CrashBeforeLongCut(GraphWorld& world) {
+  for (int i = 0; i < world.workers(); i += 2) {
+    world.Disconnect(i);
+    world.Crash(i);
+  }
+  world.RunFor(Duration(8000));
+  for (int i = 0; i < world.workers(); i += 2) world.Reconnect(i);
+}
+
+TEST_CASE("no job idles when it becomes known late that workers had crashed") {
+  GraphWorld world({.racks_ = 6, .per_rack_ = 8});
+  world.RunFor(Duration(2000));
+  for (std::uint64_t job = 1; job <= 8; ++job) {
+    world.Submit(job, {MakeGang(8, 4, Duration(9000), false)}, {});
+  }
+  for (int wave = 0; wave < 3; ++wave) {
+    world.RunFor(Duration(2000));
+    CrashBeforeLongCut(world);
+  }
+  IdleJobs idle;
+  for (int i = 0; i < 300; ++i) {
+    world.RunFor(Duration(100));
+    idle.Observe(world);
+  }
+  CHECK(world.AllEnded());
+  CHECK(idle.longest() <= Duration(3000));
+}
+
 // Returns the number of the worker on which the job's only task runs.
 int WorkerOf(const GraphWorld& world, std::uint64_t job) {
   const auto& occurrences = world.state().jobs_.at(MakeKey(job)).occurrences_;
--- a/flamingohollow/testing/graph_world.h
+++ b/flamingohollow/testing/graph_world.h
@@ -97,6 +97,7 @@
   std::uint64_t stops() const { return stops_; }
   // Number of the job's attempts that are running.
   int RunningTasks(std::uint64_t number) const;
+  int RunningTasks(const GraphJobKey& job) const;
   // Number of attempts that are running on the rack's workers.
   int running_on_rack(int rack) const;
   // Number of polls in flight that the workers may hold open.
--- a/flamingohollow/worker_crashes.cc
+++ b/flamingohollow/worker_crashes.cc
@@ -176,8 +176,12 @@
 
 WorkerCrash CountCrash(CrashLedger& ledger, const CrashedWorker& crashed,
                        const std::vector<AttemptRef>& open) {
-  WorkerCrash crash{crashed.worker_, crashed.incarnation_, {}, {}};
   const Time restarted = crashed.restarted_;
+  WorkerCrash crash{.worker_ = crashed.worker_,
+                    .incarnation_ = crashed.incarnation_,
+                    .tasks_ = {},
+                    .blamed_ = {},
+                    .restarted_ = restarted};
   const std::vector<AttemptOnWorker> all =
       CollectAttempts(ledger, crashed, open);
   // A worker that doesn't return may only be cut off.
--- a/flamingohollow/worker_crashes.h
+++ b/flamingohollow/worker_crashes.h
@@ -176,6 +176,8 @@
   std::vector<TaskRef> blamed_;
   // Whether many workers crashed at about the same time, as far as is known.
   bool in_wave_ = false;
+  // See CrashedWorker.
+  Time restarted_;
 };
 
 // An attempt was opened on the worker.
