A task that is done is not given up for its earlier crashes

What callers saw: a job shown as failed because of a task that was done.

Cause: the verdict looked at the job only. A worker may be heard of again, as restarted, after the next attempt has completed its task; that crash, or one in an occurrence that is over, then gave the job up.

Evidence: "a task that is done is not given up" (graph_state_test) on: the job is failed after two crashes, a third that becomes known after the end `done` of the fourth attempt, and the GiveUpRecord.

Change: only unfinished tasks of active jobs are given up, by WorkerRecord and GiveUpRecord, and only these are proposed.

--- a/flamingohollow/graph_scheduler.cc
+++ b/flamingohollow/graph_scheduler.cc
@@ -245,9 +245,8 @@
   std::map<TaskRef, Time> awaited;
   for (const auto& [task, history] : ctx.state_.crashes_.histories_) {
     const Verdict verdict = VerdictOn(history);
-    const GraphJob* job = FindJob(ctx.state_, task.job_);
-    const bool active = job != nullptr && job->state_ == GraphJobState::kActive;
-    if (verdict == Verdict::kGoOn || !active) continue;
+    if (verdict == Verdict::kGoOn) continue;
+    if (!IsTaskUnfinished(ctx.state_, task)) continue;
     if (IsTaskOpen(ctx.state_, task)) continue;
     const auto known = scheduler.verdicts_since_.find(task);
     const Time since =
--- a/flamingohollow/graph_state.cc
+++ b/flamingohollow/graph_state.cc
@@ -275,7 +275,8 @@
   WorkerCrash crash =
       CountCrash(state.crashes_, crashed, OpenAttemptsOn(state, worker));
   for (const TaskRef& task : crash.tasks_) {
-    if (VerdictOn(state.crashes_, task) == Verdict::kGiveUp) {
+    if (IsTaskUnfinished(state, task) &&
+        VerdictOn(state.crashes_, task) == Verdict::kGiveUp) {
       GiveUp(state, task);
     }
   }
@@ -345,8 +346,7 @@
 void Apply(GraphState& state, const GiveUpRecord& record) {
   state.new_given_up_.clear();
   for (const TaskRef& task : record.tasks_) {
-    const GraphJob* job = FindJob(state, task.job_);
-    if (job == nullptr || job->state_ != GraphJobState::kActive) continue;
+    if (!IsTaskUnfinished(state, task)) continue;
     // A wave of crashes may have become known since it was proposed.
     if (VerdictOn(state.crashes_, task) == Verdict::kGoOn) continue;
     if (!IsTaskOpen(state, task)) GiveUp(state, task);
@@ -461,6 +461,14 @@
                         : FindStep(*job, task.occurrence_, task.step_);
 }
 
+bool IsTaskUnfinished(const GraphState& state, const TaskRef& task) {
+  const GraphJob* job = FindJob(state, task.job_);
+  if (job == nullptr || job->state_ != GraphJobState::kActive) return false;
+  const StepRecord* step = FindStep(*job, task.occurrence_, task.step_);
+  return step != nullptr && task.index_.value() < step->tasks_.size() &&
+         !step->tasks_[task.index_.value()].done_;
+}
+
 bool IsTaskOpen(const GraphState& state, const TaskRef& task) {
   const StepRecord* step = FindStep(state, task);
   return step != nullptr && task.index_.value() < step->tasks_.size() &&
--- a/flamingohollow/graph_state.h
+++ b/flamingohollow/graph_state.h
@@ -155,6 +155,9 @@
                            StepIndex step);
 // As above; also null if the job is unknown.
 const StepRecord* FindStep(const GraphState& state, const TaskRef& task);
+// Whether the task's job is active and the task is not done. False if it is
+// unknown, as a task of an occurrence that is over.
+bool IsTaskUnfinished(const GraphState& state, const TaskRef& task);
 // Whether an attempt of the task has not ended.
 bool IsTaskOpen(const GraphState& state, const TaskRef& task);
 // Whether the attempt is the task's newest and has not ended.
--- a/flamingohollow/testing/graph_state_test.cc
+++ b/flamingohollow/testing/graph_state_test.cc
@@ -357,6 +357,36 @@
   }
 }
 
+// The worker of the task's next attempt crashes alone; the attempt is lost.
+void CrashUnder(GraphState& state, int attempt) {
+  LoseWorkers(state, static_cast<std::uint32_t>(attempt), 1, {0});
+}
+
+TEST_CASE("a task that is done is not given up") {
+  GraphState state;
+  Submit(state, 1, {MakeStep(2, 1, Duration(1))}, {});
+  CrashUnder(state, 1);
+  CrashUnder(state, 2);
+  // The third crash becomes known after the fourth attempt.
+  PoolWorkerReport silent = MakeReport("silent");
+  silent.address_ = "silent";
+  silent.incarnation_ = WorkerIncarnation(300'000);
+  ApplyRecord(state, WorkerRecord{{silent}, {}});
+  ApplyRecord(
+      state, OpenRecord{{{Attempt(0, 0, 3), silent.id_, silent.incarnation_}}});
+  ApplyRecord(state, ConfirmedRecord{silent.id_, {Attempt(0, 0, 3)}});
+  EndRecord lost;
+  lost.attempts_ = {{Attempt(0, 0, 3), AttemptEnd::kLost, Checkpoint()}};
+  lost.ended_ = Time(320'000);
+  ApplyRecord(state, lost);
+  Open(state, Attempt(0, 0, 4));
+  End(state, Attempt(0, 0, 4), AttemptEnd::kDone);
+  silent.incarnation_ = WorkerIncarnation(325'000);
+  ApplyRecord(state, WorkerRecord{{silent}, {}});
+  ApplyRecord(state, MakeGiveUp(1));
+  CHECK_EQ(FindJob(state, MakeKey(1))->state_, GraphJobState::kActive);
+}
+
 TEST_CASE("workers that are cut off for long are not blamed on a task") {
   GraphState state;
   Submit(state, 1, {MakeStep(1, 1, Duration(1))}, {});
