--- a/flamingohollow/replica.cc
+++ b/flamingohollow/replica.cc
@@ -413,6 +413,9 @@
   Write(&actions);
   SendAll(actions.send_);
   UpdateLeadership();
+  // The step ends the leadership if no majority answered while the owner
+  // encoded its snapshot.
+  AnswerRequests(actions);
 }
 
 void LogReplica::Fail(const std::string& reason) {
--- a/flamingohollow/testing/replica_test.cc
+++ b/flamingohollow/testing/replica_test.cc
@@ -5,8 +5,11 @@
 
 #include <doctest/doctest.h>
 
+#include <chrono>
+#include <memory>
 #include <optional>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "flamingohollow/peer_codec.h"
@@ -161,6 +164,41 @@
   CHECK(Propose(&group, "b") == ProposeOutcome::kCommitted);
 }
 
+// Encoding a snapshot takes longer than a leader keeps leading without answers.
+class SlowSnapshotOwner : public RecordingOwner {
+ public:
+  std::string EncodeSnapshot() override {
+    if (leads_) std::this_thread::sleep_for(std::chrono::milliseconds(800));
+    return RecordingOwner::EncodeSnapshot();
+  }
+};
+
+TEST_CASE("requests are answered when a slow snapshot ends the leadership") {
+  ReplicaOptions options;
+  options.snapshot_log_entries_ = 4;
+  ReplicaGroup group(3, options,
+                     [] { return std::make_unique<SlowSnapshotOwner>(); });
+  REQUIRE(group.Form());
+  ReplicaGroup::Node& old = *group.Leader();
+  std::size_t asked = 1;
+  std::size_t answered = 0;
+  // Stays pending, as no voter answers at this address.
+  old.replica_->AddVoter(NodeName("control-9"), "nowhere",
+                         [&answered](bool, const std::string&) { ++answered; });
+  for (const std::string command : {"a", "b", "c", "d"}) {
+    old.replica_->Propose(command, [](const ProposeResult&) {});
+  }
+  // Some reads are pending whenever the snapshot is taken.
+  REQUIRE(group.RunUntil([&] {
+    ++asked;
+    old.replica_->ConfirmLeadership(
+        [&answered](bool, const std::string&) { ++answered; });
+    return !old.owner_->leads_;
+  }));
+  CHECK(group.RunUntil([&] { return answered == asked; }));
+  CHECK(answered == asked);
+}
+
 TEST_CASE("a second process can't open the folder") {
   ReplicaGroup group(1);
   RecordingOwner owner;
