Start on a full disk: the opening of a segment waits for room

Operators saw: a control process killed while it opened a segment of its log ends again at each start for as long as its disk is full ("append .../log-N: No space left on device"). Cause: the start itself wrote the segment's opening frame, and only the disk thread waits for room. Change: the first write opens the segment, on the disk thread. A new folder still needs room.

--- a/flamingohollow/storage.cc
+++ b/flamingohollow/storage.cc
@@ -183,6 +183,8 @@
     const std::vector<std::string>& names) {
   const std::vector<std::uint64_t> indices = NumbersOf(names, kSnapshotPrefix);
   if (indices.empty()) return {};
+  // A killed process may have renamed it without syncing the folder.
+  BOOST_LEAF_CHECK(disk_->SyncFolder(options_.folder_));
   // The file was synced before it was renamed to this name, so an incomplete
   // one is corrupt.
   const std::string path = Path(NumberedName(kSnapshotPrefix, indices.back()));
@@ -315,7 +317,8 @@
 // Drops the entries that the snapshot covers. If the log ends before the
 // snapshot's index or has another term there, the snapshot replaced the log and
 // a crash came before the old log was removed: drops the whole log. Fails if
-// the log starts after the snapshot.
+// the log starts after the snapshot. Writes only to a new folder: the disk of
+// another may be full.
 leaf::result<void> Storage::ReconcileLogAndSnapshot() {
   if (base_index_ > snapshot_index_) {
     return Error(fmt::format(
@@ -329,15 +332,19 @@
     const auto covered = static_cast<std::ptrdiff_t>(snapshot_index_.value() -
                                                      base_index_.value());
     entries.erase(entries.begin(), entries.begin() + covered);
-    if (segments_.empty()) return StartSegment(last_index_, last_term_);
-    // A crash left the opening frame incomplete.
-    if (segments_.back().bytes_ == 0) return OpenSegment();
+    if (segments_.empty()) {
+      AddSegment(last_index_, last_term_);
+      return OpenSegment();
+    }
+    // A crash may have left the opening frame incomplete.
+    opening_due_ = segments_.back().bytes_ == 0;
     return {};
   }
   entries.clear();
   for (Segment& segment : segments_) segment.max_index_ = LogIndex();
-  BOOST_LEAF_CHECK(StartSegment(snapshot_index_, stored_.snapshot_.term_));
-  return RemoveCoveredSegments();
+  AddSegment(snapshot_index_, stored_.snapshot_.term_);
+  opening_due_ = true;
+  return {};
 }
 
 leaf::result<void> Storage::Write(const std::vector<StorageBatch>& batches) {
@@ -351,6 +358,10 @@
 }
 
 leaf::result<void> Storage::WriteAll(const std::vector<StorageBatch>& batches) {
+  if (std::exchange(opening_due_, false)) {
+    BOOST_LEAF_CHECK(OpenSegment());
+    BOOST_LEAF_CHECK(RemoveCoveredSegments());
+  }
   for (const StorageBatch& batch : batches) {
     if (batch.hard_state_.has_value()) {
       hard_ = *batch.hard_state_;
@@ -396,17 +407,19 @@
 
 // Writes out and syncs the newest segment, then opens the next one.
 leaf::result<void> Storage::StartSegment(LogIndex base, Term base_term) {
-  if (!segments_.empty()) {
-    BOOST_LEAF_CHECK(Flush());
-    BOOST_LEAF_CHECK(disk_->Sync(SegmentPath(segments_.back().sequence_)));
-  }
+  BOOST_LEAF_CHECK(Flush());
+  BOOST_LEAF_CHECK(disk_->Sync(SegmentPath(segments_.back().sequence_)));
+  AddSegment(base, base_term);
+  return OpenSegment();
+}
+
+void Storage::AddSegment(LogIndex base, Term base_term) {
   const std::uint64_t sequence =
       segments_.empty() ? 1 : segments_.back().sequence_ + 1;
   segments_.push_back(
       {.sequence_ = sequence, .bytes_ = 0, .max_index_ = LogIndex()});
   last_index_ = base;
   last_term_ = base_term;
-  return OpenSegment();
 }
 
 leaf::result<void> Storage::OpenSegment() {
--- a/flamingohollow/storage.h
+++ b/flamingohollow/storage.h
@@ -129,6 +129,8 @@
   boost::leaf::result<void> WriteAll(const std::vector<StorageBatch>& batches);
   boost::leaf::result<void> WriteSnapshot(const SaveSnapshot& save);
   boost::leaf::result<void> StartSegment(LogIndex base, Term base_term);
+  // Makes a segment the newest one; its file is created by OpenSegment.
+  void AddSegment(LogIndex base, Term base_term);
   // Writes the frame that opens the newest segment.
   boost::leaf::result<void> OpenSegment();
   boost::leaf::result<void> Flush();
@@ -146,6 +148,8 @@
   StoredState stored_;
   // Oldest first; new frames are appended to the last one.
   std::vector<Segment> segments_;
+  // The newest segment lacks its opening frame; the next Write adds it.
+  bool opening_due_ = false;
   // Encoded records of the frame that is being built.
   std::string pending_records_;
   // Sequence of the next frame; grows by one from frame to frame over all
--- a/flamingohollow/testing/storage_test.cc
+++ b/flamingohollow/testing/storage_test.cc
@@ -332,6 +332,46 @@
   }
 }
 
+TEST_CASE("DiskFull: a killed process starts again on a full disk") {
+  for (const bool reset : {false, true}) {
+    for (int operation = 0; operation < 12; ++operation) {
+      CAPTURE(reset);
+      CAPTURE(operation);
+      Folder folder;
+      REQUIRE(folder.Open() == "");
+      StorageBatch vote;
+      vote.hard_state_ = HardState{.term_ = Term(4), .vote_ = VoterId(2)};
+      REQUIRE(folder.Write(vote) == "");
+      for (std::uint64_t index = 1; index <= 8; ++index) {
+        REQUIRE(folder.Append(index, 1) == "");
+      }
+      folder.files().fail_in_ = operation;
+      folder.files().fail_code_ = ENOSPC;
+      folder.Snapshot(reset ? 20 : 6, reset ? 4 : 1, reset);
+      folder.files().fail_in_ = -1;
+      folder.files().full_ = true;
+      // The second start finds what the first one left.
+      for (int start = 0; start < 2; ++start) {
+        CAPTURE(start);
+        folder.Kill();
+        REQUIRE(folder.Open() == "");
+        CHECK(folder.stored().hard_.term_ == Term(4));
+        CHECK(folder.stored().hard_.vote_ == VoterId(2));
+      }
+      folder.files().full_ = false;
+      const LogIndex snapshot = folder.stored().snapshot_.index_;
+      const std::uint64_t next = snapshot == LogIndex(20) ? 21 : 9;
+      CHECK(folder.Append(next, 4) == "");
+      folder.Crash();
+      REQUIRE(folder.Open() == "");
+      CHECK(folder.stored().snapshot_.index_ == snapshot);
+      CHECK(folder.stored().hard_.vote_ == VoterId(2));
+      REQUIRE_FALSE(folder.Indices().empty());
+      CHECK(folder.Indices().back() == next);
+    }
+  }
+}
+
 StorageBatch BatchOf(std::uint64_t index) {
   StorageBatch batch;
   batch.append_.push_back({.index_ = LogIndex(index),
