--- a/flamingohollow/storage.cc
+++ b/flamingohollow/storage.cc
@@ -198,6 +198,11 @@
   stored_.snapshot_ = *snapshot;
   snapshot_index_ = snapshot->index_;
   snapshot_bytes_ = bytes.size();
+  // A killed process may not have removed the previous ones.
+  for (const std::uint64_t index : indices) {
+    if (index == indices.back()) continue;
+    BOOST_LEAF_CHECK(disk_->Remove(Path(NumberedName(kSnapshotPrefix, index))));
+  }
   return {};
 }
 
--- a/flamingohollow/testing/storage_test.cc
+++ b/flamingohollow/testing/storage_test.cc
@@ -332,6 +332,28 @@
   }
 }
 
+TEST_CASE("snapshots left by killed processes do not fill the disk") {
+  Folder folder;
+  REQUIRE(folder.Open() == "");
+  for (std::uint64_t index = 1; index <= 40; ++index) {
+    REQUIRE(folder.Append(index, 1) == "");
+    if (index % 4 != 0) continue;
+    // The process is killed before it can remove the previous snapshot.
+    folder.files().fail_in_ = 5 + static_cast<int>(index / 4 % 4);
+    folder.files().fail_code_ = EIO;
+    folder.Snapshot(index, 1, false);
+    folder.files().fail_in_ = -1;
+    folder.Kill();
+    REQUIRE(folder.Open() == "");
+    CHECK(folder.CountOf("snapshot-") == 1);
+    CHECK(folder.CountOf("log-") < 12);
+  }
+  // The removal is not undone by a crash that the snapshot itself survives.
+  folder.Crash();
+  REQUIRE(folder.Open() == "");
+  CHECK(folder.stored().snapshot_.index_ == LogIndex(40));
+}
+
 TEST_CASE("DiskFull: a killed process starts again on a full disk") {
   for (const bool reset : {false, true}) {
     for (int operation = 0; operation < 12; ++operation) {
