Revert: reports at the address of a worker that answers are believed again

Cause: the first report of a process that replaces a crashed worker under another id was ignored while the worker was not yet known to be silent, so its crash became known later and counted for what had been placed there meanwhile.

--- a/flamingohollow/graph_scheduler_workers.cc
+++ b/flamingohollow/graph_scheduler_workers.cc
@@ -42,24 +42,6 @@
          found->second.report_.incarnation_ > report.incarnation_;
 }
 
-// Whether the report names an address where another worker runs tasks and
-// answers. If that worker is over after all, its next call gets no answer or
-// that of its successor, whose next report is then accepted.
-bool IsAddressInUse(const Context& ctx, const PoolWorkerReport& report) {
-  const auto holder = ctx.scheduler_.addresses_.find(report.address_);
-  if (holder == ctx.scheduler_.addresses_.end()) return false;
-  if (holder->second == report.id_) return false;
-  const auto found = ctx.scheduler_.fleet_.find(holder->second);
-  if (found == ctx.scheduler_.fleet_.end()) return false;
-  const FleetWorker& worker = found->second;
-  const Duration report_interval =
-      ctx.scheduler_.options_.placement_.report_interval_;
-  return worker.reported_ && worker.report_.address_ == report.address_ &&
-         !worker.runs_.empty() &&
-         worker.unanswered_calls_ < kMaxUnansweredCalls &&
-         ctx.now_ - worker.last_heard_at_ < report_interval * kMissedReports;
-}
-
 // Resets the state of a worker that restarted. Its tasks are over, but a start
 // command still in transit names the worker only by its id, which has not
 // changed, so the new incarnation may carry it out. Each attempt is therefore
@@ -101,10 +83,6 @@
 
 void On(Context& ctx, const PoolWorkerReport& report) {
   if (IsSuperseded(ctx, report)) return;
-  if (IsAddressInUse(ctx, report)) {
-    return LogEvent("address_in_use", {{"worker", report.id_.value()},
-                                       {"address", report.address_}});
-  }
   FleetWorker& worker = ctx.scheduler_.fleet_[report.id_];
   const bool known = worker.report_.incarnation_ != WorkerIncarnation();
   if (known && report.incarnation_ < worker.report_.incarnation_) return;
