--- a/flamingohollow/replica.cc
+++ b/flamingohollow/replica.cc
@@ -501,7 +501,7 @@
         storage_options.name_ = options.name_;
         storage_options.new_voter_id_ = RandomVoterId();
         BOOST_LEAF_AUTO(storage,
-                        Storage::Open(MakePosixDisk(), storage_options));
+                        Storage::Open(options.make_disk_(), storage_options));
         auto replica = std::make_unique<LogReplica>(
             std::move(options), owner, std::move(send), std::move(executor),
             std::move(storage), now);
--- a/flamingohollow/replica_factory.h
+++ b/flamingohollow/replica_factory.h
@@ -11,6 +11,7 @@
 #include <string>
 #include <vector>
 
+#include "flamingohollow/disk.h"
 #include "flamingohollow/raft.h"
 #include "flamingohollow/replica.h"
 #include "flamingohollow/types.h"
@@ -34,6 +35,8 @@
   // many bytes, or this many entries.
   std::size_t snapshot_log_bytes_ = std::size_t{4} * 1024 * 1024;
   std::size_t snapshot_log_entries_ = 10'000;
+  // Makes the disk that holds the data folder.
+  std::function<std::unique_ptr<Disk>()> make_disk_ = MakePosixDisk;
 };
 
 // Why a replica could not start; the message says which file and what.
--- a/flamingohollow/testing/replica_group.h
+++ b/flamingohollow/testing/replica_group.h
@@ -20,6 +20,7 @@
 #include <utility>
 #include <vector>
 
+#include "flamingohollow/disk.h"
 #include "flamingohollow/replica.h"
 #include "flamingohollow/replica_factory.h"
 #include "util/clock.h"
@@ -90,11 +91,16 @@
   };
 
   using MakeOwner = std::function<std::unique_ptr<RecordingOwner>()>;
+  // Makes the disk of a node.
+  using MakeDisk = std::function<std::unique_ptr<Disk>(std::size_t node)>;
 
   explicit ReplicaGroup(
       std::size_t size, ReplicaOptions options = {},
-      MakeOwner make_owner = [] { return std::make_unique<RecordingOwner>(); })
-      : options_(std::move(options)), make_owner_(std::move(make_owner)) {
+      MakeOwner make_owner = [] { return std::make_unique<RecordingOwner>(); },
+      MakeDisk make_disk = [](std::size_t) { return MakePosixDisk(); })
+      : options_(std::move(options)),
+        make_owner_(std::move(make_owner)),
+        make_disk_(std::move(make_disk)) {
     for (std::size_t i = 0; i < size; ++i) {
       nodes_.push_back({.name_ = "control-" + std::to_string(i),
                         .owner_ = nullptr,
@@ -118,6 +124,7 @@
     options.name_ = NodeName(node.name_);
     options.address_ = node.name_;
     options.data_folder_ = Folder(i);
+    options.make_disk_ = [this, i] { return make_disk_(i); };
     node.owner_ = make_owner_();
     namespace leaf = boost::leaf;
     leaf::try_handle_all(
@@ -189,6 +196,7 @@
     return RunUntil([&] { return formed && Leader() != nullptr; });
   }
   std::vector<Node>& nodes() { return nodes_; }
+  const std::vector<Node>& nodes() const { return nodes_; }
   const std::string& error() const { return error_; }
   std::uint64_t messages() const { return messages_; }
   std::uint64_t message_bytes() const { return message_bytes_; }
@@ -226,6 +234,7 @@
   TempFolder folder_;
   ReplicaOptions options_;
   MakeOwner make_owner_;
+  MakeDisk make_disk_;
   std::vector<Node> nodes_;
   std::string error_;
   Time next_tick_;
