A crash of a worker costs time linear in the recent crashes

What callers saw: nothing yet; found in review. A wave that hits workers with one suspect each took time quadratic in the recent crashes for each record.

Cause: at each crash, all isolated crashes were compared with all recent ones.

Change: each isolated crash keeps the number of others that may share its cause; a crash updates the numbers of those near it, and again when it ceases to be isolated, which happens once. A crash that is forgotten after 30 s stays in the numbers of its neighbours.

--- a/flamingohollow/worker_crashes.cc
+++ b/flamingohollow/worker_crashes.cc
@@ -66,22 +66,42 @@
   return blamed;
 }
 
+bool IsNear(const RecentCrash& a, const RecentCrash& b) {
+  const Duration apart = std::max(a.restarted_, b.restarted_) -
+                         std::min(a.restarted_, b.restarted_);
+  return &a != &b && apart <= kMaxWaveTime && a.pool_ == b.pool_;
+}
+
+// Adds `other` to the crashes at about the same time as `crash`. Those of other
+// tasks of the job that it is blamed on don't count.
+void CountOther(RecentCrash& crash, const RecentCrash& other) {
+  if (!IsNear(crash, other)) return;
+  const bool same_job =
+      crash.isolated_ && other.jobs_.contains(crash.blamed_.front().job_);
+  if (!same_job && !other.isolated_) ++crash.unexplained_;
+}
+
 // Whether so many crashes without a known cause happened at about the same time
-// that this one may have had the same cause. If it is isolated, those of its
-// job's other tasks don't count.
-bool IsInWave(const CrashLedger& ledger, const RecentCrash& crash,
-              std::size_t pool_size) {
-  const auto others = static_cast<std::size_t>(std::count_if(
-      ledger.recent_.begin(), ledger.recent_.end(),
-      [&crash](const RecentCrash& other) {
-        const Duration apart = std::max(other.restarted_, crash.restarted_) -
-                               std::min(other.restarted_, crash.restarted_);
-        const bool same_job =
-            crash.isolated_ && other.jobs_.contains(crash.blamed_.front().job_);
-        return &other != &crash && !other.isolated_ && !same_job &&
-               other.pool_ == crash.pool_ && apart <= kMaxWaveTime;
-      }));
-  return others >= kMinCrashesOfWave && others * kWaveShareDivisor > pool_size;
+// that this one may have had the same cause.
+bool IsInWave(const RecentCrash& crash, std::size_t pool_size) {
+  return crash.unexplained_ >= kMinCrashesOfWave &&
+         crash.unexplained_ * kWaveShareDivisor > pool_size;
+}
+
+// The crash is not isolated any more.
+void ClearIsolated(CrashLedger& ledger, RecentCrash& crash) {
+  crash.isolated_ = false;
+  for (const TaskRef& task : crash.blamed_) {
+    const auto history = ledger.histories_.find(task);
+    if (history == ledger.histories_.end()) continue;
+    CrashHistory& counts = history->second;
+    if (counts.isolated_ > 0) --counts.isolated_;
+  }
+  for (RecentCrash& other : ledger.recent_) {
+    const bool counts = other.isolated_ && IsNear(other, crash) &&
+                        !crash.jobs_.contains(other.blamed_.front().job_);
+    if (counts) ++other.unexplained_;
+  }
 }
 
 // Decides anew which crashes are isolated. One that is not any more may be of
@@ -91,24 +111,22 @@
   for (bool changed = true; changed;) {
     changed = false;
     for (RecentCrash& crash : ledger.recent_) {
-      if (!crash.isolated_ || crash.pool_ != pool) continue;
-      if (!IsInWave(ledger, crash, pool_size)) continue;
-      crash.isolated_ = false;
+      if (!crash.isolated_ || !IsInWave(crash, pool_size)) continue;
+      if (crash.pool_ != pool) continue;
+      ClearIsolated(ledger, crash);
       changed = true;
-      for (const TaskRef& task : crash.blamed_) {
-        const auto history = ledger.histories_.find(task);
-        if (history == ledger.histories_.end()) continue;
-        CrashHistory& counts = history->second;
-        if (counts.isolated_ > 0) --counts.isolated_;
-      }
     }
   }
 }
 
-void NoteRecent(CrashLedger& ledger, const CrashedWorker& crashed,
+// Returns whether the crash is in a wave, as far as is known.
+bool NoteRecent(CrashLedger& ledger, const CrashedWorker& crashed,
                 const std::vector<AttemptOnWorker>& all,
                 const std::vector<TaskRef>& blamed) {
-  if (crashed.restarted_ == Time()) return;
+  if (crashed.restarted_ == Time()) return false;
+  std::erase_if(ledger.recent_, [&crashed](const RecentCrash& crash) {
+    return crashed.restarted_ - crash.restarted_ > kMaxRestartTime;
+  });
   RecentCrash& added = ledger.recent_.emplace_back();
   added.pool_ = crashed.pool_;
   added.restarted_ = crashed.restarted_;
@@ -117,10 +135,12 @@
   }
   added.isolated_ = !blamed.empty();
   added.blamed_ = blamed;
-  std::erase_if(ledger.recent_, [&crashed](const RecentCrash& crash) {
-    return crashed.restarted_ - crash.restarted_ > kMaxRestartTime;
-  });
+  for (RecentCrash& other : ledger.recent_) {
+    if (other.isolated_) CountOther(other, added);
+    CountOther(added, other);
+  }
   UpdateIsolated(ledger, crashed.pool_, crashed.pool_size_);
+  return IsInWave(added, crashed.pool_size_);
 }
 
 }  // namespace
@@ -204,9 +224,7 @@
     history.last_crash_ = at;
     crash.tasks_.push_back(task);
   }
-  NoteRecent(ledger, crashed, all, crash.blamed_);
-  crash.in_wave_ = restarted != Time() &&
-                   IsInWave(ledger, ledger.recent_.back(), crashed.pool_size_);
+  crash.in_wave_ = NoteRecent(ledger, crashed, all, crash.blamed_);
   for (const AttemptOnWorker& here : all) {
     CrashHistory& history = ledger.histories_.at(here.attempt_.task_);
     const bool counted = history.last_attempt_ == here.attempt_.attempt_;
--- a/flamingohollow/worker_crashes.h
+++ b/flamingohollow/worker_crashes.h
@@ -119,10 +119,14 @@
   // The tasks that it is blamed on, all of one job; not empty if isolated.
   std::vector<TaskRef> blamed_;
   bool isolated_ = false;
+  // Number of others at about the same time that are not isolated, except under
+  // other tasks of the job that this one is blamed on. Kept up to date while
+  // this one is isolated.
+  std::uint32_t unexplained_ = 0;
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(pool_, restarted_, jobs_, blamed_, isolated_);
+    archive(pool_, restarted_, jobs_, blamed_, isolated_, unexplained_);
   }
 };
 
