Sound jobs are not given up when all workers crash repeatedly

What callers saw: jobs shown as failed, though their tasks had only been on workers that crashed together with all others.

Cause: a crash counted as evidence of a wave only if it was not blamed itself. When each worker holds one suspect, as after a first wave, all crashes of the next waves are blamed, and none is in a wave.

Change: crashes that are blamed on other jobs count too, if they hit more than a quarter of the pool.

--- a/flamingohollow/worker_crashes.cc
+++ b/flamingohollow/worker_crashes.cc
@@ -78,14 +78,19 @@
   if (!IsNear(crash, other)) return;
   const bool same_job =
       crash.isolated_ && other.jobs_.contains(crash.blamed_.front().job_);
-  if (!same_job && !other.isolated_) ++crash.unexplained_;
+  if (same_job) return;
+  ++crash.others_;
+  if (!other.isolated_) ++crash.unexplained_;
 }
 
-// Whether so many crashes without a known cause happened at about the same time
-// that this one may have had the same cause.
+// Whether so many crashes happened at about the same time that this one may
+// have had the same cause.
 bool IsInWave(const RecentCrash& crash, std::size_t pool_size) {
-  return crash.unexplained_ >= kMinCrashesOfWave &&
-         crash.unexplained_ * kWaveShareDivisor > pool_size;
+  const auto exceeds = [pool_size](std::size_t crashes, std::size_t divisor) {
+    return crashes >= kMinCrashesOfWave && crashes * divisor > pool_size;
+  };
+  return exceeds(crash.unexplained_, kWaveShareDivisor) ||
+         exceeds(crash.others_, kBlamedWaveShareDivisor);
 }
 
 // The crash is not isolated any more.
--- a/flamingohollow/worker_crashes.h
+++ b/flamingohollow/worker_crashes.h
@@ -54,6 +54,9 @@
 // at about the same time, and they hit more than this share of the pool.
 inline constexpr std::size_t kMinCrashesOfWave = 2;
 inline constexpr std::size_t kWaveShareDivisor = 16;
+// The same, with those that are blamed on other jobs: a wave may hit workers
+// with one suspect each.
+inline constexpr std::size_t kBlamedWaveShareDivisor = 4;
 // How long after a crash it takes at most to learn of the others at about the
 // same time.
 inline constexpr Duration kWaveReportTime = Duration(3000);
@@ -119,14 +122,16 @@
   // The tasks that it is blamed on, all of one job; not empty if isolated.
   std::vector<TaskRef> blamed_;
   bool isolated_ = false;
-  // Number of others at about the same time that are not isolated, except under
-  // other tasks of the job that this one is blamed on. Kept up to date while
-  // this one is isolated.
+  // Number of others at about the same time, except under other tasks of the
+  // job that this one is blamed on; and of these, those that are not isolated.
+  // Kept up to date while this one is isolated.
+  std::uint32_t others_ = 0;
   std::uint32_t unexplained_ = 0;
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(pool_, restarted_, jobs_, blamed_, isolated_, unexplained_);
+    archive(pool_, restarted_, jobs_, blamed_, isolated_, others_,
+            unexplained_);
   }
 };
 
