Nothing of a job waits while other jobs' strong suspects take all turns

What callers saw: after waves of crashes, jobs had nothing running for over 5 s while their turn had come and most of the pool was free.

Cause: a strong suspect starts on a worker alone, and only 2 s after the newest start there, so few start at a time where gangs hold most workers. They came in the order of deadlines, so the many tasks of one job took all turns while nothing of a later one ran.

Evidence: the model after seven waves among half of 48 workers: 40 workers were held for gangs, on the other eight a strong suspect of another job had just started in each pass.

Change: of the strong suspects of one priority, the first one of a step of which nothing runs comes before further ones of others. Gangs keep their order.

--- a/flamingohollow/graph_placement_pass.h
+++ b/flamingohollow/graph_placement_pass.h
@@ -93,6 +93,9 @@
   bool guaranteed_ = false;
   // Whether its tasks may have crashed workers.
   Suspicion suspicion_ = Suspicion::kNone;
+  // Whether nothing of the step runs, and no other strong suspect of it comes
+  // before this one.
+  bool first_suspect_ = false;
   // Set before the unit is placed.
   const EligibleWorkers* eligible_ = nullptr;
 };
--- a/flamingohollow/graph_placement_units.cc
+++ b/flamingohollow/graph_placement_units.cc
@@ -161,6 +161,7 @@
     unit.tasks_.emplace_back(i);
   }
   if (IsHeld(out, unit.suspicion_)) return;
+  unit.first_suspect_ = true;
   out.units_.push_back(std::move(unit));
 }
 
@@ -173,6 +174,7 @@
   Unit unsuspected = base;
   Unit weak_suspects = base;
   weak_suspects.suspicion_ = Suspicion::kWeak;
+  bool idle = step.open_ == 0;
   for (std::uint32_t i = 0; i < step.tasks_.size(); ++i) {
     if (step.tasks_[i].open_ || step.tasks_[i].done_) continue;
     task.index_ = TaskIndex(i);
@@ -182,6 +184,7 @@
     if (suspicion == Suspicion::kStrong) {
       Unit& alone = out.units_.emplace_back(base);
       alone.suspicion_ = suspicion;
+      alone.first_suspect_ = std::exchange(idle, false);
       alone.tasks_.emplace_back(i);
       continue;
     }
@@ -250,10 +253,12 @@
   const auto order = [](const Unit& unit) {
     const bool too_late = unit.lateness_ == Lateness::kTooLate;
     // Strong suspects need a worker without recent starts, which a pool of
-    // short tasks has only if it is held before these are placed.
+    // short tasks has only if it is held before these are placed. Few start at
+    // a time, so no job takes all turns while nothing of another one runs.
     const bool strong = unit.suspicion_ == Suspicion::kStrong;
     return std::tuple(!unit.guaranteed_, too_late, unit.job_->terms_.priority_,
-                      !strong, unit.lateness_, unit.deadline_);
+                      !strong, strong && !unit.first_suspect_, unit.lateness_,
+                      unit.deadline_);
   };
   std::stable_sort(
       units.begin(), units.end(),
