--- a/flamingohollow/testing/deadly_task_test.cc
+++ b/flamingohollow/testing/deadly_task_test.cc
@@ -414,68 +414,70 @@
   }
   CHECK(world.AllEnded());
   CHECK(idle.longest() <= Duration(3000));
-  TEST_CASE("sound jobs are not given up when all workers crash repeatedly") {
-    for (std::uint64_t seed = 1; seed <= kWaveSeeds; ++seed) {
-      CAPTURE(seed);
-      std::mt19937_64 random(seed);
-      GraphWorld world({.seed_ = seed, .racks_ = 4, .per_rack_ = 4});
-      world.RunFor(Duration(2000));
-      for (std::uint64_t job = 1; job <= 16; ++job) {
-        world.Submit(job, {MakeStep(1, 8, Duration(20'000))}, {});
-      }
-      for (int wave = 0; wave < 4; ++wave) {
-        world.RunFor(Duration(12'000));
-        CrashBehindCut(world, random, 1000);
-      }
-      world.RunFor(Duration(60'000));
-      for (std::uint64_t job = 1; job <= 16; ++job) {
-        CAPTURE(job);
-        CHECK_EQ(world.JobState(job), GraphJobState::kCompleted);
-      }
-      CHECK_EQ(Broken(world), "");
-    }
-  }
-
-  // Returns the number of the worker on which the job's only task runs.
-  int WorkerOf(const GraphWorld& world, std::uint64_t job) {
-    const auto& occurrences = world.state().jobs_.at(MakeKey(job)).occurrences_;
-    const TaskRecord& task = occurrences.begin()->second.steps_[0].tasks_[0];
-    REQUIRE(task.open_);
-    return std::stoi(task.worker_.value().substr(1));
-  }
+}
 
-  TEST_CASE("a sound task under two crashes runs in a pool of short tasks") {
-    for (const int workers : {1, 2, 4}) {
-      CAPTURE(workers);
-      GraphWorld world({.racks_ = 1, .per_rack_ = workers});
-      world.RunFor(Duration(2000));
-      const std::uint64_t job = 2;
-      world.Submit(job, {MakeStep(1, 1, Duration(4000))}, {});
-      // The tasks take three quarters of the accelerators.
-      const auto tasks = static_cast<std::uint32_t>(workers * 6 / 4);
-      for (std::uint64_t i = 0; i < 120; ++i) {
-        world.Submit(100 + i, {MakeStep(tasks, 1, Duration(1000))}, {});
-        if (i == 4 || i == 14) world.Crash(WorkerOf(world, job));
-        world.RunFor(Duration(250));
-      }
+TEST_CASE("sound jobs are not given up when all workers crash repeatedly") {
+  for (std::uint64_t seed = 1; seed <= kWaveSeeds; ++seed) {
+    CAPTURE(seed);
+    std::mt19937_64 random(seed);
+    GraphWorld world({.seed_ = seed, .racks_ = 4, .per_rack_ = 4});
+    world.RunFor(Duration(2000));
+    for (std::uint64_t job = 1; job <= 16; ++job) {
+      world.Submit(job, {MakeStep(1, 8, Duration(20'000))}, {});
+    }
+    for (int wave = 0; wave < 4; ++wave) {
+      world.RunFor(Duration(12'000));
+      CrashBehindCut(world, random, 1000);
+    }
+    world.RunFor(Duration(60'000));
+    for (std::uint64_t job = 1; job <= 16; ++job) {
+      CAPTURE(job);
       CHECK_EQ(world.JobState(job), GraphJobState::kCompleted);
     }
+    CHECK_EQ(Broken(world), "");
   }
+}
+
+// Returns the number of the worker on which the job's only task runs.
+int WorkerOf(const GraphWorld& world, std::uint64_t job) {
+  const auto& occurrences = world.state().jobs_.at(MakeKey(job)).occurrences_;
+  const TaskRecord& task = occurrences.begin()->second.steps_[0].tasks_[0];
+  REQUIRE(task.open_);
+  return std::stoi(task.worker_.value().substr(1));
+}
 
-  // Months of a service see more crashes of workers than a deadly task causes.
-  TEST_CASE("a long-running task survives crashes that are far apart") {
-    GraphWorld world({.racks_ = 1, .per_rack_ = 1});
+TEST_CASE("a sound task under two crashes runs in a pool of short tasks") {
+  for (const int workers : {1, 2, 4}) {
+    CAPTURE(workers);
+    GraphWorld world({.racks_ = 1, .per_rack_ = workers});
     world.RunFor(Duration(2000));
-    StepSpec step = MakeStep(1, 8, Duration(1000));
-    step.long_running_ = true;
-    world.Submit(2, {step}, {});
-    for (int i = 0; i < 6; ++i) {
-      world.RunFor(Duration(700'000));
-      world.Crash(0);
+    const std::uint64_t job = 2;
+    world.Submit(job, {MakeStep(1, 1, Duration(4000))}, {});
+    // The tasks take three quarters of the accelerators.
+    const auto tasks = static_cast<std::uint32_t>(workers * 6 / 4);
+    for (std::uint64_t i = 0; i < 120; ++i) {
+      world.Submit(100 + i, {MakeStep(tasks, 1, Duration(1000))}, {});
+      if (i == 4 || i == 14) world.Crash(WorkerOf(world, job));
+      world.RunFor(Duration(250));
     }
-    world.RunFor(Duration(5000));
-    CHECK_EQ(world.JobState(2), GraphJobState::kActive);
+    CHECK_EQ(world.JobState(job), GraphJobState::kCompleted);
   }
+}
+
+// Months of a service see more crashes of workers than a deadly task causes.
+TEST_CASE("a long-running task survives crashes that are far apart") {
+  GraphWorld world({.racks_ = 1, .per_rack_ = 1});
+  world.RunFor(Duration(2000));
+  StepSpec step = MakeStep(1, 8, Duration(1000));
+  step.long_running_ = true;
+  world.Submit(2, {step}, {});
+  for (int i = 0; i < 6; ++i) {
+    world.RunFor(Duration(700'000));
+    world.Crash(0);
+  }
+  world.RunFor(Duration(5000));
+  CHECK_EQ(world.JobState(2), GraphJobState::kActive);
+}
 
 }  // namespace
 }  // namespace flamingohollow::testing
--- a/flamingohollow/worker_crashes.cc
+++ b/flamingohollow/worker_crashes.cc
@@ -132,6 +132,9 @@
   std::erase_if(ledger.recent_, [&crashed](const RecentCrash& crash) {
     return crashed.restarted_ - crash.restarted_ > kMaxRestartTime;
   });
+  if (ledger.recent_.size() >= kMaxRecentCrashes) {
+    ledger.recent_.erase(ledger.recent_.begin());
+  }
   RecentCrash& added = ledger.recent_.emplace_back();
   added.pool_ = crashed.pool_;
   added.restarted_ = crashed.restarted_;
--- a/flamingohollow/worker_crashes.h
+++ b/flamingohollow/worker_crashes.h
@@ -71,6 +71,9 @@
 // nothing about the restart.
 inline constexpr Duration kMaxRestartTime = Duration(30 * 1000);
 
+// Crashes that are remembered at most, whatever the workers' clocks say.
+inline constexpr std::size_t kMaxRecentCrashes = 4096;
+
 struct CrashHistory {
   // Workers that crashed with the task on them.
   std::uint32_t crashes_ = 0;
