--- a/flamingohollow/testing/deadly_task_test.cc
+++ b/flamingohollow/testing/deadly_task_test.cc
@@ -263,6 +263,14 @@
   }
 }
 
+TEST_CASE("sound jobs are not given up in the waves of seed 22") {
+  const GraphWorld world = RunInWaves(22, 0);
+  for (std::uint64_t job = 1; job <= 12; ++job) {
+    CAPTURE(job);
+    CHECK_EQ(world.JobState(job), GraphJobState::kCompleted);
+  }
+}
+
 TEST_CASE("deadly jobs are given up in waves of crashes, sound ones are not") {
   constexpr std::uint64_t kDeadlyJobs = 4;
   for (std::uint64_t seed = 1; seed <= kWaveSeeds; ++seed) {
@@ -438,6 +446,76 @@
   }
 }
 
+// Runs jobs of which a share is deadly while failure domains, or other shares
+// of the workers, crash behind cuts.
+void RunThroughLosses(std::uint64_t seed) {
+  std::mt19937_64 random(seed);
+  const auto pick = [&random](int values) {
+    return static_cast<int>(random() % values);
+  };
+  GraphWorldOptions options{.seed_ = seed};
+  options.per_rack_ = 4 + 4 * pick(3);
+  options.racks_ = 4 + 2 * pick(3);
+  options.lost_ = pick(30);
+  options.late_ = pick(30);
+  options.answer_lost_ = pick(30);
+  options.down_ = Duration(500 + pick(4000));
+  options.renamed_ = pick(2) == 0;
+  GraphWorld world(options);
+  world.RunFor(Duration(2000));
+  const int deadly_percent = pick(7) * 10;
+  const int per_mille = 100 + 100 * pick(10);
+  const bool domains = pick(3) == 0;
+  const int waves = 2 + pick(5);
+  for (int job = 1; job <= world.workers() / 2; ++job) {
+    if (pick(100) < deadly_percent) {
+      world.SetDeadly(job, Duration(pick(4) * 1000));
+    }
+    const int kind = pick(3);
+    const Duration length(4000 + pick(14'000));
+    StepSpec step = MakeStep(kind == 0 ? 1 : 3, kind == 0 ? 8 : 4, length);
+    if (kind == 2) step = MakeGang(2 + pick(5), 8, length, false);
+    world.Submit(job, {step}, {});
+  }
+  for (int wave = 0; wave < waves; ++wave) {
+    world.RunFor(Duration(3000 + pick(12'000)));
+    const int domain = pick(options.racks_);
+    std::vector<int> cut;
+    for (int i = 0; i < world.workers(); ++i) {
+      const bool lost =
+          domains ? i / options.per_rack_ == domain : pick(1000) < per_mille;
+      if (lost) cut.push_back(i);
+    }
+    for (const int worker : cut) world.Disconnect(worker);
+    world.RunFor(Duration(2000));
+    for (const int worker : cut) world.Crash(worker);
+    if (pick(4) == 0) world.ChangeLeader();
+    world.RunFor(Duration(500 + pick(3000)));
+    for (const int worker : cut) world.Reconnect(worker);
+  }
+  world.EndFaults();
+  for (int i = 0; i < 12 && !world.AllEnded(); ++i) {
+    world.RunFor(Duration(20'000));
+  }
+  CHECK(world.AllEnded());
+  CHECK_EQ(Broken(world), "");
+}
+
+TEST_CASE("random losses of workers: no deadly task is started for ever") {
+  for (std::uint64_t seed = 1; seed <= 15; ++seed) {
+    CAPTURE(seed);
+    RunThroughLosses(seed);
+  }
+}
+
+TEST_CASE(
+    "losses of failure domains: seeds that start a deadly task too often") {
+  for (const std::uint64_t seed : {162, 165, 839}) {
+    CAPTURE(seed);
+    RunThroughLosses(seed);
+  }
+}
+
 // Returns the number of the worker on which the job's only task runs.
 int WorkerOf(const GraphWorld& world, std::uint64_t job) {
   const auto& occurrences = world.state().jobs_.at(MakeKey(job)).occurrences_;
