--- a/flamingohollow/graph_scheduler.h
+++ b/flamingohollow/graph_scheduler.h
@@ -246,8 +246,8 @@
   // Jobs with a proposed occurrence or removal that is not committed yet.
   std::set<GraphJobKey> due_proposed_;
   std::set<GraphJobKey> forget_proposed_;
-  // Since when tasks are to be given up unless they were in a wave of crashes
-  // (see worker_crashes.h), and when to look for them next.
+  // Since when this scheduler knows of the tasks that are to be given up unless
+  // they were in a wave of crashes (see Verdict), and when it looks for more.
   std::map<TaskRef, Time> verdicts_since_;
   Time next_verdicts_;
   // When the last series of waves of crashes was noticed, and its last crash.
--- a/flamingohollow/worker_crashes.h
+++ b/flamingohollow/worker_crashes.h
@@ -33,7 +33,8 @@
 // this many crashes.
 inline constexpr std::uint32_t kCrashesBeforeExtraStarts = 3;
 // A task is given up if its history has at least these numbers, for one of the
-// rules. The second and third hold where workers crash all the time.
+// rules. Where workers crash all the time, the second bounds its starts and the
+// third its crashes. The last is for a task that is not known to begin.
 struct GiveUpRule {
   std::uint32_t crashes_ = 0;
   std::uint32_t begun_ = 0;
@@ -57,10 +58,10 @@
 // The same, with those that are blamed on other jobs: a wave may hit workers
 // with one suspect each.
 inline constexpr std::size_t kBlamedWaveShareDivisor = 4;
-// How long after a crash it takes at most to learn of the others at about the
-// same time.
+// How long after a crash becomes known it takes at most to learn of the others
+// at about the same time.
 inline constexpr Duration kWaveReportTime = Duration(3000);
-// The same, after the restart of the worker.
+// The same after the worker's restart, for a leader that took over since.
 inline constexpr Duration kMaxWaveReportTime = Duration(8000);
 // A task with this many crashes is a strong suspect.
 inline constexpr std::uint32_t kCrashesOfStrongSuspect = 2;
