--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,4 +1,4 @@
-"""A machine crashes three times under a job that lasts."""
+"""A heartbeat of another writer arrives while tasks run."""
 
 import os
 import sys
@@ -9,61 +9,48 @@
 
 import deployment  # pylint: disable=wrong-import-position
 
-WORKERS = 8
-CRASHES = 3
-# How long a crashed worker is down, and how long it then works undisturbed.
-DOWN_S = 4.5
-CALM_S = 6
-LIMIT_S = 25
-LASTING_MS = 10_000_000
-
+standin = deployment.standin
 
-def lasting_job():
-  """Returns a job of one task for each worker, which last until cancelled."""
-  job = deployment.standin.job([WORKERS], ms=LASTING_MS)
-  job['phases'][0] |= {'long-running': True, 'anti-affinity': 1,
-                       'estimated-ms': 5000}
-  return job
+WORKERS = 8
+TASKS = 12
+TASK_MS = 12_000
+LIMIT_S = 40
 
 
-def wait_running(system, key, worker):
-  """Waits until the worker runs a task of the job, or the job has ended."""
-  end = time.monotonic() + LIMIT_S
-  while time.monotonic() < end:
-    with worker.lock:
-      if any(task.startswith(key) for task, _ in worker.runs):
-        return True
-    if system.state(key) not in ('pending', 'running'):
-      return False
-    time.sleep(0.5)
-  return False
+def foreign_heartbeat(worker):
+  """Returns a heartbeat at the worker's address whose service is not named in
+  the configuration. All its fields are there and have the right types."""
+  return {
+      'service': 'another-service',
+      'address': f'{worker.address}:{standin.WORKER_PORT}', 'zone': 'z',
+      'version': 'v1', 'slots': 8, 'state': 'ready', 'cold-left-ms': 0,
+      'capacity': {'cpu': 1000, 'mem-mb': 1000, 'gpus': 0},
+      'labels': ['z', 'r9'], 'server-time-ms': 1, 'seq': 1,
+      'born': int(time.time() * 1000)}
 
 
 def play_case(system):
   key = deployment.new_key()
-  if system.ask('POST', key, lasting_job())[0] != 200:
+  body = standin.job([TASKS], ms=TASK_MS)
+  if system.ask('POST', key, body)[0] != 200:
     raise AssertionError('the job was not accepted')
-  for worker in system.workers:
-    if not wait_running(system, key, worker):
-      raise AssertionError('the job did not start on each worker')
-  for _ in range(CRASHES):
-    worker = system.workers[0]
-    if not wait_running(system, key, worker):
-      break
-    time.sleep(CALM_S)
-    if deployment.with_trouble():
-      system.notes.add(f'{worker.name} crashes, and is down for {DOWN_S} s')
-      worker.go_down(DOWN_S)
-    else:
-      time.sleep(DOWN_S)
+  time.sleep(3)
+  busy = [worker for worker in system.workers if worker.runs]
+  if not busy:
+    raise AssertionError('no task has started')
+  if deployment.with_trouble():
+    worker = busy[0]
+    body = foreign_heartbeat(worker)
+    status, text = standin.call(system.controls[0], standin.HTTP_PORT, 'PUT',
+                                '/instances/other-1', body, timeout=1)
+    system.notes.add(f'another writer sends a heartbeat of a service that is '
+                     f'not in the configuration, at the address of '
+                     f'{worker.name}: {body} -> {status} {text}')
   end = time.monotonic() + LIMIT_S
-  while time.monotonic() < end:
-    state = system.state(key)
-    if state not in ('pending', 'running'):
-      return (f'the job is shown as {state}; none of its tasks has ended as '
-              'failed, and nobody has cancelled it')
+  while time.monotonic() < end and system.state(key) != 'completed':
     time.sleep(1)
-  return ''
+  violations = system.record.violations
+  return '; '.join(violations)
 
 
 if __name__ == '__main__':
