--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -10,6 +10,7 @@
 import os
 import random
 import shutil
+import signal
 import subprocess
 import sys
 import tempfile
@@ -244,6 +245,8 @@
   `play_case` gets the deployment, and returns how the rule was broken, or an
   empty text if it held.
   """
+  # A script that is told to end still ends what it started.
+  signal.signal(signal.SIGTERM, lambda *_: sys.exit(COULD_NOT_RUN))
   notes = Notes(folder)
   try:
     with tempfile.TemporaryDirectory() as data:
