Replace dead voters before their successors vote

Cause: a successor became a voter before the dead voter was removed. With two of five voters dead, six voters need four answers, so the promotion was refused, and no change was planned beside a learner. Both waited for each other until the next loss took the majority.

Fix: each further control node joins as a learner; a silent voter is removed once a learner is ready; the learner is then promoted, while voters are missing only. Removing first never raises the quorum above what answers. On related paths: standby nodes are tried in turn, so one that can't join doesn't keep out the others, and a voter that was removed while it was cut off can join again: its log names the leader's random id, so it is of the same group.

Evidence: the leader's log had one `voter change=add` and no `remove`.

--- a/flamingohollow/graph_control.cc
+++ b/flamingohollow/graph_control.cc
@@ -162,6 +162,7 @@
     options.founders_.push_back({NodeName(HostOf(seed)), seed});
   }
   SetVoterTiming(options);
+  options.raft_.wanted_voters_ = 2 * settings_.tolerated_losses_ + 1;
   return options;
 }
 
--- a/flamingohollow/graph_service.cc
+++ b/flamingohollow/graph_service.cc
@@ -374,7 +374,9 @@
                                   const Responder& respond) {
   const NodeAnnouncement& node = call.node_;
   if (!node.control_address_.empty()) {
-    leadership_->nodes_[node.name_] = {node.control_address_, Now()};
+    ControlNode& known = leadership_->nodes_[node.name_];
+    known.address_ = node.control_address_;
+    known.last_heard_ = Now();
   }
   GraphReply reply = Reply(GraphOutcome::kOk);
   for (const VoterStatus& voter : replica_->Status().voters_) {
@@ -385,13 +387,16 @@
 
 void GraphService::PlanMembers() {
   if (leadership_->changing_members_) return;
+  const ReplicaStatus status = replica_->Status();
   std::vector<PlannedMember> members;
-  for (const VoterStatus& voter : replica_->Status().voters_) {
-    members.push_back({voter.name_, voter.learner_});
+  for (const VoterStatus& voter : status.voters_) {
+    members.push_back({.name_ = voter.name_,
+                       .learner_ = voter.learner_,
+                       .caught_up_ = voter.match_ >= status.committed_,
+                       .answered_ = voter.answered_});
   }
-  const auto change =
-      PlanMembership(members, leadership_->nodes_, options_.name_,
-                     options_.voters_, leadership_->gained_at_, Now());
+  const auto change = PlanMembership(members, leadership_->nodes_,
+                                     options_.name_, options_.voters_, Now());
   if (!change.has_value()) return;
   leadership_->changing_members_ = true;
   const NodeName name =
@@ -405,8 +410,9 @@
     if (leadership_ != nullptr) leadership_->changing_members_ = false;
   };
   if (change->add_.has_value()) {
-    return replica_->AddVoter(name, leadership_->nodes_.at(name).address_,
-                              done);
+    ControlNode& node = leadership_->nodes_.at(name);
+    node.last_tried_ = Now();
+    return replica_->AddVoter(name, node.address_, done);
   }
   replica_->RemoveVoter(name, done);
 }
--- a/flamingohollow/membership_plan.h
+++ b/flamingohollow/membership_plan.h
@@ -1,13 +1,17 @@
 // Chooses which control nodes vote. The leader decides without an operator.
 //
 // PlanMembership is a pure function. To tolerate f failures, the group keeps
-// 2f + 1 voters. A standby node is added while voters are missing. A voter that
-// has been silent for kReplaceVoterAfter is replaced, but removed only once its
-// successor votes, so the group never has fewer voters than before.
+// 2f + 1 voters. Every other node that announces itself joins as a learner,
+// which holds the log and counts in no quorum. A voter that stops answering, or
+// announces that it stops, is removed once a learner is ready to take its
+// place, and the learner is then promoted (PromoteLearner in
+// raft_membership.cc). Without such a learner it stays, since it may return
+// with its log. docs/design/membership.md explains the order.
 
 #ifndef FLAMINGOHOLLOW_MEMBERSHIP_PLAN_H_
 #define FLAMINGOHOLLOW_MEMBERSHIP_PLAN_H_
 
+#include <cstddef>
 #include <map>
 #include <optional>
 #include <string>
@@ -18,21 +22,32 @@
 
 namespace flamingohollow {
 
-// A voter silent for this long is replaced if a standby node is available.
-// Longer than a restart or a usual partition, after which the voter returns
-// with its log.
+// A voter silent for this long is replaced if a learner is ready. A voter that
+// returns later joins as a learner again.
 inline constexpr Duration kReplaceVoterAfter = Duration(12000);
+// A learner silent for this long is removed.
+inline constexpr Duration kForgetLearnerAfter = Duration(12000);
+// A learner that is to replace a voter must have answered within this long.
+inline constexpr Duration kLearnerTimeout = Duration(750);
 // A standby node must have announced itself within this long.
 inline constexpr Duration kStandbyTimeout = Duration(2000);
 
+// A control node that has announced itself to this leader.
 struct ControlNode {
   std::string address_;
   Time last_heard_;
+  // When it was last to be added to the group.
+  Time last_tried_;
 };
 
 struct PlannedMember {
   NodeName name_;
   bool learner_ = false;
+  // It holds everything that is committed.
+  bool caught_up_ = false;
+  // When the leader sent the newest message that the member has answered, or
+  // began to lead.
+  Time answered_;
 };
 
 struct MembershipChange {
@@ -41,13 +56,10 @@
   std::optional<NodeName> remove_;
 };
 
-// `nodes` are all control nodes that ever announced themselves to this leader;
-// members that never did are treated as last heard at `led_since`, when this
-// node became leader.
 std::optional<MembershipChange> PlanMembership(
     const std::vector<PlannedMember>& members,
     const std::map<NodeName, ControlNode>& nodes, const NodeName& leader,
-    std::size_t wanted_voters, Time led_since, Time now);
+    std::size_t wanted_voters, Time now);
 
 }  // namespace flamingohollow
 
--- a/flamingohollow/peer_codec.cc
+++ b/flamingohollow/peer_codec.cc
@@ -223,7 +223,7 @@
   return {.nonce_ = in.getNonce(),
           .name_ = NodeName(Text(in.getName())),
           .address_ = Text(in.getAddress()),
-          .state_ = CheckedEnum(in.getState(), JoinState::kNonVoter),
+          .state_ = CheckedEnum(in.getState(), JoinState::kPeer),
           .pledge_ = in.getPledge()};
 }
 
--- a/flamingohollow/raft.h
+++ b/flamingohollow/raft.h
@@ -59,6 +59,9 @@
   Duration resend_timeout_ = Duration(300);
   // Timeout of `init`, and of waiting for the answer of an added voter.
   Duration contact_timeout_ = Duration(3000);
+  // Learners are promoted while there are fewer voters than this; 0 promotes
+  // all of them.
+  std::size_t wanted_voters_ = 0;
   std::size_t batch_bytes_ = std::size_t{256} * 1024;
   std::size_t batch_entries_ = 512;
   // Maximum number of unacknowledged batches per voter.
--- a/flamingohollow/raft_membership.cc
+++ b/flamingohollow/raft_membership.cc
@@ -34,31 +34,35 @@
             [](const Member& a, const Member& b) { return a.id_ < b.id_; });
 }
 
-JoinState OwnJoinState(const RaftState& state) {
+JoinState OwnJoinState(const RaftState& state, VoterId asker) {
   if (IsBlank(state)) return JoinState::kBlank;
   const bool only_founded =
       LastIndex(state.log_) == kFoundingIndex && state.commit_ == LogIndex();
   if (only_founded) return JoinState::kFounded;
-  return IsVoter(CurrentMembership(state.log_), state.id_)
-             ? JoinState::kFormed
-             : JoinState::kNonVoter;
+  const Membership& membership = CurrentMembership(state.log_);
+  if (!IsVoter(membership, state.id_)) return JoinState::kNonVoter;
+  return IsVoter(membership, asker) ? JoinState::kPeer : JoinState::kFormed;
 }
 
-ProbeReply DescribeSelf(const RaftState& state, std::uint64_t nonce) {
+ProbeReply DescribeSelf(const RaftState& state, VoterId asker,
+                        std::uint64_t nonce) {
   return {.nonce_ = nonce,
           .name_ = state.name_,
           .address_ = state.address_,
-          .state_ = OwnJoinState(state),
+          .state_ = OwnJoinState(state, asker),
           .pledge_ = state.hard_.pledge_};
 }
 
 // Whether a voter may join as a learner. A blank one may; so may one that
-// holds a log but counts in no quorum by it, such as a learner whose addition
-// an earlier leader could not commit: its folder still holds everything that it
-// acknowledged and every vote that it cast.
+// holds a log of this group but counts in none of its quorums, such as a
+// learner whose addition an earlier leader could not commit, or a voter that
+// was removed while it was partitioned: its folder still holds everything that
+// it acknowledged and every vote that it cast. VoterIds are random, so a log
+// that names this leader's is of this group.
 bool MayJoin(const ProbeReply& reply) {
   if (reply.state_ == JoinState::kBlank) return reply.pledge_ == 0;
-  return reply.state_ == JoinState::kNonVoter;
+  return reply.state_ == JoinState::kNonVoter ||
+         reply.state_ == JoinState::kPeer;
 }
 
 // Founding.
@@ -112,8 +116,8 @@
   if (formation.phase_ != FormationPhase::kProbe) return;
   const VoterAddress* founder = FindFounder(formation, reply.name_);
   if (founder == nullptr || formation.answered_.contains(reply.name_)) return;
-  if (reply.state_ == JoinState::kFormed ||
-      reply.state_ == JoinState::kNonVoter) {
+  if (reply.state_ != JoinState::kBlank &&
+      reply.state_ != JoinState::kFounded) {
     return FinishInit(
         ctx, false,
         "voter " + reply.name_.value() + " already belongs to a formed group");
@@ -346,7 +350,10 @@
 void PromoteLearner(StepContext ctx) {
   const RaftState& state = ctx.state_;
   if (state.role_ != Role::kLeader || ChangePending(state)) return;
-  for (const Member& member : CurrentMembership(state.log_)) {
+  const Membership& current = CurrentMembership(state.log_);
+  const std::size_t wanted = state.config_.wanted_voters_;
+  if (wanted > 0 && CountVoters(current) >= wanted) return;
+  for (const Member& member : current) {
     if (!member.learner_) continue;
     // The learner must have synced all committed entries: then the loss of any
     // one voter leaves them on a majority of the others.
@@ -355,7 +362,7 @@
     // The learner must be reachable: promoting an unreachable one only enlarges
     // the quorum.
     if (ctx.now_ - progress.answered_ > state.config_.heartbeat_ * 2) continue;
-    Membership changed = CurrentMembership(state.log_);
+    Membership changed = current;
     for (Member& other : changed) {
       if (other.id_ == member.id_) other.learner_ = false;
     }
@@ -401,7 +408,7 @@
     return FinishInit(ctx, false,
                       state.name_.value() + " is not among the voters");
   }
-  RecordFounder(ctx, state.id_, DescribeSelf(state, 0));
+  RecordFounder(ctx, state.id_, DescribeSelf(state, state.id_, 0));
   if (!state.formation_.has_value()) return;
   if (state.formation_->phase_ == FormationPhase::kProbe) SendFormation(ctx);
 }
@@ -430,7 +437,8 @@
 }
 
 void HandleProbe(StepContext ctx, const Message& message, const Probe& probe) {
-  Reply(ctx, message, DescribeSelf(ctx.state_, probe.nonce_), Delivery::kNow);
+  Reply(ctx, message, DescribeSelf(ctx.state_, message.from_, probe.nonce_),
+        Delivery::kNow);
 }
 
 void HandleProbeReply(StepContext ctx, const Message& message,
@@ -489,7 +497,8 @@
 }
 
 void ReplyWithActualIdentity(StepContext ctx, const Message& message) {
-  Reply(ctx, message, DescribeSelf(ctx.state_, 0), Delivery::kNow);
+  Reply(ctx, message, DescribeSelf(ctx.state_, message.from_, 0),
+        Delivery::kNow);
 }
 
 }  // namespace flamingohollow::raft_internal
--- a/flamingohollow/raft_message.h
+++ b/flamingohollow/raft_message.h
@@ -106,6 +106,10 @@
   kFormed = 2,
   // Holds a log in whose membership it is not a voter: a learner, or removed.
   kNonVoter = 3,
+  // Holds a log in whose membership it and the sender of the probe are voters.
+  // If it is not in the sender's membership, it was removed and has not learned
+  // of it.
+  kPeer = 4,
 };
 
 // Answers a Probe, and any message that was meant for another VoterId at this
--- a/flamingohollow/replica.cc
+++ b/flamingohollow/replica.cc
@@ -457,10 +457,12 @@
                       .name_ = member.name_,
                       .address_ = member.address_,
                       .learner_ = member.learner_,
-                      .match_ = {}};
+                      .match_ = {},
+                      .answered_ = {}};
     const auto progress = state_.progress_.find(member.id_);
     if (progress != state_.progress_.end()) {
       voter.match_ = progress->second.match_;
+      voter.answered_ = progress->second.answered_;
     }
     status.voters_.push_back(std::move(voter));
   }
--- a/flamingohollow/testing/raft_rules_test.cc
+++ b/flamingohollow/testing/raft_rules_test.cc
@@ -285,6 +285,57 @@
   CHECK(member->learner_);
 }
 
+// Guards against a voter that was removed while it was partitioned and then can
+// never return, so that the group misses a machine for ever.
+TEST_CASE("a removed voter that has not learned of it can join again") {
+  OneVoter removed;
+  removed.Start({});
+  Message probe;
+  probe.from_ = VoterId(2);
+  probe.body_ = Probe{.nonce_ = 5};
+  const Actions actions = Step(&removed.state_, probe, removed.now_);
+  REQUIRE(actions.send_.size() == 1);
+  const auto reply = std::get<ProbeReply>(actions.send_[0].body_);
+  CHECK(reply.state_ == JoinState::kPeer);
+  // A voter of another group does not join.
+  probe.from_ = VoterId(77);
+  const Actions foreign = Step(&removed.state_, probe, removed.now_);
+  CHECK(std::get<ProbeReply>(foreign.send_.at(0).body_).state_ ==
+        JoinState::kFormed);
+  for (const bool same_group : {true, false}) {
+    OneVoter leader;
+    leader.Lead();
+    leader.CommitOpening();
+    leader.Give(AddVoterEvent{{NodeName("4"), "4"}});
+    ProbeReply answer = reply;
+    answer.name_ = NodeName("4");
+    answer.state_ = same_group ? JoinState::kPeer : JoinState::kFormed;
+    answer.nonce_ = leader.state_.joining_->nonce_;
+    leader.Receive(answer, 4, Term());
+    const Member* member =
+        FindMember(CurrentMembership(leader.state_.log_), VoterId(4));
+    CHECK((member != nullptr) == same_group);
+  }
+}
+
+TEST_CASE("learners are promoted only while voters are missing") {
+  for (const std::size_t wanted : {3, 4}) {
+    OneVoter voter;
+    voter.Lead();
+    voter.CommitOpening();
+    voter.state_.config_.wanted_voters_ = wanted;
+    voter.Give(AddVoterEvent{{NodeName("4"), "4"}});
+    ProbeReply reply;
+    reply.name_ = NodeName("4");
+    reply.nonce_ = voter.state_.joining_->nonce_;
+    voter.Receive(reply, 4, Term());
+    voter.Acknowledge(1, 4, voter.now_);
+    voter.Acknowledge(2, 4, voter.now_);
+    voter.Acknowledge(4, 4, voter.now_);
+    CHECK(CountVoters(CurrentMembership(voter.state_.log_)) == wanted);
+  }
+}
+
 TEST_CASE("a blank voter pledges to one founding and appends only that") {
   OneVoter blank(true);
   const auto accepts = [&blank](bool append, const Membership& membership) {
