--- a/flamingohollow/graph_service.cc
+++ b/flamingohollow/graph_service.cc
@@ -244,6 +244,13 @@
 
 void GraphService::HandleReport(const GraphCall& call,
                                 const Responder& respond) {
+  // The worker at its address would be taken for gone.
+  if (!IsPoolInUse(state_, call.report_.pool_)) {
+    LogEvent("report_of_unknown_pool", {{"worker", call.report_.id_.value()},
+                                        {"pool", call.report_.pool_.value()}});
+    return respond(
+        Reply(GraphOutcome::kInvalid, "no pool " + call.report_.pool_.value()));
+  }
   // It would outrank all reports of the worker and of its next processes.
   const Time started(call.report_.incarnation_.value());
   if (started > clocks_.wall_() + kMaxClockError) {
--- a/flamingohollow/graph_state.cc
+++ b/flamingohollow/graph_state.cc
@@ -447,6 +447,16 @@
   return listed == report;
 }
 
+bool IsPoolInUse(const GraphState& state, const PoolName& pool) {
+  if (state.catalog_.version_ == CatalogVersion()) return true;
+  if (FindPool(state.catalog_, pool) != nullptr) return true;
+  return std::any_of(
+      state.jobs_.begin(), state.jobs_.end(), [&pool](const auto& item) {
+        const GraphJob& job = item.second;
+        return job.state_ == GraphJobState::kActive && job.terms_.pool_ == pool;
+      });
+}
+
 const StepRecord* FindStep(const GraphJob& job, Occurrence occurrence,
                            StepIndex step) {
   const auto found = job.occurrences_.find(occurrence);
--- a/flamingohollow/testing/graph_service_test.cc
+++ b/flamingohollow/testing/graph_service_test.cc
@@ -102,6 +102,37 @@
            call.report_.incarnation_);
 }
 
+// Guards against a heartbeat of a service that no catalog names, at the address
+// of a worker: its tasks were taken for lost and ran twice.
+TEST_CASE("a report of an unknown pool does not replace the worker") {
+  Leader leader;
+  leader.replica_.completes_immediately_ = true;
+  leader.Report(false);
+  GraphCall put;
+  put.kind_ = GraphCallKind::kPutCatalog;
+  put.catalog_.version_ = CatalogVersion(1);
+  put.catalog_.pools_.push_back({.name_ = MakeReport("w", "r").pool_});
+  REQUIRE_EQ(leader.Send(put), GraphOutcome::kOk);
+  GraphCall call;
+  call.kind_ = GraphCallKind::kReport;
+  call.report_ = MakeReport("w", "r");
+  call.report_.incarnation_ = WorkerIncarnation(2);
+  call.report_.pool_ = PoolName("not-configured");
+  SUBCASE("under its id") {}
+  SUBCASE("at its address") { call.report_.id_ = WorkerId("v"); }
+  CHECK_EQ(leader.Send(call), GraphOutcome::kInvalid);
+  const auto& workers = leader.service_.state().workers_;
+  REQUIRE_EQ(workers.size(), 1);
+  CHECK_EQ(workers.at(WorkerId("w")).incarnation_, WorkerIncarnation(1));
+  // A job that was accepted before its pool was removed still needs workers.
+  SubmitRecord submit;
+  submit.key_ = MakeKey(1);
+  submit.terms_.pool_ = call.report_.pool_;
+  submit.spec_.steps_ = {MakeStep(1, 1, Duration(1000))};
+  leader.service_.ApplyCommitted(LogIndex(100), Pack(GraphRecord{submit}));
+  CHECK_EQ(leader.Send(call), GraphOutcome::kOk);
+}
+
 TEST_CASE("a report without changes is acknowledged at once") {
   Leader leader;
   leader.Report(false);
