Count only crashes under tasks that had begun

Cause: what was inferred counted as evidence that a task crashes its workers. Whether it had begun was recorded only for suspects and assumed for the others; a start without an answer into a cut or a dead process counted as begun, and so did one whose reused connection broke off.

Fix: the leader records which attempts run on a worker before the record that shows its crash or takes them for lost. In a wave, only these count as begun. A start that broke off is evidence only on a connection opened for it, if the worker answers nothing afterwards. Starts that end without a crash don't end a task by themselves. Suspects wait until the next wave of a series would be known.

--- a/flamingohollow/fleet.h
+++ b/flamingohollow/fleet.h
@@ -78,8 +78,9 @@
   bool command_in_flight_ = false;
   // A start command was not answered, so it may still be carried out.
   bool start_unanswered_ = false;
-  // The connection ended after the start command was sent, on a worker that had
-  // answered until then: the task may have crashed it.
+  // The start command was sent on a new connection, which ended without an
+  // answer, and the worker has answered nothing since: the task may have
+  // crashed it.
   bool start_broke_off_ = false;
   // Commands sent in this phase.
   std::uint32_t commands_sent_ = 0;
--- a/flamingohollow/graph_placement.h
+++ b/flamingohollow/graph_placement.h
@@ -84,6 +84,8 @@
   bool avoid_suspects_ = true;
   // Whether strong suspects (see worker_crashes.h) are not placed for now.
   bool hold_strong_suspects_ = false;
+  // The same, of those that may be started only a few times more.
+  bool hold_limited_suspects_ = false;
   // Units considered in one pass.
   std::size_t max_units_ = 2000;
 };
--- a/flamingohollow/graph_placement_units.cc
+++ b/flamingohollow/graph_placement_units.cc
@@ -144,9 +144,13 @@
   return crashes + unresolved->second.size() >= kCrashesToAwait;
 }
 
-bool IsHeld(const JobUnits& out, Suspicion suspicion) {
-  return suspicion == Suspicion::kStrong &&
-         out.pass_.options_.hold_strong_suspects_;
+// Whether the task waits until workers don't crash in waves any more.
+bool IsHeld(const JobUnits& out, const TaskRef& task) {
+  const CrashLedger& ledger = out.pass_.state_.crashes_;
+  const GraphPlacementOptions& options = out.pass_.options_;
+  if (SuspicionOf(ledger, task) != Suspicion::kStrong) return false;
+  return HasFewStartsLeft(ledger, task) ? options.hold_limited_suspects_
+                                        : options.hold_strong_suspects_;
 }
 
 // A gang is as suspect as the most suspect of its members.
@@ -155,12 +159,11 @@
   if (step.open_ > 0) return;
   for (std::uint32_t i = 0; i < step.tasks_.size(); ++i) {
     task.index_ = TaskIndex(i);
-    if (AwaitsVerdict(out, task, step.tasks_[i])) return;
+    if (AwaitsVerdict(out, task, step.tasks_[i]) || IsHeld(out, task)) return;
     unit.suspicion_ =
         std::max(unit.suspicion_, SuspicionOf(out.pass_.state_.crashes_, task));
     unit.tasks_.emplace_back(i);
   }
-  if (IsHeld(out, unit.suspicion_)) return;
   unit.first_suspect_ = true;
   out.units_.push_back(std::move(unit));
 }
@@ -180,7 +183,7 @@
     task.index_ = TaskIndex(i);
     if (AwaitsVerdict(out, task, step.tasks_[i])) continue;
     const Suspicion suspicion = SuspicionOf(out.pass_.state_.crashes_, task);
-    if (IsHeld(out, suspicion)) continue;
+    if (IsHeld(out, task)) continue;
     if (suspicion == Suspicion::kStrong) {
       Unit& alone = out.units_.emplace_back(base);
       alone.suspicion_ = suspicion;
--- a/flamingohollow/graph_scheduler.cc
+++ b/flamingohollow/graph_scheduler.cc
@@ -374,8 +374,10 @@
 }
 
 // Strong suspects start again when their crashes can't be taken for a part of
-// the wave, or when waves have gone on for this long.
+// the wave, or when waves have gone on for this long; those that may be started
+// only a few times more wait longer, as they would be given up.
 constexpr Duration kMaxWaitForCalm = Duration(20'000);
+constexpr Duration kMaxWaitOfLimited = Duration(30'000);
 
 // Stops urgent work on workers that stand still or are far too slow, so that
 // the next pass starts it elsewhere.
@@ -416,9 +418,10 @@
   const ResourcesByPool need = UrgentNeed(ctx.state_);
   RecordNeed(demands, need, ctx.now_);
   GraphPlacementOptions options = ctx.scheduler_.options_.placement_;
-  options.hold_strong_suspects_ =
-      AwaitsCalm(ctx.scheduler_, ctx.now_) &&
-      ctx.now_ - ctx.scheduler_.waves_began_ < kMaxWaitForCalm;
+  const Duration waves = ctx.now_ - ctx.scheduler_.waves_began_;
+  const bool awaits_calm = AwaitsCalm(ctx.scheduler_, ctx.now_);
+  options.hold_strong_suspects_ = awaits_calm && waves < kMaxWaitForCalm;
+  options.hold_limited_suspects_ = awaits_calm && waves < kMaxWaitOfLimited;
   const PlacementPlan plan =
       PlanPlacement(ctx.state_, ctx.scheduler_.fleet_, options, since, ctx.now_,
                     RoomToKeep(demands, need, ctx.now_));
@@ -430,9 +433,16 @@
 
 }  // namespace
 
+// The next wave of a series is known this long after its time.
+constexpr Duration kLateWave = Duration(1500);
+// Suspects wait at most this long after a wave.
+constexpr Duration kMaxCalm = Duration(10'500);
+
 bool AwaitsCalm(const Scheduler& scheduler, Time now) {
+  const Duration calm =
+      std::clamp(scheduler.wave_interval_ + kLateWave, kMaxWaveTime, kMaxCalm);
   return scheduler.last_in_wave_ != Time() &&
-         now - scheduler.last_in_wave_ <= kMaxWaveTime;
+         now - scheduler.last_in_wave_ <= calm;
 }
 
 void On(Context& ctx, const SchedulerTick& tick) {
--- a/flamingohollow/graph_scheduler.h
+++ b/flamingohollow/graph_scheduler.h
@@ -85,6 +85,9 @@
   Checkpoint checkpoint_;
   // End of the lease on the worker's clock.
   std::int64_t lease_until_ms_ = 0;
+  // To be sent on a connection of its own, so that its end tells that the
+  // worker was alive when it got the command.
+  bool new_connection_ = false;
 };
 
 struct StopCommand {
@@ -132,8 +135,8 @@
   std::int64_t clock_ms_ = 0;
   // The worker's reason for a refusal, for the log.
   std::string reason_;
-  // With kNoAnswer: the command was sent, and the connection ended before the
-  // time for the answer was over.
+  // With kNoAnswer: the command was sent on a connection opened for it, and the
+  // connection ended before the time for the answer was over.
   bool broke_off_ = false;
 };
 
@@ -253,6 +256,8 @@
   // When the last series of waves of crashes was noticed, and its last crash.
   Time waves_began_;
   Time last_in_wave_;
+  // Time between the last two waves of a series; 0 if there was one wave only.
+  Duration wave_interval_;
   Time wall_time_;
 };
 
--- a/flamingohollow/graph_scheduler_commands.cc
+++ b/flamingohollow/graph_scheduler_commands.cc
@@ -18,6 +18,22 @@
                   RemainingStay(worker, ctx.now_) + options.start_lease_);
 }
 
+// Whether the task has crashes, or attempts of its job were lost on workers
+// that may turn out to have crashed.
+bool MayCrashWorker(const Context& ctx, const TaskRef& task) {
+  if (SuspicionOf(ctx.state_.crashes_, task) != Suspicion::kNone) return true;
+  const JobTrace* trace = FindTrace(ctx, task.job_);
+  return trace != nullptr && trace->lost_ > 0;
+}
+
+// Whether the attempt has begun and is not known to have ended. What was only
+// sent, or was stopped, is no evidence that the worker crashed under it.
+bool IsKnownToRun(const Run& run) {
+  if (run.end_proposed_) return false;
+  return run.start_broke_off_ ||
+         (run.began_.has_value() && run.phase_ != RunPhase::kStopped);
+}
+
 }  // namespace
 
 CommandTarget TargetOf(const Context& ctx, const FleetWorker& worker) {
@@ -114,6 +130,7 @@
                            {"life", worker.report_.incarnation_.value()},
                            {"runs", lost.size()},
                            {"why", why}});
+  ProposeRunning(ctx, worker);
   ProposeEnds(ctx, worker, lost, AttemptEnd::kLost);
 }
 
@@ -134,6 +151,7 @@
                  : step->tasks_[attempt.task_.index_.value()].checkpoint_;
   command.lease_until_ms_ =
       GrantLease(worker, ctx.scheduler_.options_.start_lease_, ctx.now_);
+  command.new_connection_ = MayCrashWorker(ctx, attempt.task_);
   run.command_in_flight_ = true;
   run.last_command_at_ = ctx.now_;
   ++run.commands_sent_;
@@ -169,8 +187,7 @@
   if (!ctx.state_.crashes_.accused_.contains(id)) return;
   ConfirmedRecord record{id, {}};
   for (const auto& [attempt, run] : worker.runs_) {
-    const bool began = run.phase_ == RunPhase::kRunning || run.start_broke_off_;
-    if (!began || run.end_proposed_) continue;
+    if (!IsKnownToRun(run)) continue;
     if (AwaitsConfirmation(ctx.state_.crashes_, attempt, id)) {
       record.attempts_.push_back(attempt);
     }
@@ -178,6 +195,14 @@
   if (!record.attempts_.empty()) Propose(ctx, std::move(record));
 }
 
+void ProposeRunning(Context& ctx, const FleetWorker& worker) {
+  ConfirmedRecord record{worker.report_.id_, {}};
+  for (const auto& [attempt, run] : worker.runs_) {
+    if (IsKnownToRun(run)) record.attempts_.push_back(attempt);
+  }
+  if (!record.attempts_.empty()) Propose(ctx, std::move(record));
+}
+
 void SendPoll(Context& ctx, FleetWorker& worker) {
   const SchedulerOptions& options = ctx.scheduler_.options_;
   PollCommand command;
--- a/flamingohollow/graph_scheduler_records.cc
+++ b/flamingohollow/graph_scheduler_records.cc
@@ -159,12 +159,21 @@
   }
 }
 
+// Waves are of one series if they are this far apart. Crashes that are closer
+// are of one wave.
+constexpr Duration kMinWaveInterval = Duration(3000);
+constexpr Duration kMaxWaveInterval = Duration(15'000);
+
 void NoteWave(Context& ctx, Time restarted) {
   Scheduler& scheduler = ctx.scheduler_;
   // The worker's clock may be ahead.
   const Duration age = std::max(scheduler.wall_time_ - restarted, Duration());
   const Time crashed = ctx.now_ - age;
   if (!AwaitsCalm(scheduler, ctx.now_)) scheduler.waves_began_ = ctx.now_;
+  const Duration apart = crashed - scheduler.last_in_wave_;
+  if (apart >= kMinWaveInterval) {
+    scheduler.wave_interval_ = apart <= kMaxWaveInterval ? apart : Duration();
+  }
   scheduler.last_in_wave_ = std::max(scheduler.last_in_wave_, crashed);
 }
 
--- a/flamingohollow/graph_scheduler_step.h
+++ b/flamingohollow/graph_scheduler_step.h
@@ -65,6 +65,9 @@
 // Records which of the worker's accused attempts are known to have begun (see
 // worker_crashes.h).
 void ProposeConfirmed(Context& ctx, const FleetWorker& worker);
+// Records which of the worker's attempts were running there as far as is known,
+// before a record shows that the worker crashed or that they are lost.
+void ProposeRunning(Context& ctx, const FleetWorker& worker);
 
 // graph_scheduler_workers.cc
 
--- a/flamingohollow/graph_scheduler_workers.cc
+++ b/flamingohollow/graph_scheduler_workers.cc
@@ -14,20 +14,24 @@
 // Answers of a worker may arrive out of order by about the duration of a call.
 constexpr Duration kAnswerReorderBound = Duration(1500);
 
+// Returns the worker whose address a newer process reports from, which is
+// therefore gone; null if there is none.
+FleetWorker* FindReplaced(const Context& ctx, const PoolWorkerReport& report) {
+  const auto holder = ctx.scheduler_.addresses_.find(report.address_);
+  if (holder == ctx.scheduler_.addresses_.end()) return nullptr;
+  if (holder->second == report.id_) return nullptr;
+  const auto found = ctx.scheduler_.fleet_.find(holder->second);
+  const bool replaced = found != ctx.scheduler_.fleet_.end() &&
+                        found->second.report_.address_ == report.address_;
+  return replaced ? &found->second : nullptr;
+}
+
 void AssignAddress(Context& ctx, const PoolWorkerReport& report) {
-  WorkerId& holder = ctx.scheduler_.addresses_[report.address_];
-  if (holder != report.id_ && holder != WorkerId()) {
-    const auto found = ctx.scheduler_.fleet_.find(holder);
-    const bool replaced = found != ctx.scheduler_.fleet_.end() &&
-                          found->second.report_.address_ == report.address_;
-    // A newer process reports from this address: the previous worker is gone.
-    if (replaced) {
-      found->second.reported_ = false;
-      ProposeLostRuns(ctx, found->second,
-                      "another worker started at its address");
-    }
+  if (FleetWorker* replaced = FindReplaced(ctx, report)) {
+    replaced->reported_ = false;
+    ProposeLostRuns(ctx, *replaced, "another worker started at its address");
   }
-  holder = report.id_;
+  ctx.scheduler_.addresses_[report.address_] = report.id_;
 }
 
 // Whether the report is a delayed one of a process whose address is now used by
@@ -52,6 +56,7 @@
   LogEvent("worker_restarted", {{"worker", report.id_.value()},
                                 {"life", report.incarnation_.value()},
                                 {"runs", worker.runs_.size()}});
+  ProposeRunning(ctx, worker);
   FleetWorker fresh;
   fresh.runs_ = std::move(worker.runs_);
   fresh.used_ = worker.used_;
@@ -102,7 +107,11 @@
   }
   const bool first = !worker.reported_;
   // Proposed again with each report until it is in the log.
-  if (!IsListed(ctx.state_, report)) Propose(ctx, WorkerRecord{{report}, {}});
+  if (!IsListed(ctx.state_, report)) {
+    const FleetWorker* replaced = FindReplaced(ctx, report);
+    if (replaced != nullptr) ProposeRunning(ctx, *replaced);
+    Propose(ctx, WorkerRecord{{report}, {}});
+  }
   if (worker.reported_ && worker.report_.capacity_ != report.capacity_) {
     ctx.scheduler_.placement_due_ = true;
     LogEvent("worker_capacity",
@@ -150,9 +159,14 @@
 void RecordAnswer(Context& ctx, FleetWorker& worker, CommandOutcome outcome) {
   if (outcome == CommandOutcome::kNotSent) return;
   if (outcome == CommandOutcome::kNoAnswer) {
-    ++worker.unanswered_calls_;
+    // A second call without an answer shows that not only the connection ended.
+    if (++worker.unanswered_calls_ > 1) ProposeConfirmed(ctx, worker);
     return;
   }
+  if (outcome != CommandOutcome::kOtherWorker &&
+      outcome != CommandOutcome::kOtherIncarnation) {
+    for (auto& [attempt, run] : worker.runs_) run.start_broke_off_ = false;
+  }
   if (worker.unanswered_calls_ >= kMaxUnansweredCalls)
     ctx.scheduler_.placement_due_ = true;
   worker.unanswered_calls_ = 0;
@@ -200,9 +214,9 @@
   FleetWorker* worker =
       FindIncarnation(ctx, result.worker_, result.incarnation_);
   if (worker == nullptr) return {};
-  RecordAnswer(ctx, *worker, result.outcome_);
   const CommandOutcome outcome =
       OutcomeByClock(*worker, result.outcome_, result.clock_ms_);
+  RecordAnswer(ctx, *worker, outcome);
   Run* run = FindRun(*worker, result.attempt_);
   const bool awaited = run != nullptr && run->phase_ == phase;
   // Also if a later incarnation seems to have answered: if it was this one
@@ -240,11 +254,7 @@
     case CommandOutcome::kNoAnswer:
       run->start_unanswered_ = true;
       worker->unanswered_starts_[result.attempt_] = run->last_command_at_;
-      // Otherwise an earlier call had shown that the worker is gone.
-      if (result.broke_off_ && worker->unanswered_calls_ == 1) {
-        run->start_broke_off_ = true;
-        ProposeConfirmed(ctx, *worker);
-      }
+      run->start_broke_off_ = run->start_broke_off_ || result.broke_off_;
       return;
     case CommandOutcome::kNotSent:
       // Sent again after `resend_interval_`, which does not count as a resend.
--- a/flamingohollow/graph_state.cc
+++ b/flamingohollow/graph_state.cc
@@ -368,8 +368,9 @@
 enum class SnapshotPart : std::uint32_t {
   kEvacuations = 1,
   kWorkerSpeeds = 2,
-  // Part 3 was a ledger that listed a gang as one task.
-  kCrashes = 4,
+  // Parts 3 and 4 were earlier ledgers: one listed a gang as one task, the
+  // other did not tell what had begun.
+  kCrashes = 5,
 };
 
 using SnapshotParts = std::map<std::uint32_t, std::string>;
--- a/flamingohollow/http_client.cc
+++ b/flamingohollow/http_client.cc
@@ -108,7 +108,7 @@
   void StartRequest(AddressPool& pool, ClientRequest request);
   bool CanStart(const AddressPool& pool) const;
   bool HasConnection(const AddressPool& pool) const;
-  ConnectionPtr TakeConnection(AddressPool& pool);
+  ConnectionPtr TakeConnection(AddressPool& pool, bool new_connection);
   void CloseIdle(IdleList::iterator idle);
   void ReturnConnection(const std::string& address, ConnectionPtr connection,
                         bool reusable);
@@ -157,6 +157,7 @@
   const std::string address = request.post_.address_;
   HttpResult result;
   bool reusable = false;
+  const bool reused = connection->connected_;
   const auto expired = [&request] {
     return MonotonicNow() >= request.deadline_;
   };
@@ -167,7 +168,7 @@
   } else {
     connection->stream_.expires_after(Ms(request.deadline_ - MonotonicNow()));
   }
-  if (result.error_ == HttpClientError::kNone && !connection->connected_) {
+  if (result.error_ == HttpClientError::kNone && !reused) {
     result.error_ = co_await Connect(*connection, address);
     const bool connected = result.error_ == HttpClientError::kNone;
     if (connected && expired()) result.error_ = HttpClientError::kOverloaded;
@@ -185,7 +186,7 @@
       const auto [read_error, bytes] = co_await http::async_read(
           connection->stream_, connection->buffer_, parser, kUseTuple);
       error = read_error;
-      result.broke_off_ = read_error && !expired();
+      result.broke_off_ = read_error && !reused && !expired();
     }
     if (!error) {
       result.error_ = HttpClientError::kNone;
@@ -217,12 +218,15 @@
 }
 
 // The caller has checked HasConnection.
-ConnectionPtr HttpClientState::TakeConnection(AddressPool& pool) {
+ConnectionPtr HttpClientState::TakeConnection(AddressPool& pool,
+                                              bool new_connection) {
   const Time now = MonotonicNow();
   while (!pool.idle_.empty()) {
     const IdleList::iterator newest = pool.idle_.back();
-    if (now - newest->since_ >= options_.max_idle_) {
+    // Closing one keeps the address within its limit.
+    if (new_connection || now - newest->since_ >= options_.max_idle_) {
       CloseIdle(newest);
+      if (new_connection) break;
       continue;
     }
     ConnectionPtr connection = std::move(newest->connection_);
@@ -240,7 +244,8 @@
 
 void HttpClientState::StartRequest(AddressPool& pool, ClientRequest request) {
   ++pool.busy_;
-  ConnectionPtr connection = TakeConnection(pool);
+  ConnectionPtr connection =
+      TakeConnection(pool, request.post_.new_connection_);
   asio::co_spawn(
       loop_,
       [state = shared_from_this(), request = std::move(request),
--- a/flamingohollow/http_client.h
+++ b/flamingohollow/http_client.h
@@ -50,8 +50,9 @@
   // Set when `error_` is kNone.
   unsigned status_ = 0;
   std::string body_;
-  // With kNoAnswer: the whole request was sent, and the connection ended before
-  // the time was over.
+  // With kNoAnswer: the whole request was sent on a connection opened for it,
+  // and the connection ended before the time was over. So the peer was alive
+  // when the request was sent, which a reused connection does not show.
   bool broke_off_ = false;
 };
 
@@ -66,6 +67,8 @@
   // Further headers; names and values.
   std::vector<std::pair<std::string, std::string>> headers_;
   Duration timeout_ = Duration(2000);
+  // Opens a connection for this request; see HttpResult::broke_off_.
+  bool new_connection_ = false;
 };
 
 struct HttpClientState;
--- a/flamingohollow/testing/graph_scheduler_test.cc
+++ b/flamingohollow/testing/graph_scheduler_test.cc
@@ -441,6 +441,39 @@
   CHECK(again->attempt_ == start->attempt_);
 }
 
+// Guards against sound jobs that were given up because a connection ended that
+// had nothing to do with them.
+TEST_CASE("a start that broke off is evidence only if the worker is gone") {
+  OneWorker world;
+  world.RunOneTask();
+  world.Apply(MakeSubmit(2, {MakeStep(1, 1, Duration(9000))}, {}));
+  const auto first = world.Next<StartCommand>();
+  world.Feed(StartResult{WorkerId("w"), WorkerIncarnation(1), first->attempt_,
+                         CommandOutcome::kDone, 901'000, ""});
+  world.Report(2, 500);
+  world.Feed(StopResult{WorkerId("w"), WorkerIncarnation(2), first->attempt_,
+                        CommandOutcome::kDone, 600});
+  world.Answer(*world.Next<PollCommand>(), CommandOutcome::kDone, 700);
+  const auto start = world.Next<StartCommand>(200);
+  REQUIRE(start.has_value());
+  CHECK_FALSE(first->new_connection_);
+  CHECK(start->new_connection_);
+  world.Feed(StartResult{WorkerId("w"), WorkerIncarnation(2), start->attempt_,
+                         CommandOutcome::kNoAnswer, 0, "", true});
+  bool gone = false;
+  SUBCASE("it answers") {}
+  SUBCASE("it does not answer") { gone = true; }
+  const auto poll = world.Next<PollCommand>();
+  REQUIRE(poll.has_value());
+  world.Answer(*poll, gone ? CommandOutcome::kNoAnswer : CommandOutcome::kDone,
+               gone ? 0 : 5000);
+  world.Report(3, 100);
+  const CrashHistory& history =
+      world.state_.crashes_.histories_.at(start->attempt_.task_);
+  CHECK_EQ(history.crashes_, 2);
+  CHECK_EQ(history.blamed_, gone ? 1 : 0);
+}
+
 TEST_CASE("a report at the address of a worker that answers ends no task") {
   OneWorker world;
   world.RunOneTask();
--- a/flamingohollow/testing/graph_world.cc
+++ b/flamingohollow/testing/graph_world.cc
@@ -391,7 +391,7 @@
   if (deadly->second == Duration()) {
     CrashBy(worker);
     result.outcome_ = CommandOutcome::kNoAnswer;
-    result.broke_off_ = true;
+    result.broke_off_ = command.new_connection_;
     return;
   }
   At(now_ + deadly->second, [this, &worker, attempt = command.attempt_] {
--- a/flamingohollow/testing/http_server_test.cc
+++ b/flamingohollow/testing/http_server_test.cc
@@ -300,5 +300,27 @@
   CHECK_FALSE(refused.broke_off_);
 }
 
+// The peer may have been gone long before the request was sent.
+TEST_CASE("the end of a reused connection is not told as broken off") {
+  IoThreads threads(1);
+  HttpClient client({}, threads, 0);
+  for (const bool new_connection : {false, true}) {
+    CAPTURE(new_connection);
+    HttpPost post;
+    {
+      const Fixture fixture;
+      post = MakePost(fixture.server_->port(), "/", "hi");
+      REQUIRE(Send(client, post).get().body_ == "hi");
+      REQUIRE(client.open_connections() == 1);
+    }
+    post.new_connection_ = new_connection;
+    const HttpResult result = Send(client, post).get();
+    CHECK(result.error_ == (new_connection ? HttpClientError::kConnectFailed
+                                           : HttpClientError::kNoAnswer));
+    CHECK_FALSE(result.broke_off_);
+    CHECK(client.open_connections() == 0);
+  }
+}
+
 }  // namespace
 }  // namespace flamingohollow
--- a/flamingohollow/worker_crashes.cc
+++ b/flamingohollow/worker_crashes.cc
@@ -13,12 +13,15 @@
                               const AttemptRef& attempt,
                               const WorkerId& worker) {
   AttemptOnWorker described{attempt, false, false, Time()};
+  const auto begun = ledger.begun_.find(worker);
+  described.confirmed_ =
+      begun != ledger.begun_.end() && begun->second.contains(attempt);
   const auto here = ledger.accused_.find(worker);
   if (here == ledger.accused_.end()) return described;
   const auto found = here->second.find(attempt.task_);
   if (found == here->second.end()) return described;
   described.accused_ = true;
-  described.confirmed_ = found->second;
+  described.confirmed_ = described.confirmed_ || found->second;
   return described;
 }
 
@@ -155,11 +158,7 @@
 
 void NoteOpened(CrashLedger& ledger, const TaskRef& task,
                 const WorkerId& worker) {
-  const auto history = ledger.histories_.find(task);
-  const bool suspect = history != ledger.histories_.end();
-  if (suspect && history->second.crashes_ >= kCrashesBeforeExtraStarts) {
-    ++history->second.extra_starts_;
-  }
+  const bool suspect = ledger.histories_.contains(task);
   if (suspect || ledger.accused_.contains(worker)) {
     ledger.accused_[worker].emplace(task, false);
   }
@@ -167,7 +166,10 @@
 
 void NoteConfirmed(CrashLedger& ledger, const AttemptRef& attempt,
                    const WorkerId& worker) {
-  if (!AwaitsConfirmation(ledger, attempt, worker)) return;
+  if (!AwaitsConfirmation(ledger, attempt, worker)) {
+    ledger.begun_[worker].insert(attempt);
+    return;
+  }
   auto& accused = ledger.accused_.at(worker);
   if (SuspicionOf(ledger, attempt.task_) == Suspicion::kStrong) {
     std::erase_if(accused, [&attempt](const auto& other) {
@@ -175,6 +177,10 @@
     });
   }
   accused[attempt.task_] = true;
+  const auto history = ledger.histories_.find(attempt.task_);
+  const bool limited = history != ledger.histories_.end() &&
+                       history->second.begun_ >= kCrashesBeforeExtraStarts;
+  if (limited) ++history->second.extra_starts_;
 }
 
 bool AwaitsConfirmation(const CrashLedger& ledger, const AttemptRef& attempt,
@@ -192,6 +198,11 @@
     accused.erase(attempt.task_);
     if (accused.empty()) ledger.accused_.erase(worker);
   }
+  if (const auto begun = ledger.begun_.find(worker);
+      begun != ledger.begun_.end()) {
+    begun->second.erase(attempt);
+    if (begun->second.empty()) ledger.begun_.erase(begun);
+  }
   if (!lost) return;
   CrashLedger::Lost& here = ledger.lost_[worker];
   if (here.incarnation_ != incarnation) here = {incarnation, {}};
@@ -236,8 +247,9 @@
   for (const AttemptOnWorker& here : all) {
     CrashHistory& history = ledger.histories_.at(here.attempt_.task_);
     const bool counted = history.last_attempt_ == here.attempt_.attempt_;
-    const bool likely = here.confirmed_ || !here.accused_ || !crash.in_wave_;
-    if (counted && likely) ++history.begun_;
+    if (!counted) continue;
+    if (here.confirmed_ || !crash.in_wave_) ++history.begun_;
+    if (!crash.in_wave_) ++history.calm_;
   }
   return crash;
 }
@@ -245,6 +257,7 @@
 void ForgetWorker(CrashLedger& ledger, const WorkerId& worker) {
   ledger.lost_.erase(worker);
   ledger.accused_.erase(worker);
+  ledger.begun_.erase(worker);
 }
 
 void ForgetJob(CrashLedger& ledger, const GraphJobKey& job) {
@@ -273,14 +286,20 @@
                                             : Suspicion::kWeak;
 }
 
+bool HasFewStartsLeft(const CrashLedger& ledger, const TaskRef& task) {
+  const auto found = ledger.histories_.find(task);
+  return found != ledger.histories_.end() &&
+         found->second.crashes_ >= kCrashesBeforeExtraStarts;
+}
+
 Verdict VerdictOn(const CrashHistory& history) {
   Verdict verdict = Verdict::kGoOn;
   for (const GiveUpRule& rule : kGiveUpRules) {
-    const bool met = history.crashes_ >= rule.crashes_ &&
-                     history.begun_ >= rule.begun_ &&
-                     history.blamed_ >= rule.blamed_ &&
-                     history.isolated_ >= rule.isolated_ &&
-                     history.extra_starts_ >= rule.extra_starts_;
+    const bool met =
+        history.crashes_ >= rule.crashes_ && history.begun_ >= rule.begun_ &&
+        history.blamed_ >= rule.blamed_ &&
+        history.isolated_ >= rule.isolated_ && history.calm_ >= rule.calm_ &&
+        history.extra_starts_ >= rule.extra_starts_;
     if (!met) continue;
     if (rule.isolated_ == 0) return Verdict::kGiveUp;
     verdict = Verdict::kGiveUpUnlessWave;
--- a/flamingohollow/worker_crashes.h
+++ b/flamingohollow/worker_crashes.h
@@ -30,23 +30,24 @@
 namespace flamingohollow {
 
 // A task that may crash its workers may be started only a few times more after
-// this many crashes.
+// this many crashes on which it had begun.
 inline constexpr std::uint32_t kCrashesBeforeExtraStarts = 3;
 // A task is given up if its history has at least these numbers, for one of the
 // rules. Where workers crash all the time, the second bounds its starts and the
-// third its crashes. The last is for a task that is not known to begin.
+// third its crashes. The last is for a task that is never known to begin.
 struct GiveUpRule {
   std::uint32_t crashes_ = 0;
   std::uint32_t begun_ = 0;
   std::uint32_t blamed_ = 0;
   std::uint32_t isolated_ = 0;
+  std::uint32_t calm_ = 0;
   std::uint32_t extra_starts_ = 0;
 };
 inline constexpr std::array<GiveUpRule, 4> kGiveUpRules = {{
     {.crashes_ = 3, .isolated_ = 2},
-    {.crashes_ = 3, .begun_ = 3, .blamed_ = 2, .extra_starts_ = 2},
-    {.crashes_ = 5, .begun_ = 5, .blamed_ = 1},
-    {.crashes_ = 10},
+    {.crashes_ = 4, .begun_ = 3, .blamed_ = 2, .extra_starts_ = 2},
+    {.crashes_ = 5, .begun_ = 2, .blamed_ = 1},
+    {.crashes_ = 10, .calm_ = 5},
 }};
 // Crashes whose workers restarted within this time of each other may have one
 // cause.
@@ -78,15 +79,20 @@
 struct CrashHistory {
   // Workers that crashed with the task on them.
   std::uint32_t crashes_ = 0;
-  // Of `crashes_`, those on which it is likely to have begun. A start into a
-  // wave of crashes is likely to have been lost unless it was confirmed.
+  // Of `crashes_`, those on which it is known to have begun, or that were in no
+  // wave. In a wave, a start that had no answer may have met a worker that was
+  // cut off or had crashed before.
   std::uint32_t begun_ = 0;
   // Of `begun_`, those that were blamed on the task.
   std::uint32_t blamed_ = 0;
   // Of `blamed_`, those that are isolated. Falls as more crashes at about the
   // same time become known.
   std::uint32_t isolated_ = 0;
-  // Starts after the first `kCrashesBeforeExtraStarts` crashes.
+  // Of `crashes_`, those that were in no wave of crashes, as far as was known
+  // then.
+  std::uint32_t calm_ = 0;
+  // Starts that are known to have begun after `kCrashesBeforeExtraStarts` of
+  // `begun_`.
   std::uint32_t extra_starts_ = 0;
   // The newest attempt that was on a crashed worker.
   AttemptId last_attempt_;
@@ -95,8 +101,8 @@
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(crashes_, begun_, blamed_, isolated_, extra_starts_, last_attempt_,
-            last_crash_);
+    archive(crashes_, begun_, blamed_, isolated_, calm_, extra_starts_,
+            last_attempt_, last_crash_);
   }
 };
 
@@ -105,7 +111,7 @@
   AttemptRef attempt_;
   // See CrashLedger.
   bool accused_ = false;
-  // The worker had confirmed that it runs. Known of the accused only.
+  // It is known to have begun, and not known to have ended.
   bool confirmed_ = false;
   // Unix time at which it was taken for lost; unset if it is open.
   Time lost_;
@@ -148,6 +154,9 @@
   // all others once it has begun. The value tells whether the worker has
   // confirmed that the task runs.
   std::map<WorkerId, std::map<TaskRef, bool>> accused_;
+  // Other open attempts that are known to have begun on the worker, as far as
+  // the leader told before a record that shows a crash or a loss.
+  std::map<WorkerId, std::set<AttemptRef>> begun_;
   // Attempts that were taken for lost on a worker, which may have crashed.
   struct Lost {
     WorkerIncarnation incarnation_;
@@ -164,7 +173,7 @@
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(histories_, accused_, lost_, recent_);
+    archive(histories_, accused_, begun_, lost_, recent_);
   }
 };
 
@@ -196,7 +205,7 @@
 // An attempt was opened on the worker.
 void NoteOpened(CrashLedger& ledger, const TaskRef& task,
                 const WorkerId& worker);
-// The worker has confirmed that the attempt runs.
+// The attempt is known to have begun on the worker.
 void NoteConfirmed(CrashLedger& ledger, const AttemptRef& attempt,
                    const WorkerId& worker);
 // Whether the attempt is accused and not confirmed yet.
@@ -226,6 +235,9 @@
 };
 
 Suspicion SuspicionOf(const CrashLedger& ledger, const TaskRef& task);
+// Whether the task may be started only a few times more if it crashes its
+// workers.
+bool HasFewStartsLeft(const CrashLedger& ledger, const TaskRef& task);
 
 enum class Verdict : std::uint8_t {
   kGoOn,
