Suspects that may be started only twice more wait for a series of waves to end

Cause: a limit on the wait that is shorter than the series of waves. It was there for pools in which deadly tasks crash workers all the time; these crashes have no pauses.

Fix: while the waves have pauses, such suspects wait up to 90 s; without pauses 20 s, as others do.

Without the condition on pauses, "sound jobs go on while most urgent jobs crash their workers" (graph_load_test) fails; it passes with it.

--- a/flamingohollow/graph_scheduler.cc
+++ b/flamingohollow/graph_scheduler.cc
@@ -374,10 +374,12 @@
 }
 
 // Strong suspects start again when their crashes can't be taken for a part of
-// the wave, or when waves have gone on for this long; those that may be started
-// only a few times more wait longer, as they would be given up.
+// the wave, or when waves have gone on for this long.
 constexpr Duration kMaxWaitForCalm = Duration(20'000);
-constexpr Duration kMaxWaitOfLimited = Duration(30'000);
+// The same of those that may be started only a few times more, in a series of
+// waves with pauses: after these they can be told from deadly tasks. Crashes
+// without pauses may be the work of deadly tasks.
+constexpr Duration kMaxWaitOfLimited = Duration(90'000);
 
 // Stops urgent work on workers that stand still or are far too slow, so that
 // the next pass starts it elsewhere.
@@ -421,7 +423,9 @@
   const Duration waves = ctx.now_ - ctx.scheduler_.waves_began_;
   const bool awaits_calm = AwaitsCalm(ctx.scheduler_, ctx.now_);
   options.hold_strong_suspects_ = awaits_calm && waves < kMaxWaitForCalm;
-  options.hold_limited_suspects_ = awaits_calm && waves < kMaxWaitOfLimited;
+  const bool series = ctx.scheduler_.wave_interval_ > Duration();
+  options.hold_limited_suspects_ =
+      awaits_calm && waves < (series ? kMaxWaitOfLimited : kMaxWaitForCalm);
   const PlacementPlan plan =
       PlanPlacement(ctx.state_, ctx.scheduler_.fleet_, options, since, ctx.now_,
                     RoomToKeep(demands, need, ctx.now_));
