Answer all requests of a stopping entry before its connections end

What callers saw: LOST as real processes, one case, no logs. Shown here: an entry is stopped while no leader answers; a request that it read 1 s after SIGTERM, with a deadline of 10 s, loses its connection 5.2 s after SIGTERM without an answer.

Cause: limits that were set apart. A stop ends at stop_grace_ms less 0.8 s, requests are accepted for 3 s of it, and each call has the limit of its own client, which nothing shortened. With deadlines of 3 s, requests accepted later than 2.35 s after SIGTERM are concerned, with longer ones all.

Fix: a relay can be told when it ends; the calls under way and those to come are answered by then, as not run or as unknown, whichever is true.

--- a/flamingohollow/graph_entry.cc
+++ b/flamingohollow/graph_entry.cc
@@ -113,9 +113,11 @@
   });
 }
 
-void GraphEntry::Drain() {
+void GraphEntry::Drain(Time end) {
   impl_->draining_ = true;
   impl_->ready_ = false;
+  impl_->threads_.Post(0,
+                       [impl = impl_.get(), end] { impl->relay_->EndBy(end); });
 }
 
 }  // namespace flamingohollow
--- a/flamingohollow/graph_entry.h
+++ b/flamingohollow/graph_entry.h
@@ -33,8 +33,9 @@
   const std::atomic<bool>& ready() const;
   // Takes the seeds from changed settings. Any thread.
   void SetSeeds(const GraphSettings& settings);
-  // Makes the entry not ready for good. Any thread.
-  void Drain();
+  // Makes the entry not ready for good; its calls are answered by `end`. Any
+  // thread.
+  void Drain(Time end);
 
  private:
   struct Impl;
--- a/flamingohollow/graph_relay.cc
+++ b/flamingohollow/graph_relay.cc
@@ -48,6 +48,12 @@
   finder_.seeds_ = std::move(seeds);
 }
 
+void GraphRelay::EndBy(Time end) { end_ = end; }
+
+Time GraphRelay::Capped(Time deadline) const {
+  return std::min(deadline, end_.value_or(deadline));
+}
+
 void GraphRelay::Call(GraphCall call, Duration search_limit, Duration limit,
                       GraphReplyCallback done) {
   const Time now = MonotonicNow();
@@ -70,10 +76,9 @@
 }
 
 void GraphRelay::Try(const PendingPtr& pending) {
-  const Time now = MonotonicNow();
-  const Time end =
-      pending->maybe_executed_ ? pending->deadline_ : pending->search_deadline_;
-  if (now >= end) return GiveUp(pending);
+  const Time end = Capped(pending->maybe_executed_ ? pending->deadline_
+                                                   : pending->search_deadline_);
+  if (MonotonicNow() >= end) return GiveUp(pending);
   if (!pending->unanswered_address_.empty()) {
     const std::string other_address =
         NextOtherAddress(finder_, pending->unanswered_address_);
@@ -86,7 +91,7 @@
 }
 
 void GraphRelay::Send(const PendingPtr& pending, const std::string& address) {
-  const Duration left = pending->deadline_ - MonotonicNow();
+  const Duration left = Capped(pending->deadline_) - MonotonicNow();
   const Duration timeout = std::min(kRelayAttemptTimeout, left);
   std::string body = pending->body_;
   if (address != finder_.leader_) {
--- a/flamingohollow/graph_relay.h
+++ b/flamingohollow/graph_relay.h
@@ -14,6 +14,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -48,6 +49,9 @@
   // after `limit` in any case.
   void Call(GraphCall call, Duration search_limit, Duration limit,
             GraphReplyCallback done);
+  // Every call is answered by `end`, also those with a later limit. For a
+  // process that stops: its connections end soon after.
+  void EndBy(Time end);
   void SetSeeds(std::vector<std::string> seeds);
   const ControlFinder& finder() const { return finder_; }
 
@@ -55,6 +59,7 @@
   struct Pending;
   using PendingPtr = std::shared_ptr<Pending>;
 
+  Time Capped(Time deadline) const;
   void Try(const PendingPtr& pending);
   void Send(const PendingPtr& pending, const std::string& address);
   void HandleAnswer(const PendingPtr& pending, const std::string& address,
@@ -68,6 +73,8 @@
   IoThreads& threads_;
   LocalHandler local_;
   ControlFinder finder_;
+  // No call lasts longer; see EndBy.
+  std::optional<Time> end_;
 };
 
 }  // namespace flamingohollow
--- a/flamingohollow/testing/graph_relay_test.cc
+++ b/flamingohollow/testing/graph_relay_test.cc
@@ -45,12 +45,12 @@
   RelayFixture(const RelayFixture&) = delete;
   RelayFixture& operator=(const RelayFixture&) = delete;
 
-  GraphOutcome Submit() {
+  GraphOutcome Submit(Duration limit = kLimit) {
     std::promise<GraphOutcome> outcome;
-    threads_.Post(0, [this, &outcome] {
+    threads_.Post(0, [this, limit, &outcome] {
       GraphCall call;
       call.kind_ = GraphCallKind::kSubmit;
-      relay_->Call(std::move(call), kSearchLimit, kLimit,
+      relay_->Call(std::move(call), kSearchLimit, limit,
                    [&outcome](const GraphReply& reply) {
                      outcome.set_value(reply.outcome_);
                    });
@@ -58,6 +58,10 @@
     return outcome.get_future().get();
   }
 
+  void EndBy(Time end) {
+    threads_.Post(0, [this, end] { relay_->EndBy(end); });
+  }
+
  private:
   std::vector<GraphReply> replies_;
   std::size_t next_ = 0;
@@ -86,5 +90,15 @@
   CHECK(fixture.Submit() == GraphOutcome::kUnavailable);
 }
 
+// Guards against a stop that cuts off calls with later limits.
+TEST_CASE("no call lasts longer than the relay") {
+  RelayFixture fixture({ReplyOf(GraphOutcome::kUnknown, Term()),
+                        ReplyOf(GraphOutcome::kNotLeader, Term())});
+  constexpr Duration kLongLimit(600000);
+  fixture.EndBy(MonotonicNow() + kLimit);
+  CHECK(fixture.Submit(kLongLimit) == GraphOutcome::kUnknown);
+  CHECK(fixture.Submit(kLongLimit) == GraphOutcome::kUnavailable);
+}
+
 }  // namespace
 }  // namespace flamingohollow
