Limit what HTTP connections hold, whatever part of a message it is

What callers saw: clients that send trailers without end behind a chunked body ended a process, as it ran out of memory.

Cause: header_limit and body_limit end with the header and the body. Trailers, chunk extensions and chunk sizes stayed in a buffer without a limit. Besides, 16 KB of small headers become 320 KB of fields in each connection, and nothing limited these over all connections. The client that reads the answers of workers had the same gaps.

Fix: one reader for server and client, whose buffer is limited and which counts after each read what the connection holds, against a limit for all. Refused clients have 1 s to read the answer, however much they send. A response that we refuse to read is no longer told as broken off, which is evidence of a crash.

--- a/flamingohollow/http_client.cc
+++ b/flamingohollow/http_client.cc
@@ -24,6 +24,7 @@
 #include <utility>
 #include <vector>
 
+#include "flamingohollow/http_read.h"
 #include "util/address.h"
 
 namespace flamingohollow {
@@ -36,7 +37,11 @@
 using Tcp = asio::ip::tcp;
 
 constexpr auto kUseTuple = asio::as_tuple(asio::use_awaitable);
+using ResponseParser = http::response_parser<http::string_body>;
+
 constexpr std::uint32_t kMaxHeaderBytes = 8192;
+// Limit on what a connection has read and not parsed yet.
+constexpr std::size_t kMaxBufferBytes = 16384;
 // How often idle connections are checked for expiry.
 constexpr Duration kSweepInterval = Duration(5000);
 // How often waiting requests are checked for expiry.
@@ -49,7 +54,7 @@
 struct Connection {
   explicit Connection(asio::io_context& loop) : stream_(loop) {}
   beast::tcp_stream stream_;
-  beast::flat_buffer buffer_;
+  beast::flat_buffer buffer_{kMaxBufferBytes};
   bool connected_ = false;
 };
 using ConnectionPtr = std::unique_ptr<Connection>;
@@ -103,6 +108,8 @@
   std::atomic<std::uint64_t> open_{0};
   std::atomic<std::uint64_t> evicted_{0};
   std::atomic<std::uint64_t> delayed_{0};
+  // What is reserved for responses that are being read.
+  std::atomic<std::uint64_t> response_bytes_{0};
 
   void Submit(ClientRequest request);
   void StartRequest(AddressPool& pool, ClientRequest request);
@@ -137,6 +144,29 @@
   return message;
 }
 
+// Whether the limits on memory allow what is held of a response.
+struct MayHold {
+  const HttpClientOptions& options_;
+  Reservation& memory_;
+
+  bool operator()(const beast::flat_buffer& /*buffer*/,
+                  const ResponseParser& parser) const {
+    const auto& message = parser.get();
+    const std::size_t bytes = HeaderBytes(message) + message.body().capacity();
+    return memory_.Resize(bytes - std::min(bytes, kFreeResponseBytes),
+                          options_.max_total_response_bytes_);
+  }
+};
+
+// Whether a response is missing because the peer ended the connection, and not
+// because this side refuses to read it.
+bool EndedByPeer(error_code error) {
+  if (!error || error == asio::error::no_memory) return false;
+  return error == http::error::partial_message ||
+         error.category() !=
+             make_error_code(http::error::bad_method).category();
+}
+
 asio::awaitable<HttpClientError> Connect(Connection& connection,
                                          const std::string& address) {
   const std::optional<Tcp::endpoint> endpoint = ParseTcpAddress(address);
@@ -175,18 +205,18 @@
   }
   if (result.error_ == HttpClientError::kNone) {
     result.error_ = HttpClientError::kNoAnswer;
+    Reservation memory(response_bytes_);
     auto message = ToMessage(request.post_);
     const auto [write_error, written] =
         co_await http::async_write(connection->stream_, message, kUseTuple);
-    http::response_parser<http::string_body> parser;
+    ResponseParser parser;
     parser.header_limit(kMaxHeaderBytes);
     parser.body_limit(options_.max_response_bytes_);
     error_code error = write_error;
     if (!error) {
-      const auto [read_error, bytes] = co_await http::async_read(
-          connection->stream_, connection->buffer_, parser, kUseTuple);
-      error = read_error;
-      result.broke_off_ = read_error && !reused && !expired();
+      error = co_await ReadMessage(connection->stream_, connection->buffer_,
+                                   parser, MayHold{options_, memory});
+      result.broke_off_ = EndedByPeer(error) && !reused && !expired();
     }
     if (!error) {
       result.error_ = HttpClientError::kNone;
--- a/flamingohollow/http_client.h
+++ b/flamingohollow/http_client.h
@@ -11,6 +11,7 @@
 #ifndef FLAMINGOHOLLOW_HTTP_CLIENT_H_
 #define FLAMINGOHOLLOW_HTTP_CLIENT_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -23,11 +24,16 @@
 
 namespace flamingohollow {
 
+inline constexpr std::size_t kFreeResponseBytes = 65536;
+
 struct HttpClientOptions {
   std::uint32_t max_connections_ = 60;
   std::uint32_t max_total_connections_ = 8192;
   std::uint32_t max_queued_ = 256;
   std::uint32_t max_response_bytes_ = 4 * 1024 * 1024;
+  // Responses held in memory at one time, over all connections. The first
+  // kFreeResponseBytes of each don't count.
+  std::uint64_t max_total_response_bytes_ = 64ULL * 1024 * 1024;
   // A connection idle for this long is not reused.
   Duration max_idle_ = Duration(10000);
 };
--- a/flamingohollow/http_server.cc
+++ b/flamingohollow/http_server.cc
@@ -8,6 +8,7 @@
 
 #include "flamingohollow/http_server.h"
 
+#include <algorithm>
 #include <atomic>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/awaitable.hpp>
@@ -23,11 +24,13 @@
 #include <boost/beast/http.hpp>
 #include <boost/leaf/error.hpp>
 #include <chrono>
+#include <functional>
 #include <optional>
 #include <set>
 #include <utility>
 #include <vector>
 
+#include "flamingohollow/http_read.h"
 #include "util/address.h"
 
 namespace flamingohollow {
@@ -41,15 +44,12 @@
 using RequestParser = http::request_parser<http::string_body>;
 
 constexpr auto kUseTuple = asio::as_tuple(asio::use_awaitable);
-constexpr std::size_t kReadChunk = 4096;
-constexpr std::uint32_t kMaxHeaderBytes = 16384;
+// Limit on what a connection has read and not parsed yet.
+constexpr std::size_t kMaxBufferBytes = kMaxHeaderBytes + kFirstReadBytes;
+// Of max_total_body_bytes_, bodies larger than this leave a half to others.
+constexpr std::size_t kSmallBodyBytes = 65536;
 // During a drain, an idle connection waits this long for a last request.
 constexpr Duration kIdleDrainTimeout = Duration(500);
-// After an early response, the remaining input is read up to these limits.
-// Closing with unread input would reset the connection and could lose the
-// response.
-constexpr Duration kDiscardTime = Duration(1000);
-constexpr std::size_t kDiscardBytes = 1024 * 1024;
 constexpr Duration kAcceptRetryDelay = Duration(20);
 
 std::chrono::milliseconds Ms(Duration duration) {
@@ -116,31 +116,6 @@
   std::atomic<std::uint64_t>& count_;
 };
 
-// Reserves body memory for the lifetime of the object. held() is false if the
-// reservation would exceed the limit.
-class BodyReservation {
- public:
-  BodyReservation(std::atomic<std::uint64_t>& total, std::uint64_t bytes,
-                  std::uint64_t limit)
-      : total_(total), bytes_(bytes) {
-    if (total_.fetch_add(bytes_) + bytes_ > limit) Release();
-  }
-  ~BodyReservation() { Release(); }
-  BodyReservation(const BodyReservation&) = delete;
-  BodyReservation& operator=(const BodyReservation&) = delete;
-  bool held() const { return held_; }
-
- private:
-  void Release() {
-    if (held_) total_ -= bytes_;
-    held_ = false;
-  }
-
-  std::atomic<std::uint64_t>& total_;
-  const std::uint64_t bytes_;
-  bool held_ = true;
-};
-
 }  // namespace
 
 struct HttpSession;
@@ -174,6 +149,8 @@
   std::atomic<std::uint64_t> open_refused_{0};
   // Bytes of bodies that are reserved.
   std::atomic<std::uint64_t> body_bytes_{0};
+  // Bytes that are reserved for headers and for input that is not parsed.
+  std::atomic<std::uint64_t> header_bytes_{0};
   std::atomic<std::uint64_t> requests_{0};
   std::atomic<std::uint64_t> refused_connections_{0};
   std::atomic<std::uint64_t> refused_bodies_{0};
@@ -202,7 +179,7 @@
   const std::size_t loop_index_;
   asio::io_context& loop_;
   beast::tcp_stream stream_;
-  beast::flat_buffer buffer_;
+  beast::flat_buffer buffer_{kMaxBufferBytes};
   // Ends the wait for a request; has an effect only while `idle_` is true.
   asio::steady_timer idle_timer_;
   bool idle_ = false;
@@ -257,13 +234,11 @@
   error_code ignored;
   session->stream_.socket().shutdown(Tcp::socket::shutdown_send, ignored);
   session->stream_.expires_after(Ms(kDiscardTime));
-  std::vector<char> discarded(kReadChunk);
-  std::size_t total = 0;
-  while (total < kDiscardBytes) {
+  std::vector<char> discarded(kFirstReadBytes);
+  while (true) {
     const auto [error, bytes] = co_await session->stream_.async_read_some(
         asio::buffer(discarded), kUseTuple);
     if (error) break;
-    total += bytes;
   }
 }
 
@@ -294,9 +269,17 @@
     ++server.refused_bodies_;
     return ErrorResponse(413, "too_large", "the body is over the limit");
   }
-  if (error == http::error::header_limit) {
+  if (error == http::error::header_limit ||
+      error == http::error::buffer_overflow) {
+    ++server.refused_bodies_;
+    return ErrorResponse(431, "too_large",
+                         "the headers, trailers or the header of a chunk are "
+                         "over the limit");
+  }
+  if (error == asio::error::no_memory) {
     ++server.refused_bodies_;
-    return ErrorResponse(431, "too_large", "the headers are over the limit");
+    return ErrorResponse(503, "unavailable", "too many large requests at once",
+                         server.options_.retry_after_);
   }
   if (error == beast::error::timeout) {
     // The timeout has closed the socket.
@@ -313,47 +296,57 @@
   return std::nullopt;
 }
 
+// What a connection holds of its request: until the response is written, as the
+// handler works on a copy.
+struct RequestMemory {
+  explicit RequestMemory(HttpServerState& server)
+      : options_(server.options_),
+        headers_(server.header_bytes_),
+        body_(server.body_bytes_) {}
+
+  const HttpServerOptions& options_;
+  Reservation headers_;
+  Reservation body_;
+
+  // Returns whether the server's limits on memory allow what is held.
+  bool operator()(const beast::flat_buffer& buffer,
+                  const RequestParser& parser) {
+    const auto& message = parser.get();
+    std::size_t headers =
+        buffer.capacity() + message.target().size() + HeaderBytes(message);
+    headers -= std::min(headers, kFreeHeaderBytes);
+    const std::size_t body = message.body().capacity();
+    const std::uint64_t body_limit =
+        options_.max_total_body_bytes_ / (body > kSmallBodyBytes ? 2 : 1);
+    return headers_.Resize(headers, options_.max_total_header_bytes_) &&
+           body_.Resize(body, body_limit);
+  }
+};
+
 // Reads, handles and answers one request. True if the connection stays open.
 asio::awaitable<bool> ServeOne(SessionPtr session) {
   HttpServerState& server = *session->server_;
-  RequestParser parser;
-  parser.header_limit(kMaxHeaderBytes);
-  parser.body_limit(server.options_.max_body_bytes_);
+  RequestMemory memory(server);
+  std::optional<RequestParser> parser(std::in_place);
+  parser->header_limit(kMaxHeaderBytes);
+  parser->body_limit(server.options_.max_body_bytes_);
   session->stream_.expires_after(Ms(server.options_.request_timeout_));
-  auto [error, header_bytes] = co_await http::async_read_header(
-      session->stream_, session->buffer_, parser, kUseTuple);
-  const bool has_body = !error && !parser.is_done();
-  const std::uint64_t body_bytes =
-      has_body
-          ? parser.content_length().value_or(server.options_.max_body_bytes_)
-          : 0;
-  const BodyReservation reservation(server.body_bytes_, body_bytes,
-                                    server.options_.max_total_body_bytes_);
-  if (!error && !reservation.held()) {
-    ++server.refused_bodies_;
-    co_await Write(session,
-                   ErrorResponse(503, "unavailable", "too many bodies at once",
-                                 server.options_.retry_after_),
-                   11, false);
-    co_return false;
-  }
-  if (has_body) {
-    const auto [body_error, bytes] = co_await http::async_read(
-        session->stream_, session->buffer_, parser, kUseTuple);
-    error = body_error;
-  }
+  const error_code error = co_await ReadMessage(
+      session->stream_, session->buffer_, *parser, std::ref(memory));
   if (error) {
     auto response = ReadErrorResponse(server, error);
+    parser.reset();
     if (response.has_value()) {
       co_await Write(session, std::move(*response), 11, false);
     }
     co_return false;
   }
   ++server.requests_;
-  const unsigned version = parser.get().version();
-  const bool keep_alive = parser.keep_alive();
-  HttpResponse response =
-      co_await Handle(session, ToRequest(parser, server.options_.headers_));
+  const unsigned version = parser->get().version();
+  const bool keep_alive = parser->keep_alive();
+  HttpRequest request = ToRequest(*parser, server.options_.headers_);
+  parser.reset();
+  HttpResponse response = co_await Handle(session, std::move(request));
   co_return co_await Write(session, std::move(response), version,
                            keep_alive && !server.draining_);
 }
@@ -363,6 +356,9 @@
   while (is_open) {
     is_open = co_await AwaitRequest(session);
     if (is_open) is_open = co_await ServeOne(session);
+    if (session->buffer_.capacity() > kFirstReadBytes) {
+      session->buffer_.shrink_to_fit();
+    }
   }
   co_await Close(session);
 }
@@ -371,7 +367,7 @@
 asio::awaitable<void> Refuse(SessionPtr session) {
   session->stream_.expires_after(Ms(kDiscardTime));
   const auto [error, bytes] = co_await session->stream_.async_read_some(
-      session->buffer_.prepare(kReadChunk), kUseTuple);
+      session->buffer_.prepare(kFirstReadBytes), kUseTuple);
   if (error) co_return;
   co_await Write(session,
                  ErrorResponse(503, "unavailable", "too many connections",
--- a/flamingohollow/http_server.h
+++ b/flamingohollow/http_server.h
@@ -5,8 +5,12 @@
 //   - more connections than allowed: 503 with Retry-After, then closed. At most
 //     kMaxOpenRefused such connections are open; beyond that, new ones wait in
 //     the system's listen queue;
+//   - headers, trailers or the header of a chunk over kMaxHeaderBytes: 431;
 //   - a body over the limit: 413;
-//   - more bytes of bodies in memory than allowed: 503 with Retry-After.
+//   - more bytes of bodies, or of long headers, in memory than allowed: 503
+//   with
+//     Retry-After.
+// A client that is still sending then has kDiscardTime to read the response.
 // A connection is closed when a request does not arrive completely within
 // request_timeout_, or none begins within idle_timeout_.
 
@@ -33,6 +37,9 @@
   std::uint32_t max_body_bytes_ = 1024 * 1024;
   // Bodies held in memory at one time, over all connections.
   std::uint64_t max_total_body_bytes_ = 64ULL * 1024 * 1024;
+  // The same for headers, trailers and what is not parsed yet. The first
+  // kFreeHeaderBytes of each connection don't count.
+  std::uint64_t max_total_header_bytes_ = 64ULL * 1024 * 1024;
   // Further headers to read into HttpRequest::headers_.
   std::vector<std::string> headers_;
   Duration idle_timeout_ = Duration(60000);
@@ -62,6 +69,13 @@
   std::uint64_t timed_out_ = 0;
 };
 
+// Limit on the headers of a request, on its trailers and on the header of each
+// chunk.
+inline constexpr std::uint32_t kMaxHeaderBytes = 16384;
+inline constexpr std::size_t kFreeHeaderBytes = 8192;
+// Closing a connection with unread input would reset it and could lose the
+// response, so further input is read and discarded for this long.
+inline constexpr Duration kDiscardTime = Duration(1000);
 // Limit of open connections over max_connections_, which get 503.
 inline constexpr std::uint32_t kMaxOpenRefused = 64;
 
--- a/flamingohollow/testing/http_server_test.cc
+++ b/flamingohollow/testing/http_server_test.cc
@@ -5,6 +5,9 @@
 #include <doctest/doctest.h>
 
 #include <atomic>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
 #include <chrono>
 #include <functional>
 #include <future>
@@ -114,6 +117,59 @@
   CHECK(Contains(answer, "Retry-After: 1"));
 }
 
+constexpr char kChunked[] =
+    "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+std::string Repeat(const std::string& text, int times) {
+  std::string repeated;
+  for (int i = 0; i < times; ++i) repeated += text;
+  return repeated;
+}
+
+// Guards against a client that makes the process run out of memory.
+TEST_CASE("no part of a request is without a limit") {
+  Fixture fixture;
+  const std::string fields = Repeat("x: yyyyyyyy\r\n", 4000);
+  const std::string word(40000, 'x');
+  for (const std::string& endless :
+       {kChunked + ("0\r\n" + fields), kChunked + ("0\r\nx: " + word),
+        kChunked + ("1;" + word), kChunked + std::string(40000, '0'),
+        "POST / HTTP/1.1\r\n" + fields, "POST /" + word}) {
+    CAPTURE(endless.substr(0, 80));
+    RawClient client(fixture.server_->port());
+    client.Send(endless);
+    CHECK(Contains(client.ReadAll(), "HTTP/1.1 431"));
+  }
+}
+
+TEST_CASE("a request within all limits is served") {
+  Fixture fixture;
+  RawClient client(fixture.server_->port());
+  const std::string word(15000, 'h');
+  const std::string body(1024 * 1024, 'b');
+  client.Send("POST /" + word + " HTTP/1.1\r\nTransfer-Encoding: chunked\r\n" +
+              "\r\n100000;e=" + word + "\r\n" + body + "\r\n0\r\nt: " + word +
+              "\r\n\r\n");
+  CHECK(client.ReadUntil("\r\n\r\n" + body));
+  CHECK(fixture.server_->Counts().open_connections_ == 1);
+}
+
+TEST_CASE("headers over the memory limit get 503 with Retry-After") {
+  HttpServerOptions options;
+  options.max_total_header_bytes_ = 100000;
+  Fixture fixture(options);
+  RawClient client(fixture.server_->port());
+  client.Send("POST / HTTP/1.1\r\n" + Repeat("a:\r\n", 3000) +
+              "Content-Length: 1\r\n\r\n");
+  const std::string answer = client.ReadAll();
+  CHECK(Contains(answer, "HTTP/1.1 503"));
+  CHECK(Contains(answer, "Retry-After: 1"));
+  // The memory is free again, and small requests don't need it.
+  RawClient other(fixture.server_->port());
+  other.Send(Post("/", "small"));
+  CHECK(other.ReadUntil("\r\n\r\nsmall"));
+}
+
 TEST_CASE("connections over the limit get 503 until one closes") {
   HttpServerOptions options;
   options.max_connections_ = 2;
@@ -300,6 +356,35 @@
   CHECK_FALSE(refused.broke_off_);
 }
 
+// Guards against a peer that makes the process run out of memory.
+TEST_CASE("no part of a response is without a limit") {
+  boost::asio::io_context loop;
+  boost::asio::ip::tcp::acceptor peer(
+      loop, {boost::asio::ip::make_address("127.0.0.1"), 0});
+  IoThreads threads(1);
+  HttpClientOptions options;
+  options.max_total_response_bytes_ = 1000;
+  HttpClient client(options, threads, 0);
+  const std::string head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n";
+  for (const std::string& endless :
+       {head + "\r\n0\r\n" + Repeat("x: yyyyyyyy\r\n", 4000),
+        head + Repeat("x: yyyyyyyy\r\n", 4000),
+        head + "\r\n1;" + std::string(40000, 'x'),
+        head + "\r\n20000\r\n" + std::string(100000, 'x')}) {
+    CAPTURE(endless.substr(0, 80));
+    HttpPost post = MakePost(peer.local_endpoint().port(), "/", "");
+    post.timeout_ = Duration(60000);
+    post.new_connection_ = true;
+    auto result = Send(client, post);
+    boost::asio::ip::tcp::socket socket = peer.accept();
+    boost::system::error_code ignored;
+    boost::asio::write(socket, boost::asio::buffer(endless), ignored);
+    const HttpResult refused = result.get();
+    CHECK(refused.error_ == HttpClientError::kNoAnswer);
+    CHECK_FALSE(refused.broke_off_);
+  }
+}
+
 // The peer may have been gone long before the request was sent.
 TEST_CASE("the end of a reused connection is not told as broken off") {
   IoThreads threads(1);
