Limit the steps of a job and the calls that a process holds

What callers saw: nothing yet. Found by a crowd test: 24 clients with an unknown key send bodies of 1 MB that name 340,000 empty steps; an entry with memory_mb 96 holds 853 MB at its peak.

Cause: limits counted bytes as they arrive. A step of two bytes takes 144 when decoded, and the call is held decoded, packed and on its way to the leader, which is the one to check the key.

Fix: a job has at most 32,768 steps, more than a body within the users' limit can name. A relay and a control node each hold calls for at most an eighth of memory_mb; more are refused as not run, or dropped as lost, which their senders repeat.

--- a/flamingohollow/graph_control.cc
+++ b/flamingohollow/graph_control.cc
@@ -47,7 +47,8 @@
 constexpr std::size_t kHeldPollDivisor = 4;
 // A leader whose disk is full tries to hand over this often.
 constexpr Duration kFullDiskHandOverInterval = Duration(2000);
-// Limit on messages that wait for loop 0; further ones are rejected.
+// Limit on messages that wait for loop 0; further ones are rejected. So are
+// calls that exceed the process's share of memory, unless one is alone.
 constexpr std::size_t kMaxQueuedMessages = 8192;
 
 constexpr std::chrono::milliseconds kStopPoll(10);
@@ -146,6 +147,7 @@
   std::unique_ptr<RpcNode> rpc_;
   std::unique_ptr<GraphRelay> relay_;
   std::atomic<std::size_t> queued_ = 0;
+  std::atomic<std::size_t> queued_bytes_ = 0;
 
   // Loop 0 only. Messages that arrive before Start are dropped, as the replica
   // may not exist yet.
@@ -189,16 +191,24 @@
 // Runs on an RPC thread.
 void GraphControl::Impl::Receive(RpcKind kind, std::string body,
                                  RpcResponder respond) {
-  if (queued_.fetch_add(1) >= kMaxQueuedMessages) {
+  // The log's messages are bounded by their senders.
+  const std::size_t size = kind == RpcKind::kGraph ? body.size() : 0;
+  const bool alone = queued_bytes_.fetch_add(size) == 0;
+  const bool too_large =
+      size > 0 && !alone &&
+      queued_bytes_ > CallMemory(size, SharedMemory(settings_));
+  if (queued_.fetch_add(1) >= kMaxQueuedMessages || too_large) {
     queued_.fetch_sub(1);
+    queued_bytes_ -= size;
     // An empty answer can't be decoded, so the sender treats it as lost.
     return respond("");
   }
-  threads_.Post(
-      0, [this, kind, body = std::move(body), respond = std::move(respond)] {
-        queued_.fetch_sub(1);
-        HandleRpc(kind, body, respond);
-      });
+  threads_.Post(0, [this, kind, size, body = std::move(body),
+                    respond = std::move(respond)] {
+    queued_.fetch_sub(1);
+    HandleRpc(kind, body, respond);
+    queued_bytes_ -= size;
+  });
 }
 
 void GraphControl::Impl::HandleRpc(RpcKind kind, const std::string& body,
@@ -379,7 +389,7 @@
           }));
   impl->service_.SetReplica(impl->replica_.get());
   impl->relay_ = std::make_unique<GraphRelay>(
-      *impl->rpc_, threads, seeds,
+      *impl->rpc_, threads, seeds, SharedMemory(settings),
       [raw](const GraphCall& call, const GraphReplyCallback& done) {
         raw->HandleLocal(call, done);
       });
--- a/flamingohollow/graph_entry.cc
+++ b/flamingohollow/graph_entry.cc
@@ -95,7 +95,8 @@
             return leaf::new_error(ControlError{"cannot start RPC"});
           }));
   impl->relay_ = std::make_unique<GraphRelay>(*impl->rpc_, threads,
-                                              SeedAddresses(settings), nullptr);
+                                              SeedAddresses(settings),
+                                              SharedMemory(settings), nullptr);
   return std::unique_ptr<GraphEntry>(new GraphEntry(std::move(impl)));
 }
 
--- a/flamingohollow/graph_relay.cc
+++ b/flamingohollow/graph_relay.cc
@@ -39,8 +39,12 @@
 };
 
 GraphRelay::GraphRelay(RpcNode& rpc, IoThreads& threads,
-                       std::vector<std::string> seeds, LocalHandler local)
-    : rpc_(rpc), threads_(threads), local_(std::move(local)) {
+                       std::vector<std::string> seeds, std::uint64_t max_bytes,
+                       LocalHandler local)
+    : rpc_(rpc),
+      threads_(threads),
+      local_(std::move(local)),
+      max_bytes_(max_bytes) {
   finder_.seeds_ = std::move(seeds);
 }
 
@@ -59,10 +63,24 @@
   const Time now = MonotonicNow();
   auto pending = std::make_shared<Pending>();
   pending->body_ = Pack(call);
+  const std::uint64_t bytes = pending->body_.size() * kCallCopies;
+  const std::uint64_t allowed = CallMemory(pending->body_.size(), max_bytes_);
+  if (held_bytes_ > 0 && held_bytes_ + bytes > allowed) {
+    GraphReply reply;
+    reply.outcome_ = GraphOutcome::kUnavailable;
+    reply.text_ = "too many large requests at once";
+    reply.retry_after_ = kNoLeaderRetryAfter;
+    return done(reply);
+  }
+  held_bytes_ += bytes;
   pending->call_ = std::move(call);
   pending->search_deadline_ = now + search_limit;
   pending->deadline_ = now + limit;
-  pending->done_ = std::move(done);
+  pending->done_ = [this, bytes,
+                    done = std::move(done)](const GraphReply& reply) {
+    held_bytes_ -= bytes;
+    done(reply);
+  };
   if (!local_) return Try(pending);
   local_(pending->call_, [this, pending](const GraphReply& reply) {
     if (reply.outcome_ != GraphOutcome::kNotLeader) {
--- a/flamingohollow/graph_relay.h
+++ b/flamingohollow/graph_relay.h
@@ -5,6 +5,8 @@
 // nodes in turn. Every call is idempotent, so retries are safe. At the deadline
 // the reply says whether the call may have taken effect: kUnavailable only if
 // no attempt can have reached a leader, kUnknown otherwise.
+// A call that would make the relay hold too much at once is refused as
+// kUnavailable, and so has no effect.
 //
 // All state belongs to one event loop: calls and callbacks run on it.
 
@@ -33,6 +35,17 @@
 // Retry delay sent to callers if no leader answers: about that of an election.
 inline constexpr Duration kNoLeaderRetryAfter = Duration(1000);
 
+// How often a call under way is held: decoded, packed, and twice on its way.
+inline constexpr std::uint64_t kCallCopies = 4;
+// Larger calls leave half of the memory to others.
+inline constexpr std::uint64_t kSmallCallBytes = 65536;
+
+// Returns how much of `memory` calls may hold for one of `bytes` to be
+// accepted.
+constexpr std::uint64_t CallMemory(std::uint64_t bytes, std::uint64_t memory) {
+  return bytes > kSmallCallBytes ? memory / 2 : memory;
+}
+
 using GraphReplyCallback = std::function<void(const GraphReply&)>;
 
 class GraphRelay {
@@ -42,8 +55,9 @@
       std::function<void(const GraphCall& call, GraphReplyCallback done)>;
 
   // `rpc` and `threads` must outlive the relay; it lives on loop 0.
+  // Calls under way hold at most `max_bytes`, or one of them more.
   GraphRelay(RpcNode& rpc, IoThreads& threads, std::vector<std::string> seeds,
-             LocalHandler local);
+             std::uint64_t max_bytes, LocalHandler local);
 
   // Gives up after `search_limit` if no leader can have received the call, and
   // after `limit` in any case.
@@ -75,6 +89,9 @@
   ControlFinder finder_;
   // No call lasts longer; see EndBy.
   std::optional<Time> end_;
+  const std::uint64_t max_bytes_;
+  // What the calls under way hold.
+  std::uint64_t held_bytes_ = 0;
 };
 
 }  // namespace flamingohollow
--- a/flamingohollow/graph_settings.cc
+++ b/flamingohollow/graph_settings.cc
@@ -191,6 +191,11 @@
   return fmt::format("{}:{}", settings.address_, settings.internal_port_);
 }
 
+std::uint64_t SharedMemory(const GraphSettings& settings) {
+  constexpr std::uint64_t kParts = 8;
+  return std::uint64_t{settings.memory_mb_} * 1024 * 1024 / kParts;
+}
+
 std::vector<std::string> SeedAddresses(const GraphSettings& settings) {
   std::vector<std::string> addresses;
   for (const std::string& seed : settings.seeds_) {
--- a/flamingohollow/graph_settings.h
+++ b/flamingohollow/graph_settings.h
@@ -73,6 +73,9 @@
                                                       const std::string& file);
 boost::leaf::result<GraphSettings> LoadGraphSettings(const std::string& file);
 
+// Returns how many bytes each part of the process may hold of what others send
+// it, such as the bodies of requests or the calls under way.
+std::uint64_t SharedMemory(const GraphSettings& settings);
 // Returns the RPC addresses of the seeds.
 std::vector<std::string> SeedAddresses(const GraphSettings& settings);
 // Returns this node's own RPC address.
--- a/flamingohollow/graph_types.h
+++ b/flamingohollow/graph_types.h
@@ -78,6 +78,9 @@
           std::max(a.accelerators_, b.accelerators_)};
 }
 
+// Limit on the steps of a job: more than the users' largest body can name.
+inline constexpr std::size_t kMaxJobSteps = 32768;
+
 struct StepSpec {
   std::uint32_t tasks_ = 1;
   // Resources of one task.
--- a/flamingohollow/testing/graph_relay_test.cc
+++ b/flamingohollow/testing/graph_relay_test.cc
@@ -6,6 +6,7 @@
 
 #include <future>
 #include <memory>
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -17,6 +18,7 @@
 
 constexpr Duration kSearchLimit(150);
 constexpr Duration kLimit(400);
+constexpr std::uint64_t kMaxBytes = 1024 * 1024;
 
 GraphReply ReplyOf(GraphOutcome outcome, Term term) {
   GraphReply reply;
@@ -36,7 +38,7 @@
     REQUIRE(rpc);
     rpc_ = std::move(*rpc);
     relay_ = std::make_unique<GraphRelay>(
-        *rpc_, threads_, std::vector<std::string>(),
+        *rpc_, threads_, std::vector<std::string>(), kMaxBytes,
         [this](const GraphCall&, const GraphReplyCallback& done) {
           done(replies_.at(next_++));
         });
@@ -46,16 +48,20 @@
   RelayFixture& operator=(const RelayFixture&) = delete;
 
   GraphOutcome Submit(Duration limit = kLimit) {
-    std::promise<GraphOutcome> outcome;
-    threads_.Post(0, [this, limit, &outcome] {
+    return Start("", limit).get().outcome_;
+  }
+
+  std::future<GraphReply> Start(const std::string& payload,
+                                Duration limit = kLimit) {
+    auto reply = std::make_shared<std::promise<GraphReply>>();
+    threads_.Post(0, [this, payload, limit, reply] {
       GraphCall call;
       call.kind_ = GraphCallKind::kSubmit;
+      call.spec_.emplace().payload_ = payload;
       relay_->Call(std::move(call), kSearchLimit, limit,
-                   [&outcome](const GraphReply& reply) {
-                     outcome.set_value(reply.outcome_);
-                   });
+                   [reply](const GraphReply& r) { reply->set_value(r); });
     });
-    return outcome.get_future().get();
+    return reply->get_future();
   }
 
   void EndBy(Time end) {
@@ -90,6 +96,23 @@
   CHECK(fixture.Submit() == GraphOutcome::kUnavailable);
 }
 
+// Guards against callers that make the process run out of memory.
+TEST_CASE("calls that would hold too much together are refused at once") {
+  const GraphReply lost = ReplyOf(GraphOutcome::kUnknown, Term());
+  const GraphReply ok = ReplyOf(GraphOutcome::kOk, Term(3));
+  RelayFixture fixture({lost, ok, ok});
+  const std::string large(kMaxBytes / 2, 'x');
+  // Alone, a call may hold more.
+  auto first = fixture.Start(large);
+  const GraphReply second = fixture.Start(large).get();
+  CHECK(second.outcome_ == GraphOutcome::kUnavailable);
+  CHECK(second.retry_after_ > Duration(0));
+  CHECK(first.get().outcome_ == GraphOutcome::kUnknown);
+  // What it held is free again.
+  CHECK(fixture.Start(large).get().outcome_ == GraphOutcome::kOk);
+  CHECK(fixture.Submit() == GraphOutcome::kOk);
+}
+
 // Guards against a stop that cuts off calls with later limits.
 TEST_CASE("no call lasts longer than the relay") {
   RelayFixture fixture({ReplyOf(GraphOutcome::kUnknown, Term()),
