Serve the requests that a draining connection has already read

What callers saw: LOST as real processes, one case, no logs. Shown here: a client that sends requests behind each other on one connection gets the first answer of a stopping entry with "Connection: close"; the requests behind it, read long before, get none.

Cause: the connection was closed after the current request, whatever else its buffer held.

Evidence: the new test of http_server_test fails without the fix.

Fix: a response closes the connection only if nothing further was read.

Measured: http_server_test passes. Whether the users' clients send so isn't known.

--- a/flamingohollow/http_server.cc
+++ b/flamingohollow/http_server.cc
@@ -229,6 +229,14 @@
   co_return !error && keep_alive;
 }
 
+// Whether another request's headers have been read.
+bool HasReadHeaders(const HttpSession& session) {
+  const auto unparsed = session.buffer_.cdata();
+  return std::string_view(static_cast<const char*>(unparsed.data()),
+                          unparsed.size())
+             .find("\r\n\r\n") != std::string_view::npos;
+}
+
 // Shuts down sending, then reads until the peer closes, within limits.
 asio::awaitable<void> Close(SessionPtr session) {
   error_code ignored;
@@ -347,8 +355,10 @@
   HttpRequest request = ToRequest(*parser, server.options_.headers_);
   parser.reset();
   HttpResponse response = co_await Handle(session, std::move(request));
+  // A draining connection first serves the requests that it has already read.
+  const bool closes = server.draining_ && !HasReadHeaders(*session);
   co_return co_await Write(session, std::move(response), version,
-                           keep_alive && !server.draining_);
+                           keep_alive && !closes);
 }
 
 asio::awaitable<void> Serve(SessionPtr session) {
--- a/flamingohollow/http_server.h
+++ b/flamingohollow/http_server.h
@@ -98,8 +98,8 @@
   // Stops gracefully. For `grace`, new connections are still served and every
   // response has "Connection: close", so that a load balancer can switch to
   // other entries. Then the listener closes and each connection ends after its
-  // current request. Idle connections first wait briefly for a request that may
-  // already have been sent. Thread-safe.
+  // current request and those that were read with it. Idle connections first
+  // wait briefly for a request that may already have been sent. Thread-safe.
   void Drain(Duration grace);
   // After Drain: whether the listener and all connections are closed.
   bool IsDrained() const;
--- a/flamingohollow/testing/http_server_test.cc
+++ b/flamingohollow/testing/http_server_test.cc
@@ -239,6 +239,21 @@
   CHECK(Await([&] { return fixture.server_->IsDrained(); }));
 }
 
+// Guards against a stop that drops requests which were read before it.
+TEST_CASE("a drain answers the requests that were sent behind another") {
+  Fixture fixture;
+  RawClient client(fixture.server_->port());
+  client.Send(Post("/held", "") + Post("/", "second") + Post("/", "third"));
+  REQUIRE(Await([&] { return fixture.held_count_ == 1; }));
+  fixture.server_->Drain(Duration(0));
+  fixture.Release();
+  const std::string answers = client.ReadAll();
+  CHECK(Contains(answers, "late"));
+  CHECK(Contains(answers, "second"));
+  CHECK(Contains(answers, "third"));
+  CHECK(Await([&] { return fixture.server_->IsDrained(); }));
+}
+
 HttpPost MakePost(std::uint16_t port, const std::string& target,
                   const std::string& body) {
   HttpPost post;
