Answer all calls of a stopping entry of the gang interface by its limit

The entry of the product's own interface also cuts off calls at drain_ms: they last up to 5 s, whatever is left of the stop.

Evidence: entry_test ("a graceful stop returns at its time limit if a call gets no answer") now asks what the caller got; without the fix the connection ends without an answer.

Fix: LeaderLink::EndBy, as GraphRelay::EndBy; the last tenth of drain_ms is left for sending the answers.

--- a/flamingohollow/entry.cc
+++ b/flamingohollow/entry.cc
@@ -32,6 +32,8 @@
 // balancer sees that the entry is no longer ready.
 constexpr std::int64_t kGraceDivisor = 5;
 constexpr Duration kMaxGrace = Duration(2000);
+// The last answers are sent in the drain time divided by this.
+constexpr std::int64_t kLastAnswersDivisor = 10;
 constexpr auto kDrainPollInterval = std::chrono::milliseconds(5);
 
 std::string SpanPath(const Settings& settings) {
@@ -214,7 +216,8 @@
   // First the server, so that the answers to waiting callers close their
   // connections.
   server_->Drain(std::min(limit / kGraceDivisor, kMaxGrace));
-  core_.Post([this] { core_.Drain(); });
+  const Time last_answers = deadline - limit / kLastAnswersDivisor;
+  core_.Post([this, last_answers] { core_.Drain(last_answers); });
   bool busy = true;
   while (busy && MonotonicNow() < deadline) {
     std::this_thread::sleep_for(kDrainPollInterval);
--- a/flamingohollow/entry_core.cc
+++ b/flamingohollow/entry_core.cc
@@ -125,8 +125,9 @@
   return !draining_ && HasLease(table_, MonotonicNow());
 }
 
-void EntryCore::Drain() {
+void EntryCore::Drain(Time end) {
   draining_ = true;
+  link_.EndBy(end);
   waiters_.AnswerAll();
 }
 
--- a/flamingohollow/entry_core.h
+++ b/flamingohollow/entry_core.h
@@ -61,8 +61,8 @@
   // Starts the exchanges and the timer.
   void Start();
   // Answers waiting callers with the current state of their job. Later callers
-  // are answered without waiting.
-  void Drain();
+  // are answered without waiting, all by `end`.
+  void Drain(Time end);
   // Handles a request that passed the traffic filters. For a call, TryBeginCall
   // must have returned true.
   void Handle(PendingRequest pending, HttpResponder respond);
--- a/flamingohollow/leader_link.cc
+++ b/flamingohollow/leader_link.cc
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <boost/leaf/result.hpp>
 #include <random>
+#include <set>
 #include <utility>
 
 #include "flamingohollow/codec.h"
@@ -44,6 +45,9 @@
   std::mt19937_64 random_;
   LeaderFinder finder_;
   LinkCounts counts_;
+  std::set<PendingPtr> open_;
+  // See EndBy.
+  std::optional<Time> end_;
 
   // Calls the current address; `done` runs on the control thread.
   void Send(
@@ -74,6 +78,7 @@
 
   void OnAttemptAnswer(const PendingPtr& call, bool ok, const std::string& from,
                        const std::string& answer) {
+    if (!open_.contains(call)) return;
     boost::leaf::result<CallReply> reply =
         ok ? DecodeCallReply(answer)
            : boost::leaf::result<CallReply>(boost::leaf::new_error());
@@ -91,7 +96,7 @@
       call->last_reply_ = *reply;
       return RetryOrFinish(call, AttemptOutcome::kUnknown);
     }
-    call->done_({std::move(*reply), CallFailure::kNotExecuted});
+    Finish(call, {std::move(*reply), CallFailure::kNotExecuted});
   }
 
   void RetryOrFinish(const PendingPtr& call, AttemptOutcome outcome) {
@@ -101,8 +106,9 @@
     if (decision == CallDecision::kRetry) {
       ++counts_.retries_;
       const Duration pause = RetryPause(call->progress_, options_, random_());
-      post_(pause,
-            [state = shared_from_this(), call] { state->StartAttempt(call); });
+      post_(pause, [state = shared_from_this(), call] {
+        if (state->open_.contains(call)) state->StartAttempt(call);
+      });
       return;
     }
     CallResult result;
@@ -113,9 +119,22 @@
     } else {
       ++counts_.not_executed_;
     }
+    Finish(call, std::move(result));
+  }
+
+  void Finish(const PendingPtr& call, CallResult result) {
+    open_.erase(call);
     call->done_(std::move(result));
   }
 
+  // Ends all calls; their attempts may still be executed.
+  void GiveUpAll() {
+    for (const PendingPtr& call : std::set<PendingPtr>(open_)) {
+      call->progress_.deadline_ = MonotonicNow();
+      RetryOrFinish(call, AttemptOutcome::kUnknown);
+    }
+  }
+
   void OnSyncAnswer(bool ok, const std::string& from, const std::string& answer,
                     const LeaderLink::SyncDone& done) {
     boost::leaf::result<ControlSync> sync =
@@ -149,9 +168,12 @@
   auto call = std::make_shared<LeaderLinkState::PendingCall>();
   call->body_ = Encode(request);
   call->request_ = std::move(request);
-  call->progress_.deadline_ =
+  const Time deadline =
       CallDeadline(state_->finder_, state_->options_, MonotonicNow());
+  call->progress_.deadline_ =
+      std::min(deadline, state_->end_.value_or(deadline));
   call->done_ = std::move(done);
+  state_->open_.insert(call);
   state_->StartAttempt(call);
 }
 
@@ -165,6 +187,11 @@
       });
 }
 
+void LeaderLink::EndBy(Time end) {
+  state_->end_ = end;
+  state_->post_(end - MonotonicNow(), [state = state_] { state->GiveUpAll(); });
+}
+
 bool LeaderLink::found() const { return state_->finder_.found_; }
 
 const std::string& LeaderLink::address() const {
--- a/flamingohollow/leader_link.h
+++ b/flamingohollow/leader_link.h
@@ -65,6 +65,8 @@
 
   void Call(CallRequest request, CallDone done);
   void Sync(const EntrySync& sync, SyncDone done);
+  // All calls are answered by `end`, also those that come later.
+  void EndBy(Time end);
   // True if the last answer came from the leader.
   bool found() const;
   const std::string& address() const;
--- a/flamingohollow/testing/entry_test.cc
+++ b/flamingohollow/testing/entry_test.cc
@@ -308,7 +308,7 @@
   std::atomic<bool> asked{false};
   StubControl control([&](const CallRequest&, const auto&) { asked = true; });
   control.SetAnswer(LeaderAnswer(kLongLease));
-  const auto entry = MakeEntry({control.address()}, Duration(100));
+  auto entry = MakeEntry({control.address()}, Duration(100));
   REQUIRE(Await([&] { return IsReady(*entry); }));
   RawClient caller(entry->port());
   caller.Send(Request("POST", "/v1/jobs", kSubmit, ""));
@@ -317,6 +317,8 @@
   const auto start = std::chrono::steady_clock::now();
   entry->Stop();
   CHECK(std::chrono::steady_clock::now() - start < std::chrono::seconds(4));
+  entry.reset();
+  CHECK(Contains(caller.ReadAll(), "HTTP/1.1 504"));
 }
 
 TEST_CASE("calls over the limit in flight are refused at once") {
