Close long idle connections when the limit keeps out other callers

What callers saw: nothing yet; found by a crowd test. 400 connections that send nothing fill the limit of an entry, and an ordinary caller gets 503 until they have been idle for 60 s.

Cause: a connection that does nothing had the same right to its place as one that does something.

Fix: for each connection that is refused, the one that has been idle longest on its loop is closed, if for a second or more. A request that arrives as its connection is closed for idleness is still served.

--- a/flamingohollow/http_server.cc
+++ b/flamingohollow/http_server.cc
@@ -162,6 +162,7 @@
   void StartSession(Tcp::socket socket, std::size_t loop);
   void CloseListener();
   void ShortenIdleTimeouts(std::size_t loop);
+  void CloseLongestIdle(std::size_t loop);
 };
 
 // One connection.
@@ -183,6 +184,7 @@
   // Ends the wait for a request; has an effect only while `idle_` is true.
   asio::steady_timer idle_timer_;
   bool idle_ = false;
+  Time idle_since_;
   const ScopedCount open_count_;
   // Counts a connection over the limit in HttpServerState::open_refused_.
   std::optional<ScopedCount> open_refused_;
@@ -208,6 +210,7 @@
   if (session->buffer_.size() > 0) co_return true;
   HttpServerState& server = *session->server_;
   session->idle_ = true;
+  session->idle_since_ = MonotonicNow();
   server.idle_[session->loop_index_].insert(session.get());
   SetIdleTimeout(session, server.listener_closed_
                               ? kIdleDrainTimeout
@@ -217,7 +220,9 @@
   server.idle_[session->loop_index_].erase(session.get());
   session->idle_ = false;
   session->idle_timer_.cancel();
-  co_return !error;
+  // A request may have arrived as the wait was ended.
+  error_code ignored;
+  co_return !error || session->stream_.socket().available(ignored) > 0;
 }
 
 asio::awaitable<bool> Write(SessionPtr session, HttpResponse response,
@@ -437,6 +442,9 @@
     session->open_refused_.emplace(open_refused_);
     asio::co_spawn(threads_.Loop(loop), Refuse(std::move(session)),
                    asio::detached);
+    asio::post(threads_.Loop(loop), [state = shared_from_this(), loop] {
+      state->CloseLongestIdle(loop);
+    });
   } else {
     asio::co_spawn(threads_.Loop(loop), Serve(std::move(session)),
                    asio::detached);
@@ -468,6 +476,17 @@
   }
 }
 
+void HttpServerState::CloseLongestIdle(std::size_t loop) {
+  const auto longest =
+      std::min_element(idle_[loop].begin(), idle_[loop].end(),
+                       [](const HttpSession* a, const HttpSession* b) {
+                         return a->idle_since_ < b->idle_since_;
+                       });
+  if (longest == idle_[loop].end()) return;
+  if (MonotonicNow() - (*longest)->idle_since_ < kMinIdle) return;
+  SetIdleTimeout((*longest)->shared_from_this(), Duration(0));
+}
+
 HttpServer::HttpServer(std::shared_ptr<HttpServerState> state)
     : state_(std::move(state)) {}
 
--- a/flamingohollow/http_server.h
+++ b/flamingohollow/http_server.h
@@ -4,7 +4,8 @@
 // time. Exceeding a limit gets a response instead of a dropped connection:
 //   - more connections than allowed: 503 with Retry-After, then closed. At most
 //     kMaxOpenRefused such connections are open; beyond that, new ones wait in
-//     the system's listen queue;
+//     the system's listen queue. For each one refused, the connection that has
+//     been idle for longest is closed, if for kMinIdle or longer;
 //   - headers, trailers or the header of a chunk over kMaxHeaderBytes: 431;
 //   - a body over the limit: 413;
 //   - more bytes of bodies, or of long headers, in memory than allowed: 503
@@ -76,6 +77,8 @@
 // Closing a connection with unread input would reset it and could lose the
 // response, so further input is read and discarded for this long.
 inline constexpr Duration kDiscardTime = Duration(1000);
+// A connection that has been idle for this long may be closed for others.
+inline constexpr Duration kMinIdle = Duration(1000);
 // Limit of open connections over max_connections_, which get 503.
 inline constexpr std::uint32_t kMaxOpenRefused = 64;
 
--- a/flamingohollow/testing/http_server_test.cc
+++ b/flamingohollow/testing/http_server_test.cc
@@ -200,6 +200,28 @@
   CHECK(served);
 }
 
+// Guards against connections that send nothing and keep out all callers.
+TEST_CASE("a connection that has long been idle makes room for others") {
+  HttpServerOptions options;
+  options.max_connections_ = 2;
+  Fixture fixture(options);
+  const std::uint16_t port = fixture.server_->port();
+  RawClient held(port);
+  held.Send(Post("/held", ""));
+  REQUIRE(Await([&] { return fixture.held_count_ == 1; }));
+  RawClient idle(port);
+  bool served = false;
+  CHECK(Await([&] {
+    RawClient caller(port);
+    caller.Send(Post("/", "ordinary"));
+    served = caller.ReadUntil("\r\n\r\nordinary");
+    return served;
+  }));
+  CHECK(idle.ReadAll().empty());
+  fixture.Release();
+  CHECK(Contains(held.ReadAll(), "late"));
+}
+
 TEST_CASE("malformed HTTP gets 400, a stalled request is closed") {
   HttpServerOptions options;
   options.request_timeout_ = Duration(50);
