End an entry's calls before its relay is destroyed

What callers saw: an entry that is stopped while one of its calls waits for an answer ends with SIGSEGV instead of 0. Its connections have ended by then; the platform sees a crash in place of a planned stop.

Cause: the RPC node's end finishes the calls under way, and their callbacks post through the relay, which was destroyed just before.

The kernel's log names the address, which is in IoThreads::Post.

Fix: the RPC node is stopped while the relay still exists.

Control nodes have the same fault in graph_control.cc, which is not changed here.

--- a/flamingohollow/graph_entry.cc
+++ b/flamingohollow/graph_entry.cc
@@ -78,7 +78,8 @@
 
 GraphEntry::GraphEntry(std::unique_ptr<Impl> impl) : impl_(std::move(impl)) {}
 
-GraphEntry::~GraphEntry() = default;
+// The relay gets the ends of the calls that are under way.
+GraphEntry::~GraphEntry() { impl_->rpc_->Stop(); }
 
 leaf::result<std::unique_ptr<GraphEntry>> GraphEntry::Create(
     const GraphSettings& settings, IoThreads& threads) {
