Let a removed voter return to a leader that joined after it

Seen in a model only: a machine that was cut off, removed meanwhile and back for long was refused at every try, so the group kept a voter that was gone and tolerated one loss less than it should. If as many disks are lost then as are tolerated, the group ends with all accepted work; that end follows from the count and was not played.

Cause: a voter that hasn't learned of its removal joins again only if its log names the leader as a voter, as proof that the group is the same. The learner that took its place is no voter in that log, or isn't in it at all. Once it leads, it refuses the machine whose place it took, and a voter that is lost later has no successor.

Why it works: VoterIds are random, so a log that names any member of the leader's group, voter or learner, is of this group. The probe now carries the members that the leader knows of. A node of an earlier version ignores the list and answers as before.

--- a/flamingohollow/peer_codec.cc
+++ b/flamingohollow/peer_codec.cc
@@ -102,7 +102,13 @@
     out.setSent(body.sent_.ms());
   }
   void operator()(const CampaignNow&) { out_.setCampaignNow(); }
-  void operator()(const Probe& body) { out_.initProbe().setNonce(body.nonce_); }
+  void operator()(const Probe& body) {
+    auto out = out_.initProbe();
+    out.setNonce(body.nonce_);
+    auto members = out.initMembers(static_cast<unsigned>(body.members_.size()));
+    unsigned at = 0;
+    for (const VoterId id : body.members_) members.set(at++, id.value());
+  }
   void operator()(const ProbeReply& body) {
     auto out = out_.initProbeReply();
     out.setNonce(body.nonce_);
@@ -219,6 +225,14 @@
           .sent_ = Time(in.getSent())};
 }
 
+Probe ReadBody(schema::PeerProbe::Reader in) {
+  Probe probe{.nonce_ = in.getNonce(), .members_ = {}};
+  for (const std::uint64_t id : in.getMembers()) {
+    probe.members_.emplace_back(id);
+  }
+  return probe;
+}
+
 ProbeReply ReadBody(schema::PeerProbeReply::Reader in) {
   return {.nonce_ = in.getNonce(),
           .name_ = NodeName(Text(in.getName())),
@@ -258,7 +272,7 @@
     case schema::PeerMessage::Body::CAMPAIGN_NOW:
       return CampaignNow{};
     case schema::PeerMessage::Body::PROBE:
-      return Probe{.nonce_ = in.getProbe().getNonce()};
+      return ReadBody(in.getProbe());
     case schema::PeerMessage::Body::PROBE_REPLY:
       return ReadBody(in.getProbeReply());
     case schema::PeerMessage::Body::FOUND_REQUEST:
--- a/flamingohollow/raft_membership.cc
+++ b/flamingohollow/raft_membership.cc
@@ -34,22 +34,28 @@
             [](const Member& a, const Member& b) { return a.id_ < b.id_; });
 }
 
-JoinState OwnJoinState(const RaftState& state, VoterId asker) {
+// `known` are the asker and the members that it knows of.
+JoinState OwnJoinState(const RaftState& state,
+                       const std::vector<VoterId>& known) {
   if (IsBlank(state)) return JoinState::kBlank;
   const bool only_founded =
       LastIndex(state.log_) == kFoundingIndex && state.commit_ == LogIndex();
   if (only_founded) return JoinState::kFounded;
   const Membership& membership = CurrentMembership(state.log_);
   if (!IsVoter(membership, state.id_)) return JoinState::kNonVoter;
-  return IsVoter(membership, asker) ? JoinState::kPeer : JoinState::kFormed;
+  const bool same_group = std::any_of(
+      known.begin(), known.end(),
+      [&](VoterId id) { return FindMember(membership, id) != nullptr; });
+  return same_group ? JoinState::kPeer : JoinState::kFormed;
 }
 
-ProbeReply DescribeSelf(const RaftState& state, VoterId asker,
+ProbeReply DescribeSelf(const RaftState& state,
+                        const std::vector<VoterId>& known,
                         std::uint64_t nonce) {
   return {.nonce_ = nonce,
           .name_ = state.name_,
           .address_ = state.address_,
-          .state_ = OwnJoinState(state, asker),
+          .state_ = OwnJoinState(state, known),
           .pledge_ = state.hard_.pledge_};
 }
 
@@ -58,7 +64,7 @@
 // learner whose addition an earlier leader could not commit, or a voter that
 // was removed while it was partitioned: its folder still holds everything that
 // it acknowledged and every vote that it cast. VoterIds are random, so a log
-// that names this leader's is of this group.
+// that names this leader's, or that of another member, is of this group.
 bool MayJoin(const ProbeReply& reply) {
   if (reply.state_ == JoinState::kBlank) return reply.pledge_ == 0;
   return reply.state_ == JoinState::kNonVoter ||
@@ -227,8 +233,14 @@
 void SendJoiningProbe(StepContext ctx) {
   Joining& joining = *ctx.state_.joining_;
   joining.resend_at_ = ctx.now_ + kContactResend;
+  // The asked may have been removed before this leader joined.
+  std::vector<VoterId> members;
+  for (const Member& member : CurrentMembership(ctx.state_.log_)) {
+    members.push_back(member.id_);
+  }
   Send(ctx, VoterId(), joining.voter_.address_, ctx.state_.hard_.term_,
-       Probe{.nonce_ = joining.nonce_}, Delivery::kNow);
+       Probe{.nonce_ = joining.nonce_, .members_ = std::move(members)},
+       Delivery::kNow);
 }
 
 void StartJoining(StepContext ctx, const VoterAddress& voter,
@@ -408,7 +420,7 @@
     return FinishInit(ctx, false,
                       state.name_.value() + " is not among the voters");
   }
-  RecordFounder(ctx, state.id_, DescribeSelf(state, state.id_, 0));
+  RecordFounder(ctx, state.id_, DescribeSelf(state, {}, 0));
   if (!state.formation_.has_value()) return;
   if (state.formation_->phase_ == FormationPhase::kProbe) SendFormation(ctx);
 }
@@ -437,7 +449,9 @@
 }
 
 void HandleProbe(StepContext ctx, const Message& message, const Probe& probe) {
-  Reply(ctx, message, DescribeSelf(ctx.state_, message.from_, probe.nonce_),
+  std::vector<VoterId> known = probe.members_;
+  known.push_back(message.from_);
+  Reply(ctx, message, DescribeSelf(ctx.state_, known, probe.nonce_),
         Delivery::kNow);
 }
 
@@ -497,7 +511,7 @@
 }
 
 void ReplyWithActualIdentity(StepContext ctx, const Message& message) {
-  Reply(ctx, message, DescribeSelf(ctx.state_, message.from_, 0),
+  Reply(ctx, message, DescribeSelf(ctx.state_, {message.from_}, 0),
         Delivery::kNow);
 }
 
--- a/flamingohollow/raft_message.h
+++ b/flamingohollow/raft_message.h
@@ -93,6 +93,8 @@
 struct Probe {
   // Returned in the answer.
   std::uint64_t nonce_ = 0;
+  // The members that the sender knows of.
+  std::vector<VoterId> members_;
 
   friend bool operator==(const Probe&, const Probe&) = default;
 };
@@ -106,9 +108,9 @@
   kFormed = 2,
   // Holds a log in whose membership it is not a voter: a learner, or removed.
   kNonVoter = 3,
-  // Holds a log in whose membership it and the sender of the probe are voters.
-  // If it is not in the sender's membership, it was removed and has not learned
-  // of it.
+  // Holds a log in whose membership it is a voter, and which names the sender
+  // of the probe or a member that the sender knows of. If it is not in the
+  // sender's membership, it was removed and has not learned of it.
   kPeer = 4,
 };
 
--- a/flamingohollow/testing/peer_codec_test.cc
+++ b/flamingohollow/testing/peer_codec_test.cc
@@ -63,7 +63,7 @@
           chunk,
           SnapshotReply{LogIndex(9), 104, 1, Time(2)},
           CampaignNow{},
-          Probe{6},
+          Probe{6, {VoterId(3), VoterId(4)}},
           probed,
           FoundRequest{true, SomeMembers()},
           FoundReply{true, true, NodeName("a"), 9}};
--- a/flamingohollow/testing/raft_rules_test.cc
+++ b/flamingohollow/testing/raft_rules_test.cc
@@ -267,7 +267,7 @@
   learner.state_.name_ = learner.members_[2].name_;
   Message message;
   message.from_ = VoterId(2);
-  message.body_ = Probe{.nonce_ = 5};
+  message.body_ = Probe{.nonce_ = 5, .members_ = {}};
   const Actions actions = Step(&learner.state_, message, learner.now_);
   REQUIRE(actions.send_.size() == 1);
   const auto reply = std::get<ProbeReply>(actions.send_[0].body_);
@@ -292,7 +292,7 @@
   removed.Start({});
   Message probe;
   probe.from_ = VoterId(2);
-  probe.body_ = Probe{.nonce_ = 5};
+  probe.body_ = Probe{.nonce_ = 5, .members_ = {}};
   const Actions actions = Step(&removed.state_, probe, removed.now_);
   REQUIRE(actions.send_.size() == 1);
   const auto reply = std::get<ProbeReply>(actions.send_[0].body_);
@@ -302,6 +302,22 @@
   const Actions foreign = Step(&removed.state_, probe, removed.now_);
   CHECK(std::get<ProbeReply>(foreign.send_.at(0).body_).state_ ==
         JoinState::kFormed);
+  // The leader may have joined after the voter was removed: then another member
+  // tells that the group is the same.
+  probe.body_ = Probe{.nonce_ = 5, .members_ = {VoterId(77), VoterId(3)}};
+  const Actions later = Step(&removed.state_, probe, removed.now_);
+  CHECK(std::get<ProbeReply>(later.send_.at(0).body_).state_ ==
+        JoinState::kPeer);
+  // A learner that the voter knows of may lead by then.
+  OneVoter beside;
+  beside.members_[2].learner_ = true;
+  beside.entries_[0].membership_ = beside.members_;
+  beside.Start({});
+  probe.from_ = VoterId(3);
+  probe.body_ = Probe{.nonce_ = 5, .members_ = {}};
+  const Actions of_learner = Step(&beside.state_, probe, beside.now_);
+  CHECK(std::get<ProbeReply>(of_learner.send_.at(0).body_).state_ ==
+        JoinState::kPeer);
   for (const bool same_group : {true, false}) {
     OneVoter leader;
     leader.Lead();
--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -69,6 +69,7 @@
 
 struct PeerProbe {
   nonce @0 :UInt64;
+  members @1 :List(UInt64);
 }
 
 struct PeerProbeReply {
--- a/schema/peer.capnp.h
+++ b/schema/peer.capnp.h
@@ -170,7 +170,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(964ac176307a2b09, 1, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(964ac176307a2b09, 1, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1155,6 +1155,9 @@
 
   inline  ::uint64_t getNonce() const;
 
+  inline bool hasMembers() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getMembers() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1186,6 +1189,14 @@
   inline  ::uint64_t getNonce();
   inline void setNonce( ::uint64_t value);
 
+  inline bool hasMembers();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getMembers();
+  inline void setMembers( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setMembers(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initMembers(unsigned int size);
+  inline void adoptMembers(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownMembers();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2949,6 +2960,44 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool PeerProbe::Reader::hasMembers() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool PeerProbe::Builder::hasMembers() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader PeerProbe::Reader::getMembers() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder PeerProbe::Builder::getMembers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void PeerProbe::Builder::setMembers( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline void PeerProbe::Builder::setMembers(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder PeerProbe::Builder::initMembers(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void PeerProbe::Builder::adoptMembers(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> PeerProbe::Builder::disownMembers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t PeerProbeReply::Reader::getNonce() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
