Replace a lost voter also while its successor's disk stalls

Callers would see (seen in a model only): a group that ended for good, with all accepted work, though no more machines were lost at once than are tolerated. One machine had been replaced over 4 s before, so it counted no more, and its successor was up and in touch.

Cause: a voter was removed, and a learner promoted, only while the learner had synced everything committed. While its disk stalls, for up to 3.5 s, it never has, so the group stays with the lost voter or, between removal and promotion, with an even number of voters. Either way it survives the loss of one disk less than it should: the time that a new machine is given to catch up is over.

Why it works: from 2f to 2f + 1 voters the quorum stays the same, so the group waits for nothing from the learner, and everything committed up to the removal is synced on f + 1 of the 2f voters, as the removal itself is. After the loss of f disks, one of the voters that are left holds everything and gets the votes of the others and of the learner. The learner must have synced a part of the log, or it is blank after a loss of power and doesn't vote. A promotion that makes the quorum larger asks for everything committed, as before.

--- a/flamingohollow/graph_service.cc
+++ b/flamingohollow/graph_service.cc
@@ -401,7 +401,7 @@
   for (const VoterStatus& voter : status.voters_) {
     members.push_back({.name_ = voter.name_,
                        .learner_ = voter.learner_,
-                       .caught_up_ = voter.match_ >= status.committed_,
+                       .holds_log_ = voter.match_ > LogIndex(),
                        .answered_ = voter.answered_});
   }
   const auto change = PlanMembership(members, leadership_->nodes_,
--- a/flamingohollow/membership_plan.cc
+++ b/flamingohollow/membership_plan.cc
@@ -60,7 +60,7 @@
 }
 
 bool IsReady(const PlannedMember& member, Time now) {
-  return member.learner_ && member.caught_up_ &&
+  return member.learner_ && member.holds_log_ &&
          now - member.answered_ <= kLearnerTimeout;
 }
 
--- a/flamingohollow/membership_plan.h
+++ b/flamingohollow/membership_plan.h
@@ -46,8 +46,8 @@
 struct PlannedMember {
   NodeName name_;
   bool learner_ = false;
-  // It holds everything that is committed.
-  bool caught_up_ = false;
+  // It has synced a part of the log.
+  bool holds_log_ = false;
   // When the leader sent the newest message that the member has answered, or
   // began to lead.
   Time answered_;
--- a/flamingohollow/raft_membership.cc
+++ b/flamingohollow/raft_membership.cc
@@ -222,6 +222,28 @@
          std::min(QuorumSize(promoted), CountVoters(current));
 }
 
+Membership Promoted(Membership membership, VoterId learner) {
+  for (Member& member : membership) {
+    if (member.id_ == learner) member.learner_ = false;
+  }
+  return membership;
+}
+
+// Whether the learner has synced enough of the log to be promoted.
+//
+// If that makes the quorum larger, it must have synced all committed entries,
+// as they may be on a smaller majority. Otherwise a part is enough, such as of
+// a learner whose disk stalls: the voters of now suffice for the quorum, and
+// everything up to the last change is on so many of them that the loss of the
+// others' disks leaves it. The part is needed as a blank voter doesn't vote.
+bool HoldsEnough(const RaftState& state, const Member& learner) {
+  const Membership& current = CurrentMembership(state.log_);
+  const LogIndex match = state.progress_.at(learner.id_).match_;
+  const bool larger =
+      QuorumSize(Promoted(current, learner.id_)) > QuorumSize(current);
+  return larger ? match >= state.commit_ : match > LogIndex();
+}
+
 Membership WithoutName(const Membership& membership, const NodeName& name) {
   Membership rest;
   for (const Member& member : membership) {
@@ -365,23 +387,24 @@
   const Membership& current = CurrentMembership(state.log_);
   const std::size_t wanted = state.config_.wanted_voters_;
   if (wanted > 0 && CountVoters(current) >= wanted) return;
+  const Member* best = nullptr;
   for (const Member& member : current) {
     if (!member.learner_) continue;
-    // The learner must have synced all committed entries: then the loss of any
-    // one voter leaves them on a majority of the others.
     const Progress& progress = state.progress_.at(member.id_);
-    if (progress.match_ < state.commit_) continue;
     // The learner must be reachable: promoting an unreachable one only enlarges
     // the quorum.
     if (ctx.now_ - progress.answered_ > state.config_.heartbeat_ * 2) continue;
-    Membership changed = current;
-    for (Member& other : changed) {
-      if (other.id_ == member.id_) other.learner_ = false;
+    if (!HoldsEnough(state, member)) continue;
+    if (best != nullptr &&
+        progress.match_ <= state.progress_.at(best->id_).match_) {
+      continue;
     }
-    if (!ToleratesLossAfterPromotion(state, changed, ctx.now_)) continue;
-    AppendMembership(ctx, std::move(changed));
-    return;
+    best = &member;
   }
+  if (best == nullptr) return;
+  Membership changed = Promoted(current, best->id_);
+  if (!ToleratesLossAfterPromotion(state, changed, ctx.now_)) return;
+  AppendMembership(ctx, std::move(changed));
 }
 
 void AnswerOperator(StepContext ctx) {
--- a/flamingohollow/testing/membership_plan_test.cc
+++ b/flamingohollow/testing/membership_plan_test.cc
@@ -21,14 +21,14 @@
   void Voter(const std::string& name, Duration silent = Duration(0)) {
     members_.push_back({.name_ = NodeName(name),
                         .learner_ = false,
-                        .caught_up_ = true,
+                        .holds_log_ = true,
                         .answered_ = kNow - silent});
   }
-  void Learner(const std::string& name, bool caught_up,
+  void Learner(const std::string& name, bool holds_log,
                Duration silent = Duration(0)) {
     members_.push_back({.name_ = NodeName(name),
                         .learner_ = true,
-                        .caught_up_ = caught_up,
+                        .holds_log_ = holds_log,
                         .answered_ = kNow - silent});
   }
   void Standby(const std::string& name, Time heard, Time tried = Time()) {
@@ -89,7 +89,7 @@
   CHECK_EQ(group.Plan(3)->add_, NodeName("n4"));
   group.Learner("n4", false);
   CHECK_FALSE(group.Plan(3).has_value());
-  group.members_.back().caught_up_ = true;
+  group.members_.back().holds_log_ = true;
   CHECK_EQ(group.Plan(3)->remove_, NodeName("n3"));
 }
 
--- a/flamingohollow/testing/raft_rules_test.cc
+++ b/flamingohollow/testing/raft_rules_test.cc
@@ -260,6 +260,34 @@
   CHECK_FALSE(learner());
 }
 
+// Guards against a group that stays without the successor of a lost voter while
+// the successor's disk stalls.
+TEST_CASE("a learner with a part of the log is promoted to an odd number") {
+  for (const bool holds_part : {false, true}) {
+    OneVoter voter;
+    voter.Lead();
+    voter.CommitOpening();
+    voter.state_.config_.wanted_voters_ = 3;
+    voter.Give(AddVoterEvent{{NodeName("4"), "4"}});
+    ProbeReply reply;
+    reply.name_ = NodeName("4");
+    reply.nonce_ = voter.state_.joining_->nonce_;
+    voter.Receive(reply, 4, Term());
+    voter.Acknowledge(1, 4, voter.now_);
+    voter.Acknowledge(2, 4, voter.now_);
+    voter.Acknowledge(4, holds_part ? 1 : 0, voter.now_);
+    CHECK(CountVoters(CurrentMembership(voter.state_.log_)) == 3);
+    voter.Give(RemoveVoterEvent{NodeName("3")});
+    CHECK(CountVoters(CurrentMembership(voter.state_.log_)) == 2);
+    // Not before all that the removed voter held is on both others.
+    voter.Acknowledge(1, 5, voter.now_);
+    CHECK(CountVoters(CurrentMembership(voter.state_.log_)) == 2);
+    voter.Acknowledge(2, 5, voter.now_);
+    CHECK(CountVoters(CurrentMembership(voter.state_.log_)) ==
+          (holds_part ? 3 : 2));
+  }
+}
+
 TEST_CASE("a learner whose addition was not committed can still join") {
   OneVoter learner;
   learner.entries_[0].membership_[0].learner_ = true;
