Don't count on voters that never answered a new leader

Callers would see (seen in a model only): a group that ended for good, with all accepted work, though no more machines were lost at once than are tolerated, after a change of the leader.

Cause: a new leader takes all voters to have answered at the moment when it began to lead. So for 0.6 s it removes a voter that works, such as one that announces that it stops, in favor of one that is dead, and the rest has no quorum for that very change. It also waits for another 1.5 s before it replaces a voter that was dead before; after two changes of the leader the 4 s have passed that a new machine is given. And a leader with a surplus voter removes any, though another doesn't answer.

Why it works: only answers to the leader itself count for a change. A voter that never answered it is replaced after 0.75 s, the time for which a learner may be silent. A voter that announces that it stops is passed over while the others have no quorum without it, so that a dead one is replaced first. A surplus voter is removed only while all voters answer.

Two tests of raft_rules_test let the leader promote a learner to a fourth voter though voter 3 had never answered it. They now check that this is refused, and that the promotion follows once voter 3 has answered.

--- a/flamingohollow/graph_service.cc
+++ b/flamingohollow/graph_service.cc
@@ -402,6 +402,7 @@
     members.push_back({.name_ = voter.name_,
                        .learner_ = voter.learner_,
                        .holds_log_ = voter.match_ > LogIndex(),
+                       .unheard_ = !voter.heard_,
                        .answered_ = voter.answered_});
   }
   const auto change = PlanMembership(members, leadership_->nodes_,
--- a/flamingohollow/membership_plan.cc
+++ b/flamingohollow/membership_plan.cc
@@ -30,33 +30,69 @@
   return standby;
 }
 
-// The voter, or the learner, that has been silent longest, if for more than
-// `limit`.
-std::optional<NodeName> FindSilent(const std::vector<PlannedMember>& members,
-                                   bool learner, const NodeName& leader,
-                                   Duration limit, Time now) {
+bool Answers(const PlannedMember& member, const NodeName& leader, Time now) {
+  return member.name_ == leader ||
+         (!member.unheard_ && now - member.answered_ <= kLearnerTimeout);
+}
+
+// The voter that has been silent longest, if for long enough.
+std::optional<NodeName> FindSilentVoter(
+    const std::vector<PlannedMember>& members, const NodeName& leader,
+    Time now) {
+  std::optional<NodeName> silent;
+  Time oldest = now;
+  for (const PlannedMember& member : members) {
+    if (member.name_ == leader || member.learner_) continue;
+    const Duration limit =
+        member.unheard_ ? kReplaceUnheardAfter : kReplaceVoterAfter;
+    if (now - member.answered_ <= limit || member.answered_ >= oldest) continue;
+    oldest = member.answered_;
+    silent = member.name_;
+  }
+  return silent;
+}
+
+// The learner that has been silent longest, if for too long.
+std::optional<NodeName> FindSilentLearner(
+    const std::vector<PlannedMember>& members, Time now) {
   std::optional<NodeName> silent;
-  Time oldest = now - limit;
+  Time oldest = now - kForgetLearnerAfter;
   for (const PlannedMember& member : members) {
-    if (member.name_ == leader || member.learner_ != learner) continue;
-    if (member.answered_ >= oldest) continue;
+    if (!member.learner_ || member.answered_ >= oldest) continue;
     oldest = member.answered_;
     silent = member.name_;
   }
   return silent;
 }
 
+// Whether the other voters can go on without this one.
+bool CanRemove(const std::vector<PlannedMember>& members, const NodeName& name,
+               const NodeName& leader, Time now) {
+  std::size_t others = 0;
+  std::size_t answering = 0;
+  for (const PlannedMember& member : members) {
+    if (member.learner_ || member.name_ == name) continue;
+    ++others;
+    if (Answers(member, leader, now)) ++answering;
+  }
+  return answering > others / 2;
+}
+
 // The voter to replace: one that is leaving, or the one that has been silent
-// longest.
+// longest. One that is leaving and still needed is passed over for one that is
+// lost already.
 std::optional<NodeName> FindLost(const std::vector<PlannedMember>& members,
                                  const std::map<NodeName, ControlNode>& nodes,
                                  const NodeName& leader, Time now) {
   for (const PlannedMember& member : members) {
     if (member.learner_ || member.name_ == leader) continue;
     const auto node = nodes.find(member.name_);
-    if (node != nodes.end() && node->second.leaving_) return member.name_;
+    const bool leaving = node != nodes.end() && node->second.leaving_;
+    if (leaving && CanRemove(members, member.name_, leader, now)) {
+      return member.name_;
+    }
   }
-  return FindSilent(members, false, leader, kReplaceVoterAfter, now);
+  return FindSilentVoter(members, leader, now);
 }
 
 bool IsReady(const PlannedMember& member, Time now) {
@@ -64,8 +100,13 @@
          now - member.answered_ <= kLearnerTimeout;
 }
 
+// A voter to remove though all answer; nullopt while one doesn't, as that one
+// may be lost.
 std::optional<NodeName> FindFollower(const std::vector<PlannedMember>& members,
-                                     const NodeName& leader) {
+                                     const NodeName& leader, Time now) {
+  for (const PlannedMember& member : members) {
+    if (!member.learner_ && !Answers(member, leader, now)) return std::nullopt;
+  }
   for (const PlannedMember& member : members) {
     if (!member.learner_ && member.name_ != leader) return member.name_;
   }
@@ -92,11 +133,10 @@
   }
   if (voters > wanted_voters) {
     const auto follower =
-        lost.has_value() ? lost : FindFollower(members, leader);
+        lost.has_value() ? lost : FindFollower(members, leader, now);
     if (follower.has_value()) return MembershipChange{std::nullopt, follower};
   }
-  const auto lost_learner =
-      FindSilent(members, true, leader, kForgetLearnerAfter, now);
+  const auto lost_learner = FindSilentLearner(members, now);
   if (lost_learner.has_value()) {
     return MembershipChange{std::nullopt, lost_learner};
   }
--- a/flamingohollow/membership_plan.h
+++ b/flamingohollow/membership_plan.h
@@ -25,6 +25,9 @@
 // A voter silent for this long is replaced if a learner is ready. A voter that
 // returns later joins as a learner again.
 inline constexpr Duration kReplaceVoterAfter = Duration(1500);
+// The same for one that has never answered a new leader: it was silent before,
+// and the leader doesn't know for how long.
+inline constexpr Duration kReplaceUnheardAfter = Duration(750);
 // A learner silent for this long is removed.
 inline constexpr Duration kForgetLearnerAfter = Duration(12000);
 // A learner that is to replace a voter must have answered within this long.
@@ -48,6 +51,8 @@
   bool learner_ = false;
   // It has synced a part of the log.
   bool holds_log_ = false;
+  // It has not answered this leader yet.
+  bool unheard_ = false;
   // When the leader sent the newest message that the member has answered, or
   // began to lead.
   Time answered_;
--- a/flamingohollow/raft.h
+++ b/flamingohollow/raft.h
@@ -109,6 +109,8 @@
   // Send one batch at a time until an acknowledgement shows up to which index
   // the logs match.
   bool probing_ = true;
+  // The member has answered this leader.
+  bool heard_ = false;
   // When the leader sent the newest message that was answered. The arrival time
   // of the answer is not used because an answer may have waited in a buffer.
   Time answered_;
--- a/flamingohollow/raft_membership.cc
+++ b/flamingohollow/raft_membership.cc
@@ -189,6 +189,8 @@
   return index;
 }
 
+// A new leader takes all members to have answered as it began to lead; only
+// those that have answered it since count here.
 std::size_t CountAnswering(const RaftState& state, const Membership& membership,
                            Time now) {
   std::size_t answering = 0;
@@ -197,7 +199,7 @@
     const auto progress = state.progress_.find(member.id_);
     const bool answers =
         member.id_ == state.id_ ||
-        (progress != state.progress_.end() &&
+        (progress != state.progress_.end() && progress->second.heard_ &&
          now - progress->second.answered_ <= state.config_.election_min_);
     if (answers) ++answering;
   }
--- a/flamingohollow/raft_replicate.cc
+++ b/flamingohollow/raft_replicate.cc
@@ -460,6 +460,7 @@
     return nullptr;
   }
   Progress& progress = found->second;
+  progress.heard_ = true;
   progress.answered_ = std::max(progress.answered_, reply.sent_);
   progress.round_ = std::max(progress.round_, reply.round_);
   return member;
--- a/flamingohollow/replica.cc
+++ b/flamingohollow/replica.cc
@@ -458,10 +458,12 @@
                       .address_ = member.address_,
                       .learner_ = member.learner_,
                       .match_ = {},
+                      .heard_ = false,
                       .answered_ = {}};
     const auto progress = state_.progress_.find(member.id_);
     if (progress != state_.progress_.end()) {
       voter.match_ = progress->second.match_;
+      voter.heard_ = progress->second.heard_;
       voter.answered_ = progress->second.answered_;
     }
     status.voters_.push_back(std::move(voter));
--- a/flamingohollow/testing/membership_plan_test.cc
+++ b/flamingohollow/testing/membership_plan_test.cc
@@ -134,6 +134,47 @@
   CHECK_EQ(group.Plan(3)->add_, NodeName("n3"));
 }
 
+// Guards against a change that no majority can commit: it is refused again and
+// again, and nobody is replaced.
+TEST_CASE("a voter that leaves and is needed is passed over for a lost one") {
+  Group group = ThreeVoters();
+  group.Standby("n2", kNow);
+  group.nodes_[NodeName("n2")].leaving_ = true;
+  group.Learner("n4", true);
+  group.members_[2].answered_ = kNow - kLearnerTimeout - Duration(1);
+  CHECK_FALSE(group.Plan(3).has_value());
+  group.members_[2].answered_ = kNow - kSilent;
+  CHECK_EQ(group.Plan(3)->remove_, NodeName("n3"));
+  group.members_[2].answered_ = kNow;
+  CHECK_EQ(group.Plan(3)->remove_, NodeName("n2"));
+}
+
+// Guards against a lost voter that isn't replaced for long because the leader
+// changes meanwhile.
+TEST_CASE("a voter that never answered a new leader is replaced sooner") {
+  Group group = ThreeVoters(kReplaceUnheardAfter + Duration(1));
+  group.Learner("n4", true);
+  CHECK_FALSE(group.Plan(3).has_value());
+  group.members_[2].unheard_ = true;
+  CHECK_EQ(group.Plan(3)->remove_, NodeName("n3"));
+  group.members_[2].answered_ = kNow - kReplaceUnheardAfter;
+  CHECK_FALSE(group.Plan(3).has_value());
+}
+
+// Guards against a leader that removes a voter that works, beside one that is
+// lost and has not been silent for long.
+TEST_CASE("a surplus voter is removed only while all voters answer") {
+  Group group = ThreeVoters();
+  group.Voter("n4");
+  group.members_[2].unheard_ = true;
+  CHECK_FALSE(group.Plan(3).has_value());
+  group.members_[2].unheard_ = false;
+  group.members_[2].answered_ = kNow - kLearnerTimeout - Duration(1);
+  CHECK_FALSE(group.Plan(3).has_value());
+  group.members_[2].answered_ = kNow;
+  CHECK_EQ(group.Plan(3)->remove_, NodeName("n2"));
+}
+
 TEST_CASE("a voter that is silent only briefly is kept") {
   Group group = ThreeVoters(Duration(1000));
   group.Learner("n4", true);
--- a/flamingohollow/testing/raft_rules_test.cc
+++ b/flamingohollow/testing/raft_rules_test.cc
@@ -257,6 +257,9 @@
   voter.Give(TickEvent{});
   CHECK(learner());
   voter.Acknowledge(4, 4, voter.now_);
+  // Voter 3 has not answered: a larger quorum needs the learner at once.
+  CHECK(learner());
+  voter.Acknowledge(3, 0, voter.now_);
   CHECK_FALSE(learner());
 }
 
@@ -288,6 +291,20 @@
   }
 }
 
+// Guards against a new leader that removes a voter that works, in favor of one
+// that is lost, and then has no quorum.
+TEST_CASE("a new leader counts only voters that have answered it") {
+  OneVoter voter;
+  voter.Lead();
+  voter.CommitOpening();
+  const Actions refused = voter.Give(RemoveVoterEvent{NodeName("2")});
+  REQUIRE(refused.operator_.has_value());
+  CHECK(refused.operator_->reason_ == "too few of the other voters answer");
+  voter.Acknowledge(3, 0, voter.now_);
+  CHECK_FALSE(
+      voter.Give(RemoveVoterEvent{NodeName("2")}).operator_.has_value());
+}
+
 TEST_CASE("a learner whose addition was not committed can still join") {
   OneVoter learner;
   learner.entries_[0].membership_[0].learner_ = true;
@@ -376,6 +393,8 @@
     voter.Acknowledge(1, 4, voter.now_);
     voter.Acknowledge(2, 4, voter.now_);
     voter.Acknowledge(4, 4, voter.now_);
+    CHECK(CountVoters(CurrentMembership(voter.state_.log_)) == 3);
+    voter.Acknowledge(3, 0, voter.now_);
     CHECK(CountVoters(CurrentMembership(voter.state_.log_)) == wanted);
   }
 }
