Let a new leader know what a learner with a stalled disk holds

Callers would see (seen in a model only): a group that ended for good, with all accepted work, though no more machines were lost at once than are tolerated: a leader had been stopped as planned while its successor's disk stalled.

Cause: a leader learns that a learner has synced a part of the log only from an acknowledgement of new entries, and a stalled disk holds those back. So the leader that takes over replaces nobody until the stall ends, and the stopped machine doesn't count as lost, as its successor has had its 4 s.

Why it works: a member notes once the first part of its log is synced, and says so in each answer, also to a heartbeat, which waits for no disk. That never ceases to hold: a lost folder has a new VoterId.

--- a/flamingohollow/graph_service.cc
+++ b/flamingohollow/graph_service.cc
@@ -401,7 +401,7 @@
   for (const VoterStatus& voter : status.voters_) {
     members.push_back({.name_ = voter.name_,
                        .learner_ = voter.learner_,
-                       .holds_log_ = voter.match_ > LogIndex(),
+                       .holds_log_ = voter.holds_log_,
                        .unheard_ = !voter.heard_,
                        .answered_ = voter.answered_});
   }
--- a/flamingohollow/peer_codec.cc
+++ b/flamingohollow/peer_codec.cc
@@ -82,6 +82,7 @@
     out.setMatch(body.match_.value());
     out.setRound(body.round_);
     out.setSent(body.sent_.ms());
+    out.setHoldsLog(body.holds_log_);
   }
   void operator()(const SnapshotChunk& body) {
     auto out = out_.initSnapshotChunk();
@@ -261,7 +262,8 @@
       return AppendReply{.accepted_ = in.getAppendReply().getAccepted(),
                          .match_ = LogIndex(in.getAppendReply().getMatch()),
                          .round_ = in.getAppendReply().getRound(),
-                         .sent_ = Time(in.getAppendReply().getSent())};
+                         .sent_ = Time(in.getAppendReply().getSent()),
+                         .holds_log_ = in.getAppendReply().getHoldsLog()};
     case schema::PeerMessage::Body::SNAPSHOT_CHUNK:
       return ReadBody(in.getSnapshotChunk());
     case schema::PeerMessage::Body::SNAPSHOT_REPLY:
--- a/flamingohollow/raft.cc
+++ b/flamingohollow/raft.cc
@@ -243,6 +243,8 @@
   } else if (const auto* granted = std::get_if<VoteReply>(&message.body_)) {
     HandleVoteReply(ctx, message, *granted);
   } else {
+    // An answer of this voter to itself comes once what it appended is synced.
+    if (message.from_ == ctx.state_.id_) ctx.state_.holds_log_ = true;
     ReceiveInTerm(ctx, message);
   }
 }
@@ -350,6 +352,7 @@
   state.applied_ = snapshot.index_;
   if (snapshot.index_ != LogIndex()) ResetLog(&state.log_, std::move(snapshot));
   for (LogEntry& entry : entries) AppendEntry(&state.log_, std::move(entry));
+  state.holds_log_ = !IsBlank(state);
   Actions unused;
   raft_internal::ResetElectionDeadline({state, now, unused});
   return state;
@@ -368,6 +371,13 @@
     raft_internal::Send(ctx, state->id_, state->address_, state->hard_.term_,
                         own, raft_internal::Delivery::kSynced);
   }
+  // The first part of a log notes in the same way that it is synced.
+  const bool writes_log =
+      !actions.append_.empty() || actions.snapshot_.has_value();
+  if (!state->holds_log_ && writes_log) {
+    raft_internal::Send(ctx, state->id_, state->address_, state->hard_.term_,
+                        AppendReply{}, raft_internal::Delivery::kSynced);
+  }
   return actions;
 }
 
--- a/flamingohollow/raft.h
+++ b/flamingohollow/raft.h
@@ -111,6 +111,8 @@
   bool probing_ = true;
   // The member has answered this leader.
   bool heard_ = false;
+  // The member has synced a part of the log, for this leader or an earlier one.
+  bool holds_log_ = false;
   // When the leader sent the newest message that was answered. The arrival time
   // of the answer is not used because an answer may have waited in a buffer.
   Time answered_;
@@ -188,6 +190,8 @@
 
   HardState hard_;
   RaftLog log_;
+  // A part of the log has been synced.
+  bool holds_log_ = false;
 
   Role role_ = Role::kFollower;
   // 0 while unknown.
--- a/flamingohollow/raft_membership.cc
+++ b/flamingohollow/raft_membership.cc
@@ -240,10 +240,10 @@
 // others' disks leaves it. The part is needed as a blank voter doesn't vote.
 bool HoldsEnough(const RaftState& state, const Member& learner) {
   const Membership& current = CurrentMembership(state.log_);
-  const LogIndex match = state.progress_.at(learner.id_).match_;
+  const Progress& progress = state.progress_.at(learner.id_);
   const bool larger =
       QuorumSize(Promoted(current, learner.id_)) > QuorumSize(current);
-  return larger ? match >= state.commit_ : match > LogIndex();
+  return larger ? progress.match_ >= state.commit_ : progress.holds_log_;
 }
 
 Membership WithoutName(const Membership& membership, const NodeName& name) {
--- a/flamingohollow/raft_message.h
+++ b/flamingohollow/raft_message.h
@@ -57,6 +57,8 @@
   LogIndex match_;
   std::uint64_t round_ = 0;
   Time sent_;
+  // The sender has synced a part of the group's log, at some time.
+  bool holds_log_ = false;
 
   friend bool operator==(const AppendReply&, const AppendReply&) = default;
 };
--- a/flamingohollow/raft_replicate.cc
+++ b/flamingohollow/raft_replicate.cc
@@ -423,6 +423,7 @@
   AppendReply reply;
   reply.round_ = request.round_;
   reply.sent_ = request.sent_;
+  reply.holds_log_ = state.holds_log_;
   const LogIndex previous = request.previous_index_;
   // What is committed here equals the leader's log.
   const bool matches = previous <= state.commit_ ||
@@ -474,6 +475,8 @@
   const Member* member = RecordAnswer(state, message.from_, reply);
   if (member == nullptr) return;
   Progress& progress = state.progress_.at(message.from_);
+  const bool holds = reply.holds_log_ || reply.match_ > LogIndex();
+  if (reply.accepted_ && holds) progress.holds_log_ = true;
   if (!reply.accepted_) {
     Rewind(&progress,
            std::max(Next(progress.match_),
@@ -506,6 +509,7 @@
   ack.accepted_ = true;
   ack.round_ = chunk.round_;
   ack.sent_ = chunk.sent_;
+  ack.holds_log_ = state.holds_log_;
   if (TermAt(state.log_, chunk.index_) == chunk.term_) {
     state.commit_ = std::max(state.commit_, chunk.index_);
   }
--- a/flamingohollow/replica.cc
+++ b/flamingohollow/replica.cc
@@ -458,11 +458,13 @@
                       .address_ = member.address_,
                       .learner_ = member.learner_,
                       .match_ = {},
+                      .holds_log_ = false,
                       .heard_ = false,
                       .answered_ = {}};
     const auto progress = state_.progress_.find(member.id_);
     if (progress != state_.progress_.end()) {
       voter.match_ = progress->second.match_;
+      voter.holds_log_ = progress->second.holds_log_;
       voter.heard_ = progress->second.heard_;
       voter.answered_ = progress->second.answered_;
     }
--- a/flamingohollow/replica.h
+++ b/flamingohollow/replica.h
@@ -42,6 +42,8 @@
   bool learner_ = false;
   // The voter is known to have synced all entries up to this index.
   LogIndex match_;
+  // The voter is known to have synced a part of the log.
+  bool holds_log_ = false;
   // The voter has answered this leader.
   bool heard_ = false;
   // When the leader sent the newest message that the voter has answered, or
--- a/flamingohollow/testing/peer_codec_test.cc
+++ b/flamingohollow/testing/peer_codec_test.cc
@@ -59,7 +59,7 @@
   return {VoteRequest{true, true, LogIndex(5), Term(2)},
           VoteReply{true, true},
           append,
-          AppendReply{true, LogIndex(3), 4, Time(5)},
+          AppendReply{true, LogIndex(3), 4, Time(5), true},
           chunk,
           SnapshotReply{LogIndex(9), 104, 1, Time(2)},
           CampaignNow{},
--- a/flamingohollow/testing/raft_rules_test.cc
+++ b/flamingohollow/testing/raft_rules_test.cc
@@ -291,6 +291,31 @@
   }
 }
 
+// Guards against a new leader that takes no learner for a successor while the
+// learner's disk stalls.
+TEST_CASE("a heartbeat's answer says whether a part of the log is synced") {
+  OneVoter learner(true);
+  AppendRequest request;
+  request.entries_ = {OneVoter::Entry(1, 3)};
+  const auto holds_log = [&learner] {
+    const Actions actions = learner.Receive(AppendRequest{}, 2, kTerm);
+    REQUIRE(actions.send_.size() == 1);
+    return std::get<AppendReply>(actions.send_[0].body_).holds_log_;
+  };
+  const Actions appended = learner.Receive(request, 2, kTerm);
+  CHECK_FALSE(holds_log());
+  for (const Message& message : appended.send_synced_) {
+    if (message.to_ == VoterId(1)) Step(&learner.state_, message, learner.now_);
+  }
+  CHECK(holds_log());
+  // It is known at once after a restart.
+  OneVoter restarted;
+  restarted.Start({});
+  restarted.state_.hard_.term_ = kTerm;
+  const Actions answer = restarted.Receive(AppendRequest{}, 2, kTerm);
+  CHECK(std::get<AppendReply>(answer.send_.at(0).body_).holds_log_);
+}
+
 // Guards against a new leader that removes a voter that works, in favor of one
 // that is lost, and then has no quorum.
 TEST_CASE("a new leader counts only voters that have answered it") {
--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -47,6 +47,7 @@
   match @1 :UInt64;
   round @2 :UInt64;
   sent @3 :Int64;
+  holdsLog @4 :Bool;
 }
 
 struct PeerSnapshotChunk {
--- a/schema/peer.capnp.h
+++ b/schema/peer.capnp.h
@@ -858,6 +858,8 @@
 
   inline  ::int64_t getSent() const;
 
+  inline bool getHoldsLog() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -898,6 +900,9 @@
   inline  ::int64_t getSent();
   inline void setSent( ::int64_t value);
 
+  inline bool getHoldsLog();
+  inline void setHoldsLog(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2738,6 +2743,20 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool PeerAppendReply::Reader::getHoldsLog() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline bool PeerAppendReply::Builder::getHoldsLog() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void PeerAppendReply::Builder::setHoldsLog(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t PeerSnapshotChunk::Reader::getIndex() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
