Let a stopping voter wait until it is replaced

Callers would see (seen in a model only): a group that ended for good, with all accepted work, though no more machines were lost at once than are tolerated: a voter was stopped as planned just as the leader was lost, or beside a lost voter.

Cause: a voter that is stopped waits 0.7 s for its successor. An election alone takes up to 1.2 s, and a lost voter is replaced first only after 1.5 s of silence. The stopped machine doesn't count as lost, as its successor has had its 4 s; but it still counts as a voter, and nobody has taken its place. It also stopped once its removal was in the leader's log, committed or not.

Why it works: it waits for up to 2.5 s, and half of the stop's grace period at most, and goes once its removal is committed. Without a learner it doesn't wait, as before.

--- a/flamingohollow/graph_control.cc
+++ b/flamingohollow/graph_control.cc
@@ -16,6 +16,7 @@
 #include <utility>
 
 #include "flamingohollow/descriptor_budget.h"
+#include "flamingohollow/membership_plan.h"
 #include "flamingohollow/peer_links.h"
 #include "flamingohollow/replica_factory.h"
 #include "flamingohollow/rpc.h"
@@ -32,9 +33,7 @@
 constexpr Duration kTickInterval = Duration(20);
 // Each control node announces itself to the leader this often.
 constexpr Duration kAnnounceInterval = Duration(500);
-// A node that is about to stop waits at most this long until another voter has
-// taken its place, and announces itself this often meanwhile.
-constexpr Duration kLeaveLimit = Duration(700);
+// A node that is about to stop announces itself this often.
 constexpr Duration kLeaveInterval = Duration(100);
 // A seed retries founding the group after this long. The seeds' first attempts
 // are staggered by the same time.
--- a/flamingohollow/graph_service.cc
+++ b/flamingohollow/graph_service.cc
@@ -391,6 +391,10 @@
   for (const VoterStatus& voter : replica_->Status().voters_) {
     reply.control_addresses_.push_back(voter.address_);
   }
+  // Its removal may not be committed yet: until then it is needed.
+  if (node.leaving_ && leadership_->changing_members_) {
+    reply.control_addresses_.push_back(node.control_address_);
+  }
   respond(reply);
 }
 
--- a/flamingohollow/membership_plan.h
+++ b/flamingohollow/membership_plan.h
@@ -36,6 +36,11 @@
 // kReplaceVoterAfter, or a voter that was just removed would be tried.
 inline constexpr Duration kStandbyTimeout = kReplaceVoterAfter;
 
+// A node that is about to stop waits at most this long until another voter has
+// taken its place: for a leader, if there is none, and for that leader to
+// replace a lost voter first.
+inline constexpr Duration kLeaveLimit = Duration(2500);
+
 // A control node that has announced itself to this leader.
 struct ControlNode {
   std::string address_;
--- a/flamingohollow/testing/raft_sim.h
+++ b/flamingohollow/testing/raft_sim.h
@@ -130,6 +130,7 @@
   bool IsActive(std::size_t i) const { return Active(nodes_[i]); }
   Time now() const { return now_; }
   std::vector<SimNode>& nodes() { return nodes_; }
+  const std::vector<SimNode>& nodes() const { return nodes_; }
   SimNode& node(std::size_t i) { return nodes_[i]; }
   const std::string& violation() const { return violation_; }
   // Each node's view, for the message of a failed test.
