Note the first synced part of a log at followers only

A leader has noted it before it votes for itself. No case was seen; raft_rules_test, raft_test and raft_schedule_test pass as before.

--- a/flamingohollow/raft.cc
+++ b/flamingohollow/raft.cc
@@ -374,7 +374,7 @@
   // The first part of a log notes in the same way that it is synced.
   const bool writes_log =
       !actions.append_.empty() || actions.snapshot_.has_value();
-  if (!state->holds_log_ && writes_log) {
+  if (state->role_ != Role::kLeader && !state->holds_log_ && writes_log) {
     raft_internal::Send(ctx, state->id_, state->address_, state->hard_.term_,
                         AppendReply{}, raft_internal::Delivery::kSynced);
   }
