--- a/flamingohollow/graph_service.cc
+++ b/flamingohollow/graph_service.cc
@@ -391,6 +391,10 @@
   for (const VoterStatus& voter : replica_->Status().voters_) {
     reply.control_addresses_.push_back(voter.address_);
   }
+  // Its removal may not be committed yet: until then it is needed.
+  if (node.leaving_ && leadership_->changing_members_) {
+    reply.control_addresses_.push_back(node.control_address_);
+  }
   respond(reply);
 }
 
@@ -401,7 +405,8 @@
   for (const VoterStatus& voter : status.voters_) {
     members.push_back({.name_ = voter.name_,
                        .learner_ = voter.learner_,
-                       .caught_up_ = voter.match_ >= status.committed_,
+                       .holds_log_ = voter.holds_log_,
+                       .unheard_ = !voter.heard_,
                        .answered_ = voter.answered_});
   }
   const auto change = PlanMembership(members, leadership_->nodes_,
--- a/flamingohollow/raft_membership.cc
+++ b/flamingohollow/raft_membership.cc
@@ -34,22 +34,28 @@
             [](const Member& a, const Member& b) { return a.id_ < b.id_; });
 }
 
-JoinState OwnJoinState(const RaftState& state, VoterId asker) {
+// `known` are the asker and the members that it knows of.
+JoinState OwnJoinState(const RaftState& state,
+                       const std::vector<VoterId>& known) {
   if (IsBlank(state)) return JoinState::kBlank;
   const bool only_founded =
       LastIndex(state.log_) == kFoundingIndex && state.commit_ == LogIndex();
   if (only_founded) return JoinState::kFounded;
   const Membership& membership = CurrentMembership(state.log_);
   if (!IsVoter(membership, state.id_)) return JoinState::kNonVoter;
-  return IsVoter(membership, asker) ? JoinState::kPeer : JoinState::kFormed;
+  const bool same_group = std::any_of(
+      known.begin(), known.end(),
+      [&](VoterId id) { return FindMember(membership, id) != nullptr; });
+  return same_group ? JoinState::kPeer : JoinState::kFormed;
 }
 
-ProbeReply DescribeSelf(const RaftState& state, VoterId asker,
+ProbeReply DescribeSelf(const RaftState& state,
+                        const std::vector<VoterId>& known,
                         std::uint64_t nonce) {
   return {.nonce_ = nonce,
           .name_ = state.name_,
           .address_ = state.address_,
-          .state_ = OwnJoinState(state, asker),
+          .state_ = OwnJoinState(state, known),
           .pledge_ = state.hard_.pledge_};
 }
 
@@ -58,7 +64,7 @@
 // learner whose addition an earlier leader could not commit, or a voter that
 // was removed while it was partitioned: its folder still holds everything that
 // it acknowledged and every vote that it cast. VoterIds are random, so a log
-// that names this leader's is of this group.
+// that names this leader's, or that of another member, is of this group.
 bool MayJoin(const ProbeReply& reply) {
   if (reply.state_ == JoinState::kBlank) return reply.pledge_ == 0;
   return reply.state_ == JoinState::kNonVoter ||
@@ -183,6 +189,8 @@
   return index;
 }
 
+// A new leader takes all members to have answered as it began to lead; only
+// those that have answered it since count here.
 std::size_t CountAnswering(const RaftState& state, const Membership& membership,
                            Time now) {
   std::size_t answering = 0;
@@ -191,7 +199,7 @@
     const auto progress = state.progress_.find(member.id_);
     const bool answers =
         member.id_ == state.id_ ||
-        (progress != state.progress_.end() &&
+        (progress != state.progress_.end() && progress->second.heard_ &&
          now - progress->second.answered_ <= state.config_.election_min_);
     if (answers) ++answering;
   }
@@ -216,6 +224,28 @@
          std::min(QuorumSize(promoted), CountVoters(current));
 }
 
+Membership Promoted(Membership membership, VoterId learner) {
+  for (Member& member : membership) {
+    if (member.id_ == learner) member.learner_ = false;
+  }
+  return membership;
+}
+
+// Whether the learner has synced enough of the log to be promoted.
+//
+// If that makes the quorum larger, it must have synced all committed entries,
+// as they may be on a smaller majority. Otherwise a part is enough, such as of
+// a learner whose disk stalls: the voters of now suffice for the quorum, and
+// everything up to the last change is on so many of them that the loss of the
+// others' disks leaves it. The part is needed as a blank voter doesn't vote.
+bool HoldsEnough(const RaftState& state, const Member& learner) {
+  const Membership& current = CurrentMembership(state.log_);
+  const Progress& progress = state.progress_.at(learner.id_);
+  const bool larger =
+      QuorumSize(Promoted(current, learner.id_)) > QuorumSize(current);
+  return larger ? progress.match_ >= state.commit_ : progress.holds_log_;
+}
+
 Membership WithoutName(const Membership& membership, const NodeName& name) {
   Membership rest;
   for (const Member& member : membership) {
@@ -227,8 +257,14 @@
 void SendJoiningProbe(StepContext ctx) {
   Joining& joining = *ctx.state_.joining_;
   joining.resend_at_ = ctx.now_ + kContactResend;
+  // The asked may have been removed before this leader joined.
+  std::vector<VoterId> members;
+  for (const Member& member : CurrentMembership(ctx.state_.log_)) {
+    members.push_back(member.id_);
+  }
   Send(ctx, VoterId(), joining.voter_.address_, ctx.state_.hard_.term_,
-       Probe{.nonce_ = joining.nonce_}, Delivery::kNow);
+       Probe{.nonce_ = joining.nonce_, .members_ = std::move(members)},
+       Delivery::kNow);
 }
 
 void StartJoining(StepContext ctx, const VoterAddress& voter,
@@ -353,23 +389,24 @@
   const Membership& current = CurrentMembership(state.log_);
   const std::size_t wanted = state.config_.wanted_voters_;
   if (wanted > 0 && CountVoters(current) >= wanted) return;
+  const Member* best = nullptr;
   for (const Member& member : current) {
     if (!member.learner_) continue;
-    // The learner must have synced all committed entries: then the loss of any
-    // one voter leaves them on a majority of the others.
     const Progress& progress = state.progress_.at(member.id_);
-    if (progress.match_ < state.commit_) continue;
     // The learner must be reachable: promoting an unreachable one only enlarges
     // the quorum.
     if (ctx.now_ - progress.answered_ > state.config_.heartbeat_ * 2) continue;
-    Membership changed = current;
-    for (Member& other : changed) {
-      if (other.id_ == member.id_) other.learner_ = false;
+    if (!HoldsEnough(state, member)) continue;
+    if (best != nullptr &&
+        progress.match_ <= state.progress_.at(best->id_).match_) {
+      continue;
     }
-    if (!ToleratesLossAfterPromotion(state, changed, ctx.now_)) continue;
-    AppendMembership(ctx, std::move(changed));
-    return;
+    best = &member;
   }
+  if (best == nullptr) return;
+  Membership changed = Promoted(current, best->id_);
+  if (!ToleratesLossAfterPromotion(state, changed, ctx.now_)) return;
+  AppendMembership(ctx, std::move(changed));
 }
 
 void AnswerOperator(StepContext ctx) {
@@ -408,7 +445,7 @@
     return FinishInit(ctx, false,
                       state.name_.value() + " is not among the voters");
   }
-  RecordFounder(ctx, state.id_, DescribeSelf(state, state.id_, 0));
+  RecordFounder(ctx, state.id_, DescribeSelf(state, {}, 0));
   if (!state.formation_.has_value()) return;
   if (state.formation_->phase_ == FormationPhase::kProbe) SendFormation(ctx);
 }
@@ -437,7 +474,9 @@
 }
 
 void HandleProbe(StepContext ctx, const Message& message, const Probe& probe) {
-  Reply(ctx, message, DescribeSelf(ctx.state_, message.from_, probe.nonce_),
+  std::vector<VoterId> known = probe.members_;
+  known.push_back(message.from_);
+  Reply(ctx, message, DescribeSelf(ctx.state_, known, probe.nonce_),
         Delivery::kNow);
 }
 
@@ -497,7 +536,7 @@
 }
 
 void ReplyWithActualIdentity(StepContext ctx, const Message& message) {
-  Reply(ctx, message, DescribeSelf(ctx.state_, message.from_, 0),
+  Reply(ctx, message, DescribeSelf(ctx.state_, {message.from_}, 0),
         Delivery::kNow);
 }
 
--- a/flamingohollow/testing/peer_codec_test.cc
+++ b/flamingohollow/testing/peer_codec_test.cc
@@ -59,11 +59,11 @@
   return {VoteRequest{true, true, LogIndex(5), Term(2)},
           VoteReply{true, true},
           append,
-          AppendReply{true, LogIndex(3), 4, Time(5)},
+          AppendReply{true, LogIndex(3), 4, Time(5), true},
           chunk,
           SnapshotReply{LogIndex(9), 104, 1, Time(2)},
           CampaignNow{},
-          Probe{6},
+          Probe{6, {VoterId(3), VoterId(4)}},
           probed,
           FoundRequest{true, SomeMembers()},
           FoundReply{true, true, NodeName("a"), 9}};
--- a/flamingohollow/testing/raft_rules_test.cc
+++ b/flamingohollow/testing/raft_rules_test.cc
@@ -257,9 +257,79 @@
   voter.Give(TickEvent{});
   CHECK(learner());
   voter.Acknowledge(4, 4, voter.now_);
+  // Voter 3 has not answered: a larger quorum needs the learner at once.
+  CHECK(learner());
+  voter.Acknowledge(3, 0, voter.now_);
   CHECK_FALSE(learner());
 }
 
+// Guards against a group that stays without the successor of a lost voter while
+// the successor's disk stalls.
+TEST_CASE("a learner with a part of the log is promoted to an odd number") {
+  for (const bool holds_part : {false, true}) {
+    OneVoter voter;
+    voter.Lead();
+    voter.CommitOpening();
+    voter.state_.config_.wanted_voters_ = 3;
+    voter.Give(AddVoterEvent{{NodeName("4"), "4"}});
+    ProbeReply reply;
+    reply.name_ = NodeName("4");
+    reply.nonce_ = voter.state_.joining_->nonce_;
+    voter.Receive(reply, 4, Term());
+    voter.Acknowledge(1, 4, voter.now_);
+    voter.Acknowledge(2, 4, voter.now_);
+    voter.Acknowledge(4, holds_part ? 1 : 0, voter.now_);
+    CHECK(CountVoters(CurrentMembership(voter.state_.log_)) == 3);
+    voter.Give(RemoveVoterEvent{NodeName("3")});
+    CHECK(CountVoters(CurrentMembership(voter.state_.log_)) == 2);
+    // Not before all that the removed voter held is on both others.
+    voter.Acknowledge(1, 5, voter.now_);
+    CHECK(CountVoters(CurrentMembership(voter.state_.log_)) == 2);
+    voter.Acknowledge(2, 5, voter.now_);
+    CHECK(CountVoters(CurrentMembership(voter.state_.log_)) ==
+          (holds_part ? 3 : 2));
+  }
+}
+
+// Guards against a new leader that takes no learner for a successor while the
+// learner's disk stalls.
+TEST_CASE("a heartbeat's answer says whether a part of the log is synced") {
+  OneVoter learner(true);
+  AppendRequest request;
+  request.entries_ = {OneVoter::Entry(1, 3)};
+  const auto holds_log = [&learner] {
+    const Actions actions = learner.Receive(AppendRequest{}, 2, kTerm);
+    REQUIRE(actions.send_.size() == 1);
+    return std::get<AppendReply>(actions.send_[0].body_).holds_log_;
+  };
+  const Actions appended = learner.Receive(request, 2, kTerm);
+  CHECK_FALSE(holds_log());
+  for (const Message& message : appended.send_synced_) {
+    if (message.to_ == VoterId(1)) Step(&learner.state_, message, learner.now_);
+  }
+  CHECK(holds_log());
+  // It is known at once after a restart.
+  OneVoter restarted;
+  restarted.Start({});
+  restarted.state_.hard_.term_ = kTerm;
+  const Actions answer = restarted.Receive(AppendRequest{}, 2, kTerm);
+  CHECK(std::get<AppendReply>(answer.send_.at(0).body_).holds_log_);
+}
+
+// Guards against a new leader that removes a voter that works, in favor of one
+// that is lost, and then has no quorum.
+TEST_CASE("a new leader counts only voters that have answered it") {
+  OneVoter voter;
+  voter.Lead();
+  voter.CommitOpening();
+  const Actions refused = voter.Give(RemoveVoterEvent{NodeName("2")});
+  REQUIRE(refused.operator_.has_value());
+  CHECK(refused.operator_->reason_ == "too few of the other voters answer");
+  voter.Acknowledge(3, 0, voter.now_);
+  CHECK_FALSE(
+      voter.Give(RemoveVoterEvent{NodeName("2")}).operator_.has_value());
+}
+
 TEST_CASE("a learner whose addition was not committed can still join") {
   OneVoter learner;
   learner.entries_[0].membership_[0].learner_ = true;
@@ -267,7 +337,7 @@
   learner.state_.name_ = learner.members_[2].name_;
   Message message;
   message.from_ = VoterId(2);
-  message.body_ = Probe{.nonce_ = 5};
+  message.body_ = Probe{.nonce_ = 5, .members_ = {}};
   const Actions actions = Step(&learner.state_, message, learner.now_);
   REQUIRE(actions.send_.size() == 1);
   const auto reply = std::get<ProbeReply>(actions.send_[0].body_);
@@ -292,7 +362,7 @@
   removed.Start({});
   Message probe;
   probe.from_ = VoterId(2);
-  probe.body_ = Probe{.nonce_ = 5};
+  probe.body_ = Probe{.nonce_ = 5, .members_ = {}};
   const Actions actions = Step(&removed.state_, probe, removed.now_);
   REQUIRE(actions.send_.size() == 1);
   const auto reply = std::get<ProbeReply>(actions.send_[0].body_);
@@ -302,6 +372,22 @@
   const Actions foreign = Step(&removed.state_, probe, removed.now_);
   CHECK(std::get<ProbeReply>(foreign.send_.at(0).body_).state_ ==
         JoinState::kFormed);
+  // The leader may have joined after the voter was removed: then another member
+  // tells that the group is the same.
+  probe.body_ = Probe{.nonce_ = 5, .members_ = {VoterId(77), VoterId(3)}};
+  const Actions later = Step(&removed.state_, probe, removed.now_);
+  CHECK(std::get<ProbeReply>(later.send_.at(0).body_).state_ ==
+        JoinState::kPeer);
+  // A learner that the voter knows of may lead by then.
+  OneVoter beside;
+  beside.members_[2].learner_ = true;
+  beside.entries_[0].membership_ = beside.members_;
+  beside.Start({});
+  probe.from_ = VoterId(3);
+  probe.body_ = Probe{.nonce_ = 5, .members_ = {}};
+  const Actions of_learner = Step(&beside.state_, probe, beside.now_);
+  CHECK(std::get<ProbeReply>(of_learner.send_.at(0).body_).state_ ==
+        JoinState::kPeer);
   for (const bool same_group : {true, false}) {
     OneVoter leader;
     leader.Lead();
@@ -332,6 +418,8 @@
     voter.Acknowledge(1, 4, voter.now_);
     voter.Acknowledge(2, 4, voter.now_);
     voter.Acknowledge(4, 4, voter.now_);
+    CHECK(CountVoters(CurrentMembership(voter.state_.log_)) == 3);
+    voter.Acknowledge(3, 0, voter.now_);
     CHECK(CountVoters(CurrentMembership(voter.state_.log_)) == wanted);
   }
 }
--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -47,6 +47,7 @@
   match @1 :UInt64;
   round @2 :UInt64;
   sent @3 :Int64;
+  holdsLog @4 :Bool;
 }
 
 struct PeerSnapshotChunk {
@@ -69,6 +70,7 @@
 
 struct PeerProbe {
   nonce @0 :UInt64;
+  members @1 :List(UInt64);
 }
 
 struct PeerProbeReply {
