End a control node's calls before its relay is destroyed

What callers saw: a control node that is stopped while one of its calls waits for an answer may end with SIGSEGV instead of 0.

Fix: the RPC node is stopped while the relay still exists.

--- a/flamingohollow/graph_control.cc
+++ b/flamingohollow/graph_control.cc
@@ -339,7 +339,8 @@
 GraphControl::GraphControl(std::unique_ptr<Impl> impl)
     : impl_(std::move(impl)) {}
 
-GraphControl::~GraphControl() = default;
+// The relay gets the ends of the calls that are under way.
+GraphControl::~GraphControl() { impl_->rpc_->Stop(); }
 
 leaf::result<std::unique_ptr<GraphControl>> GraphControl::Create(
     const GraphSettings& settings, IoThreads& threads, SendCommand send,
