--- a/flamingohollow/entry.cc
+++ b/flamingohollow/entry.cc
@@ -108,7 +108,6 @@
   void HandleHttp(HttpRequest request, const HttpResponder& respond);
   void Finish(const Span& span, const std::string& route, Time received_at,
               const HttpResponder& respond, HttpResponse response);
-  void ExportServerMetrics();
   void Drain();
 
   const Settings settings_;
@@ -177,7 +176,9 @@
            std::move(*filter_result));
     return;
   }
-  if (pending.parsed_.kind_ == RouteKind::kMetrics) ExportServerMetrics();
+  if (pending.parsed_.kind_ == RouteKind::kMetrics) {
+    ExportServerCounts(server_->Counts(), metrics_);
+  }
   ++requests_;
   HttpResponder finish = [this, span = pending.span_, route,
                           received_at = pending.received_at_,
@@ -191,22 +192,6 @@
   });
 }
 
-void EntryServer::Impl::ExportServerMetrics() {
-  const HttpServerCounts counts = server_->Counts();
-  metrics_.SetGauge("http_open_connections",
-                    static_cast<double>(counts.open_connections_));
-  const std::pair<const char*, std::uint64_t> totals[] = {
-      {"http_requests_total", counts.requests_},
-      {"http_refused_connections_total", counts.refused_connections_},
-      {"http_refused_bodies_total", counts.refused_bodies_},
-      {"http_malformed_total", counts.malformed_},
-      {"http_timed_out_total", counts.timed_out_},
-  };
-  for (const auto& [name, total] : totals) {
-    metrics_.SetCount(name, static_cast<double>(total));
-  }
-}
-
 void EntryServer::Impl::Drain() {
   if (stopped_) return;
   stopped_ = true;
--- a/flamingohollow/http_server.cc
+++ b/flamingohollow/http_server.cc
@@ -487,6 +487,21 @@
   SetIdleTimeout((*longest)->shared_from_this(), Duration(0));
 }
 
+void ExportServerCounts(const HttpServerCounts& counts, Metrics& metrics) {
+  metrics.SetGauge("http_open_connections",
+                   static_cast<double>(counts.open_connections_));
+  const std::pair<const char*, std::uint64_t> totals[] = {
+      {"http_requests_total", counts.requests_},
+      {"http_refused_connections_total", counts.refused_connections_},
+      {"http_refused_bodies_total", counts.refused_bodies_},
+      {"http_malformed_total", counts.malformed_},
+      {"http_timed_out_total", counts.timed_out_},
+  };
+  for (const auto& [name, total] : totals) {
+    metrics.SetCount(name, static_cast<double>(total));
+  }
+}
+
 HttpServer::HttpServer(std::shared_ptr<HttpServerState> state)
     : state_(std::move(state)) {}
 
--- a/flamingohollow/http_server.h
+++ b/flamingohollow/http_server.h
@@ -26,6 +26,7 @@
 #include <vector>
 
 #include "flamingohollow/http_types.h"
+#include "flamingohollow/metrics.h"
 #include "util/clock.h"
 #include "util/io_threads.h"
 
@@ -84,6 +85,9 @@
 
 struct HttpServerState;
 
+// Publishes the counts as metrics "http_...".
+void ExportServerCounts(const HttpServerCounts& counts, Metrics& metrics);
+
 class HttpServer {
  public:
   // Binds and starts serving. `threads` must outlive the server, but must be
