Promote a learner that answers late where the quorum stays the same

Cause: two limits that don't fit. A voter is removed in favor of a learner that answered within 0.75 s, and the learner is promoted only if it answered within 0.5 s. Over a lossy link the group stays with an even number of voters for seconds, and one lost disk less ends it.

The new case of raft_rules_test fails without the change.

Why it works: from 2f to 2f + 1 voters the quorum stays the same, so a learner that doesn't answer costs nothing. One that answers is preferred.

--- a/flamingohollow/raft_membership.cc
+++ b/flamingohollow/raft_membership.cc
@@ -231,6 +231,10 @@
   return membership;
 }
 
+bool EnlargesQuorum(const Membership& current, const Member& learner) {
+  return QuorumSize(Promoted(current, learner.id_)) > QuorumSize(current);
+}
+
 // Whether the learner has synced enough of the log to be promoted.
 //
 // If that makes the quorum larger, it must have synced all committed entries,
@@ -241,9 +245,8 @@
 bool HoldsEnough(const RaftState& state, const Member& learner) {
   const Membership& current = CurrentMembership(state.log_);
   const Progress& progress = state.progress_.at(learner.id_);
-  const bool larger =
-      QuorumSize(Promoted(current, learner.id_)) > QuorumSize(current);
-  return larger ? progress.match_ >= state.commit_ : progress.holds_log_;
+  return EnlargesQuorum(current, learner) ? progress.match_ >= state.commit_
+                                          : progress.holds_log_;
 }
 
 Membership WithoutName(const Membership& membership, const NodeName& name) {
@@ -390,18 +393,19 @@
   const std::size_t wanted = state.config_.wanted_voters_;
   if (wanted > 0 && CountVoters(current) >= wanted) return;
   const Member* best = nullptr;
+  std::pair<bool, LogIndex> best_rank;
   for (const Member& member : current) {
     if (!member.learner_) continue;
     const Progress& progress = state.progress_.at(member.id_);
-    // The learner must be reachable: promoting an unreachable one only enlarges
-    // the quorum.
-    if (ctx.now_ - progress.answered_ > state.config_.heartbeat_ * 2) continue;
+    const bool reachable =
+        ctx.now_ - progress.answered_ <= state.config_.heartbeat_ * 2;
+    // An unreachable one must not enlarge the quorum.
+    if (!reachable && EnlargesQuorum(current, member)) continue;
     if (!HoldsEnough(state, member)) continue;
-    if (best != nullptr &&
-        progress.match_ <= state.progress_.at(best->id_).match_) {
-      continue;
-    }
+    const std::pair<bool, LogIndex> rank(reachable, progress.match_);
+    if (best != nullptr && rank <= best_rank) continue;
     best = &member;
+    best_rank = rank;
   }
   if (best == nullptr) return;
   Membership changed = Promoted(current, best->id_);
--- a/flamingohollow/testing/raft_rules_test.cc
+++ b/flamingohollow/testing/raft_rules_test.cc
@@ -330,6 +330,28 @@
       voter.Give(RemoveVoterEvent{NodeName("2")}).operator_.has_value());
 }
 
+// Guards against a group that keeps an even number of voters while the messages
+// of the learner come late.
+TEST_CASE("a learner that answers late is promoted to an odd number") {
+  OneVoter voter;
+  voter.Lead();
+  voter.CommitOpening();
+  voter.state_.config_.wanted_voters_ = 3;
+  voter.Give(AddVoterEvent{{NodeName("4"), "4"}});
+  ProbeReply reply;
+  reply.name_ = NodeName("4");
+  reply.nonce_ = voter.state_.joining_->nonce_;
+  voter.Receive(reply, 4, Term());
+  for (const std::uint64_t id : {1, 2, 4}) voter.Acknowledge(id, 4, voter.now_);
+  voter.Give(RemoveVoterEvent{NodeName("3")});
+  const Time late = voter.now_;
+  voter.now_ = voter.now_ + voter.state_.config_.heartbeat_ * 3;
+  voter.Acknowledge(4, 4, late);
+  voter.Acknowledge(1, 5, voter.now_);
+  voter.Acknowledge(2, 5, voter.now_);
+  CHECK(CountVoters(CurrentMembership(voter.state_.log_)) == 3);
+}
+
 TEST_CASE("a learner whose addition was not committed can still join") {
   OneVoter learner;
   learner.entries_[0].membership_[0].learner_ = true;
