Let a new node join by a late answer to an earlier try

Cause: each try to let a node join lasts 1 s and asks with a number of its own. Answers that come later than that are thrown away, though they say the same.

The new case of raft_rules_test fails without the change.

Why it works: the number is made of a secret of the leadership and the node's name, so it shows that this leader asked this node. An answer may now name an identity that was lost since, as a machine may lose its disk at any moment after its answer: a learner that counts in no quorum, and that the repair replaces.

--- a/flamingohollow/raft.h
+++ b/flamingohollow/raft.h
@@ -170,8 +170,9 @@
 // An added or returning voter whose identity the leader is asking for.
 struct Joining {
   VoterAddress voter_;
-  // Only the answer to this leader's own probe counts: an old answer may name
-  // an identity that no longer exists.
+  // Only answers to this leader's own probes of this voter count, also to those
+  // of earlier tries: an older answer may name an identity that no longer
+  // exists.
   std::uint64_t nonce_ = 0;
   // An operator requested this change and waits for its result.
   bool by_operator_ = false;
@@ -223,6 +224,8 @@
   // until leadership is lost.
   std::optional<Time> transfer_deadline_;
   std::optional<Joining> joining_;
+  // What the nonces of this leader's probes are made of; 0 before the first one.
+  std::uint64_t probe_secret_ = 0;
   // An operator's change of membership that is answered once this entry is
   // committed.
   std::optional<LogIndex> operator_change_index_;
--- a/flamingohollow/raft_membership.cc
+++ b/flamingohollow/raft_membership.cc
@@ -270,15 +270,22 @@
        Delivery::kNow);
 }
 
+std::uint64_t ProbeNonce(RaftState* state, const VoterAddress& voter) {
+  if (state->probe_secret_ == 0) state->probe_secret_ = NextRandom(state);
+  const std::string& name = voter.name_.value();
+  // 0 means "not asked for".
+  return std::max<std::uint64_t>(
+      1, XXH3_64bits_withSeed(name.data(), name.size(), state->probe_secret_));
+}
+
 void StartJoining(StepContext ctx, const VoterAddress& voter,
                   bool by_operator) {
   RaftState& state = ctx.state_;
-  state.joining_ =
-      Joining{.voter_ = voter,
-              .nonce_ = std::max<std::uint64_t>(1, NextRandom(&state)),
-              .by_operator_ = by_operator,
-              .deadline_ = ctx.now_ + state.config_.join_timeout_,
-              .resend_at_ = ctx.now_};
+  state.joining_ = Joining{.voter_ = voter,
+                           .nonce_ = ProbeNonce(&state, voter),
+                           .by_operator_ = by_operator,
+                           .deadline_ = ctx.now_ + state.config_.join_timeout_,
+                           .resend_at_ = ctx.now_};
   SendJoiningProbe(ctx);
 }
 
@@ -429,6 +436,7 @@
 
 void StopMembershipWork(StepContext ctx) {
   RaftState& state = ctx.state_;
+  state.probe_secret_ = 0;
   const std::string reason = "leadership was lost: ask again";
   if (state.joining_.has_value()) FinishJoining(ctx, false, reason);
   if (!state.operator_change_index_.has_value()) return;
--- a/flamingohollow/testing/raft_rules_test.cc
+++ b/flamingohollow/testing/raft_rules_test.cc
@@ -330,6 +330,28 @@
       voter.Give(RemoveVoterEvent{NodeName("2")}).operator_.has_value());
 }
 
+// Guards against a new node that can't join while its answers come late.
+TEST_CASE("a late answer to an earlier try to join counts") {
+  OneVoter voter;
+  voter.Lead();
+  voter.CommitOpening();
+  voter.Acknowledge(1, 3, voter.now_);
+  voter.Give(AddVoterEvent{{NodeName("4"), "4"}});
+  ProbeReply late;
+  late.name_ = NodeName("4");
+  late.nonce_ = voter.state_.joining_->nonce_;
+  // The next try begins, and one of another node.
+  voter.state_.joining_.reset();
+  voter.Give(AddVoterEvent{{NodeName("5"), "5"}});
+  voter.Receive(late, 4, Term());
+  CHECK(CurrentMembership(voter.state_.log_).size() == 3);
+  REQUIRE(voter.state_.joining_.has_value());
+  voter.state_.joining_.reset();
+  voter.Give(AddVoterEvent{{NodeName("4"), "4"}});
+  voter.Receive(late, 4, Term());
+  CHECK(CurrentMembership(voter.state_.log_).size() == 4);
+}
+
 // Guards against a group that keeps an even number of voters while the messages
 // of the learner come late.
 TEST_CASE("a learner that answers late is promoted to an odd number") {
