Relay: a refusal of a later attempt leaves the outcome unknown

What callers saw: 401 as the only answer to a submission, and the job ran to its end. It happened when a key was taken away just as the leader was killed under requests.

Cause: an entry that gets no answer repeats the call at the next leader. The first attempt may be in the log, but the leader checks the key before it looks for the job. HandleReply turned only 503 and 429 into "unknown" then; 401, 404 (queue removed, domain no longer known) and 400 (the path names no job any more) were passed on.

Why the fix works: once an attempt may have taken effect, only what is true whatever became of it is passed on: successes, 410, answers to reads, and 400 for a configuration, which depends on its content alone, so it ends the operator's call as before. The rest becomes 504; the client asks again. Without an earlier attempt that may have run, refusals are passed on as before.

--- a/flamingohollow/graph_relay.cc
+++ b/flamingohollow/graph_relay.cc
@@ -23,6 +23,36 @@
   return outcome == GraphOutcome::kOk || outcome == GraphOutcome::kUnknown;
 }
 
+bool IsRead(GraphCallKind kind) {
+  return kind == GraphCallKind::kRead || kind == GraphCallKind::kReadCatalog ||
+         kind == GraphCallKind::kReadEvacuations;
+}
+
+// Whether the outcome of a later attempt is true of the call even if an earlier
+// one took effect. The keys, queues and workers by which leaders refuse a call
+// change between attempts.
+bool HoldsForAllAttempts(GraphCallKind kind, GraphOutcome outcome) {
+  if (IsRead(kind)) return true;
+  switch (outcome) {
+    case GraphOutcome::kOk:
+    case GraphOutcome::kUnknown:
+    // The job is gone, whether it was cancelled or not.
+    case GraphOutcome::kNoJob:
+      return true;
+    // Depends on the catalog alone, so every leader rejects it.
+    case GraphOutcome::kInvalid:
+      return kind == GraphCallKind::kPutCatalog;
+    case GraphOutcome::kNotLeader:
+    case GraphOutcome::kUnavailable:
+    case GraphOutcome::kNoQueue:
+    case GraphOutcome::kBadKey:
+    case GraphOutcome::kRefused:
+    case GraphOutcome::kNoDomain:
+      return false;
+  }
+  return false;
+}
+
 }  // namespace
 
 struct GraphRelay::Pending {
@@ -133,9 +163,8 @@
     return RetryLater(pending);
   }
   if (reply.outcome_ == GraphOutcome::kUnknown) return RetryLater(pending);
-  const bool refuses = reply.outcome_ == GraphOutcome::kUnavailable ||
-                       reply.outcome_ == GraphOutcome::kRefused;
-  if (refuses && pending->maybe_executed_) {
+  if (pending->maybe_executed_ &&
+      !HoldsForAllAttempts(pending->call_.kind_, reply.outcome_)) {
     GraphReply unknown = reply;
     unknown.outcome_ = GraphOutcome::kUnknown;
     return pending->done_(unknown);
--- a/flamingohollow/graph_relay.h
+++ b/flamingohollow/graph_relay.h
@@ -4,7 +4,8 @@
 // answer, by way of another control node; while no leader is known, the known
 // nodes in turn. Every call is idempotent, so retries are safe. At the deadline
 // the reply says whether the call may have taken effect: kUnavailable only if
-// no attempt can have reached a leader, kUnknown otherwise.
+// no attempt can have reached a leader, kUnknown otherwise. A refusal of a
+// later attempt becomes kUnknown if an earlier one may have taken effect.
 //
 // All state belongs to one event loop: calls and callbacks run on it.
 
