Jobs wait until a worker has begun a task of them

What callers saw: a queue said that no job waited, and each job was shown as running, while eight accepted jobs had waited for over 5 s behind a worker that rejected each start.

Cause: a job counted as begun once an attempt was placed, before its start was sent, and a rejected start didn't take that back.

Why the fix works: the state keeps whether an attempt has ended that may have started, that is, otherwise than by the new end `rejected`. For open attempts the leader asks its record of the workers, where a start begins when its answer or a poll confirms it. What an earlier leader opened counts as begun until the first poll. The check in graph_scheduler_test that read the field now reads the state's name, which shows an open attempt as the field did.

--- a/flamingohollow/graph_scheduler.cc
+++ b/flamingohollow/graph_scheduler.cc
@@ -533,8 +533,42 @@
   }
 }
 
+// Whether the open attempt may run.
+bool MayRun(const Scheduler& scheduler, const AttemptRef& attempt,
+            const WorkerId& id) {
+  const auto worker = scheduler.fleet_.find(id);
+  if (worker == scheduler.fleet_.end()) return true;
+  const auto run = worker->second.runs_.find(attempt);
+  if (run == worker->second.runs_.end()) return true;
+  return run->second.phase_ == RunPhase::kRecovering ||
+         run->second.began_.has_value();
+}
+
+bool MayRunAny(const Scheduler& scheduler, const StepRecord& step,
+               const StepRef& ref) {
+  if (step.open_ == 0) return false;
+  for (std::uint32_t index = 0; index < step.tasks_.size(); ++index) {
+    const TaskRecord& task = step.tasks_[index];
+    if (!task.open_) continue;
+    const TaskRef here{ref.job_, ref.occurrence_, ref.step_, TaskIndex(index)};
+    if (MayRun(scheduler, {here, task.attempt_}, task.worker_)) return true;
+  }
+  return false;
+}
+
 }  // namespace
 
+bool HasBegun(const Scheduler& scheduler, const GraphJob& job) {
+  if (job.begun_) return true;
+  for (const auto& [number, occurrence] : job.occurrences_) {
+    for (std::uint32_t i = 0; i < occurrence.steps_.size(); ++i) {
+      const StepRef ref{job.key_, number, StepIndex(i)};
+      if (MayRunAny(scheduler, occurrence.steps_[i], ref)) return true;
+    }
+  }
+  return false;
+}
+
 Scheduler MakeScheduler(const SchedulerOptions& options, FencingToken token,
                         const GraphState& state, Time now, Time wall) {
   Scheduler scheduler;
@@ -546,14 +580,15 @@
     const Duration age =
         std::clamp(wall - job.accepted_, Duration(0), kMaxInheritedAge);
     scheduler.queued_since_.emplace(key, now - age);
+    RecoverRuns(scheduler, job, now);
     if (job.state_ == GraphJobState::kActive) {
       JobTrace& trace = scheduler.traces_[key];
       trace.queued_at_ = now - age;
       // What the job waited for under earlier leaders is not known.
-      if (job.begun_) trace.first_open_ = trace.last_open_ = trace.queued_at_;
+      if (HasBegun(scheduler, job))
+        trace.first_open_ = trace.last_open_ = trace.queued_at_;
     }
     if (!job.occurrences_.empty()) scheduler.jobs_to_check_.insert(key);
-    RecoverRuns(scheduler, job, now);
   }
   return scheduler;
 }
--- a/flamingohollow/graph_scheduler.h
+++ b/flamingohollow/graph_scheduler.h
@@ -266,6 +266,10 @@
 Scheduler MakeScheduler(const SchedulerOptions& options, FencingToken token,
                         const GraphState& state, Time now, Time wall);
 
+// Whether a task of the job may have begun: an attempt has ended that may have
+// started, or a worker runs one, or an earlier leader has opened one. O(tasks).
+bool HasBegun(const Scheduler& scheduler, const GraphJob& job);
+
 // Handles one event and returns the resulting actions.
 std::vector<SchedulerAction> Step(Scheduler& scheduler, const GraphState& state,
                                   const SchedulerEvent& event, Time now);
--- a/flamingohollow/graph_scheduler_records.cc
+++ b/flamingohollow/graph_scheduler_records.cc
@@ -83,7 +83,7 @@
                        !worker.reported_ || worker.report_.draining_ ||
                        IsEvacuated(ctx, worker) || IsOvercommitted(worker);
     if (unfit) {
-      ProposeEnds(ctx, worker, {opened.attempt_}, AttemptEnd::kNeverStarted);
+      ProposeEnds(ctx, worker, {opened.attempt_}, AttemptEnd::kRejected);
       continue;
     }
     SendStart(ctx, worker, opened.attempt_, *run);
--- a/flamingohollow/graph_scheduler_workers.cc
+++ b/flamingohollow/graph_scheduler_workers.cc
@@ -250,7 +250,7 @@
                        "the worker refused it");
       }
       return ProposeEnds(ctx, *worker, {result.attempt_},
-                         AttemptEnd::kNeverStarted);
+                         AttemptEnd::kRejected);
     case CommandOutcome::kNoAnswer:
       run->start_unanswered_ = true;
       worker->unanswered_starts_[result.attempt_] = run->last_command_at_;
--- a/flamingohollow/graph_service.cc
+++ b/flamingohollow/graph_service.cc
@@ -204,7 +204,8 @@
   if (job == nullptr || job->customer_ != access.customer_) {
     return respond(Reply(GraphOutcome::kNoJob, "no such job"));
   }
-  respond(Reply(GraphOutcome::kOk, std::string(JobStateName(*job))));
+  respond(Reply(GraphOutcome::kOk,
+                IsWaiting(*job) ? "pending" : std::string(JobStateName(*job))));
 }
 
 void GraphService::HandleCancel(const GraphCall& call,
@@ -228,12 +229,15 @@
   });
 }
 
+bool GraphService::IsWaiting(const GraphJob& job) const {
+  return job.state_ == GraphJobState::kActive &&
+         !HasBegun(leadership_->scheduler_, job);
+}
+
 GraphReply GraphService::QueueLength(const QueueName& queue) const {
   std::uint64_t waiting = 0;
   for (const auto& [key, job] : state_.jobs_) {
-    const bool waits = job.queue_ == queue &&
-                       job.state_ == GraphJobState::kActive && !job.begun_;
-    if (waits) ++waiting;
+    if (job.queue_ == queue && IsWaiting(job)) ++waiting;
   }
   GraphReply reply = Reply(GraphOutcome::kOk);
   reply.count_ = waiting;
@@ -510,7 +514,7 @@
   std::size_t running = 0;
   for (const auto& [key, job] : state_.jobs_) {
     if (job.state_ != GraphJobState::kActive) continue;
-    ++(job.begun_ ? running : waiting);
+    ++(IsWaiting(job) ? waiting : running);
   }
   std::size_t usable = 0;
   std::size_t runs = 0;
--- a/flamingohollow/graph_service.h
+++ b/flamingohollow/graph_service.h
@@ -153,6 +153,9 @@
   };
   std::optional<GraphReply> CheckAccess(const CallerRequest& caller,
                                         Access& access) const;
+  // Whether the job is active and no worker has begun a task of it, as far as
+  // this leader knows.
+  bool IsWaiting(const GraphJob& job) const;
   GraphReply QueueLength(const QueueName& queue) const;
   std::optional<GraphReply> RefuseSubmit(const GraphSpec& spec,
                                          const QueueRow& queue) const;
--- a/flamingohollow/graph_state.cc
+++ b/flamingohollow/graph_state.cc
@@ -49,6 +49,11 @@
                      [](const StepRecord& step) { return step.open_ > 0; });
 }
 
+bool AnyOpen(const GraphJob& job) {
+  return std::any_of(job.occurrences_.begin(), job.occurrences_.end(),
+                     [](const auto& item) { return AnyOpen(item.second); });
+}
+
 // Removes the occurrence if it is finished, and completes the job if that was
 // its last one.
 void FinishOccurrence(GraphState& state, GraphJob& job, Occurrence occurrence,
@@ -130,6 +135,7 @@
   const StepSpec& spec = job.spec_.steps_[ref.step_.value()];
   TaskRecord& task = step.tasks_[ref.index_.value()];
   CloseTask(state, ref, step, task);
+  if (ended.end_ != AttemptEnd::kRejected) job.begun_ = true;
   // Once the worker's next process is listed, the crash has been counted.
   const auto worker = state.workers_.find(task.worker_);
   const bool listed = worker != state.workers_.end() &&
@@ -204,7 +210,6 @@
     task.incarnation_ = opened.incarnation_;
     state.open_on_[opened.worker_].insert(opened.attempt_);
     ++step->open_;
-    job->begun_ = true;
     NoteOpened(state.crashes_, ref, opened.worker_);
   }
 }
@@ -499,7 +504,7 @@
 std::string_view JobStateName(const GraphJob& job) {
   switch (job.state_) {
     case GraphJobState::kActive:
-      return job.begun_ ? "running" : "pending";
+      return job.begun_ || AnyOpen(job) ? "running" : "pending";
     case GraphJobState::kCompleted:
       return "completed";
     case GraphJobState::kFailed:
@@ -528,6 +533,8 @@
       return "lost";
     case AttemptEnd::kNeverStarted:
       return "never began";
+    case AttemptEnd::kRejected:
+      return "rejected";
   }
   return "";
 }
--- a/flamingohollow/graph_state.h
+++ b/flamingohollow/graph_state.h
@@ -97,7 +97,7 @@
   GraphJobState state_ = GraphJobState::kActive;
   // Unix time at which the job stopped being active; unset before.
   Time ended_;
-  // Whether any attempt has been opened.
+  // Whether an attempt has ended that may have started.
   bool begun_ = false;
   // Occurrences that are due. One is finished, and removed, once its steps are
   // all done and none of its attempts is open.
@@ -166,7 +166,8 @@
 // Whether the attempt is the task's newest and has not ended.
 bool IsOpen(const GraphState& state, const AttemptRef& attempt);
 
-// "pending", "running", "completed", "failed" or "cancelled".
+// "pending", "running", "completed", "failed" or "cancelled". A job runs as
+// soon as an attempt is open; see HasBegun for what its worker has said.
 std::string_view JobStateName(const GraphJob& job);
 
 }  // namespace flamingohollow
--- a/flamingohollow/graph_types.h
+++ b/flamingohollow/graph_types.h
@@ -204,8 +204,11 @@
   // Its worker crashed, left or restarted, or the worker's lease is known to
   // have expired.
   kLost = 6,
-  // It never started and is known never to start.
+  // Its start was not confirmed, and it is known not to start any more. It may
+  // have run on a worker that crashed under it.
   kNeverStarted = 7,
+  // Its start was rejected or never sent.
+  kRejected = 8,
 };
 
 std::string_view AttemptEndName(AttemptEnd end);
--- a/flamingohollow/testing/graph_scheduler_test.cc
+++ b/flamingohollow/testing/graph_scheduler_test.cc
@@ -293,7 +293,7 @@
   world.RunFor(Duration(4000));
   const GraphJob& job = *FindJob(world.state(), MakeKey(1));
   CHECK_EQ(job.occurrences_.size(), 3);
-  CHECK(job.begun_);
+  CHECK_EQ(JobStateName(job), "running");
 }
 
 // A scheduler with one worker, driven one command at a time.
--- a/flamingohollow/testing/graph_service_test.cc
+++ b/flamingohollow/testing/graph_service_test.cc
@@ -11,6 +11,7 @@
 #include <map>
 #include <optional>
 #include <random>
+#include <string>
 #include <variant>
 #include <vector>
 
@@ -263,6 +264,17 @@
   sent.done_(result);
 }
 
+// Reads a job, or a queue's length.
+GraphReply Read(Leader& leader, const std::string& path) {
+  GraphCall call;
+  call.kind_ = GraphCallKind::kRead;
+  call.caller_.path_ = path;
+  GraphReply answer;
+  leader.service_.Handle(
+      call, [&answer](const GraphReply& reply) { answer = reply; });
+  return answer;
+}
+
 // A domain may be evacuated by the next leader while this one was paused.
 TEST_CASE("a leader that hears from no majority repeats no start") {
   Leader leader;
@@ -292,6 +304,69 @@
   CHECK_EQ(CountStarts(leader), majority ? 2 : 1);
 }
 
+// Guards against jobs that are not counted as waiting though each start was
+// refused.
+TEST_CASE("a job waits until a worker has begun a task of it") {
+  Leader leader;
+  leader.replica_.completes_immediately_ = true;
+  GraphCall put;
+  put.kind_ = GraphCallKind::kPutCatalog;
+  put.catalog_.version_ = CatalogVersion(1);
+  const PoolName pool = MakeReport("w", "r").pool_;
+  put.catalog_.pools_.push_back({.name_ = pool});
+  QueueRow queue;
+  queue.name_ = QueueName("queue");
+  queue.path_prefix_ = "/jobs/";
+  queue.pool_ = pool;
+  queue.public_ = true;
+  queue.timeout_ = Duration(1000);
+  put.catalog_.queues_.push_back(queue);
+  REQUIRE_EQ(leader.Send(put), GraphOutcome::kOk);
+  leader.Report(false);
+  leader.service_.Tick();
+  PollResult poll;
+  poll.number_ = 1;
+  poll.outcome_ = CommandOutcome::kDone;
+  AnswerLast<PollCommand>(leader, poll);
+  JobOptions options;
+  options.customer_ = "";
+  leader.service_.ApplyCommitted(
+      LogIndex(1), Pack(GraphRecord(MakeSubmit(
+                       1, {MakeStep(1, 8, Duration(1000))}, options))));
+  const auto expect = [&leader](std::uint64_t waiting,
+                                const std::string& state) {
+    CHECK_EQ(Read(leader, "/jobs/").count_, waiting);
+    CHECK_EQ(Read(leader, "/jobs/" + MakeKey(1).value()).text_, state);
+  };
+  expect(1, "pending");
+  leader.now_ = leader.now_ + Duration(100);
+  leader.service_.Tick();
+  REQUIRE_EQ(CountStarts(leader), 1);
+  // Placed, without an answer yet.
+  expect(1, "pending");
+  StartResult start;
+  start.attempt_ =
+      std::get<StartCommand>(leader.commands_.back().command_).attempt_;
+  SUBCASE("the start is refused") {
+    start.outcome_ = CommandOutcome::kRetryLater;
+    AnswerLast<StartCommand>(leader, start);
+    expect(1, "pending");
+  }
+  SUBCASE("the start is not answered") {
+    AnswerLast<StartCommand>(leader, start);
+    expect(1, "pending");
+  }
+  SUBCASE("the task begins") {
+    start.outcome_ = CommandOutcome::kDone;
+    AnswerLast<StartCommand>(leader, start);
+    expect(0, "running");
+    // What an earlier leader placed may have begun.
+    leader.replica_.LoseLeadership(ProposeOutcome::kUnknown);
+    leader.replica_.GainLeadership();
+    expect(0, "running");
+  }
+}
+
 TEST_CASE("an unknown failure domain is refused") {
   Leader leader;
   CHECK_EQ(leader.Send(Evacuate("nowhere", true)), GraphOutcome::kNoDomain);
--- a/flamingohollow/testing/graph_state_test.cc
+++ b/flamingohollow/testing/graph_state_test.cc
@@ -103,6 +103,25 @@
   CHECK_EQ(JobStateName(*FindJob(state, MakeKey(1))), "running");
 }
 
+TEST_CASE("a job whose starts were rejected is pending") {
+  GraphState state;
+  Submit(state, 1, {MakeStep(1, 1, Duration(1))}, {});
+  Open(state, Attempt(0, 0, 1));
+  End(state, Attempt(0, 0, 1), AttemptEnd::kRejected);
+  CHECK_EQ(JobStateName(*FindJob(state, MakeKey(1))), "pending");
+  Open(state, Attempt(0, 0, 2));
+  CHECK_EQ(JobStateName(*FindJob(state, MakeKey(1))), "running");
+  // A task that was stopped had begun; a start without an answer may have.
+  SUBCASE("stopped") { End(state, Attempt(0, 0, 2), AttemptEnd::kStopped); }
+  SUBCASE("start without an answer") {
+    End(state, Attempt(0, 0, 2), AttemptEnd::kNeverStarted);
+  }
+  CHECK_EQ(JobStateName(*FindJob(state, MakeKey(1))), "running");
+  Open(state, Attempt(0, 0, 3));
+  End(state, Attempt(0, 0, 3), AttemptEnd::kRejected);
+  CHECK_EQ(JobStateName(*FindJob(state, MakeKey(1))), "running");
+}
+
 TEST_CASE("one member's end completes a gang") {
   GraphState state;
   Submit(state, 1, {MakeGang(3, 1, Duration(1), false)}, {});
