--- a/flamingohollow/testing/graph_relay_test.cc
+++ b/flamingohollow/testing/graph_relay_test.cc
@@ -12,6 +12,7 @@
 
 #include "flamingohollow/rpc.h"
 #include "util/io_threads.h"
+#include "util/pack.h"
 
 namespace flamingohollow {
 namespace {
@@ -19,6 +20,7 @@
 constexpr Duration kSearchLimit(150);
 constexpr Duration kLimit(400);
 constexpr std::uint64_t kMaxBytes = 1024 * 1024;
+constexpr Duration kLongLimit(600000);
 
 GraphReply ReplyOf(GraphOutcome outcome, Term term) {
   GraphReply reply;
@@ -28,17 +30,18 @@
 }
 
 // A relay on a control node whose service gives `replies` in turn. No other
-// node is known.
+// nodes than `seeds` are known.
 class RelayFixture {
  public:
-  explicit RelayFixture(std::vector<GraphReply> replies)
+  explicit RelayFixture(std::vector<GraphReply> replies,
+                        std::vector<std::string> seeds = {})
       : replies_(std::move(replies)), threads_(1) {
     auto rpc = RpcNode::Create(
         "", [](RpcKind, const std::string&, const RpcResponder&) {});
     REQUIRE(rpc);
     rpc_ = std::move(*rpc);
     relay_ = std::make_unique<GraphRelay>(
-        *rpc_, threads_, std::vector<std::string>(), kMaxBytes,
+        *rpc_, threads_, std::move(seeds), kMaxBytes,
         [this](const GraphCall&, const GraphReplyCallback& done) {
           done(replies_.at(next_++));
         });
@@ -48,15 +51,19 @@
   RelayFixture& operator=(const RelayFixture&) = delete;
 
   GraphOutcome Submit(Duration limit = kLimit) {
-    return Start("", limit).get().outcome_;
+    return Send(GraphCallKind::kSubmit, limit);
   }
 
-  std::future<GraphReply> Start(const std::string& payload,
+  GraphOutcome Send(GraphCallKind kind, Duration limit = kLimit) {
+    return Start(kind, "", limit).get().outcome_;
+  }
+
+  std::future<GraphReply> Start(GraphCallKind kind, const std::string& payload,
                                 Duration limit = kLimit) {
     auto reply = std::make_shared<std::promise<GraphReply>>();
-    threads_.Post(0, [this, payload, limit, reply] {
+    threads_.Post(0, [this, kind, payload, limit, reply] {
       GraphCall call;
-      call.kind_ = GraphCallKind::kSubmit;
+      call.kind_ = kind;
       call.spec_.emplace().payload_ = payload;
       relay_->Call(std::move(call), kSearchLimit, limit,
                    [reply](const GraphReply& r) { reply->set_value(r); });
@@ -103,13 +110,14 @@
   RelayFixture fixture({lost, ok, ok});
   const std::string large(kMaxBytes / 2, 'x');
   // Alone, a call may hold more.
-  auto first = fixture.Start(large);
-  const GraphReply second = fixture.Start(large).get();
+  auto first = fixture.Start(GraphCallKind::kSubmit, large);
+  const GraphReply second = fixture.Start(GraphCallKind::kSubmit, large).get();
   CHECK(second.outcome_ == GraphOutcome::kUnavailable);
   CHECK(second.retry_after_ > Duration(0));
   CHECK(first.get().outcome_ == GraphOutcome::kUnknown);
   // What it held is free again.
-  CHECK(fixture.Start(large).get().outcome_ == GraphOutcome::kOk);
+  CHECK(fixture.Start(GraphCallKind::kSubmit, large).get().outcome_ ==
+        GraphOutcome::kOk);
   CHECK(fixture.Submit() == GraphOutcome::kOk);
 }
 
@@ -117,11 +125,79 @@
 TEST_CASE("no call lasts longer than the relay") {
   RelayFixture fixture({ReplyOf(GraphOutcome::kUnknown, Term()),
                         ReplyOf(GraphOutcome::kNotLeader, Term())});
-  constexpr Duration kLongLimit(600000);
   fixture.EndBy(MonotonicNow() + kLimit);
   CHECK(fixture.Submit(kLongLimit) == GraphOutcome::kUnknown);
   CHECK(fixture.Submit(kLongLimit) == GraphOutcome::kUnavailable);
 }
 
+struct Answered {
+  GraphCallKind kind_;
+  GraphOutcome outcome_;
+};
+
+// The outcome of a call whose first attempt may have taken effect and whose
+// second one is answered by another node.
+GraphOutcome OutcomeAfterUnknown(const Answered& second) {
+  auto leader = RpcNode::Create(
+      "127.0.0.1:0",
+      [second](RpcKind, const std::string&, const RpcResponder& respond) {
+        respond(Pack(ReplyOf(second.outcome_, Term(1))));
+      });
+  REQUIRE(leader);
+  RelayFixture fixture({ReplyOf(GraphOutcome::kUnknown, Term())},
+                       {"127.0.0.1:" + std::to_string((*leader)->port())});
+  return fixture.Send(second.kind_, kLongLimit);
+}
+
+// Guards against jobs that run though their callers were told 401 or 404, since
+// a key or a queue was removed after an attempt whose answer was lost.
+TEST_CASE("a refusal of a later attempt leaves the outcome unknown") {
+  using enum GraphCallKind;
+  using enum GraphOutcome;
+  for (const Answered& second :
+       std::vector<Answered>{{kSubmit, kUnavailable},
+                             {kSubmit, kRefused},
+                             {kSubmit, kBadKey},
+                             {kSubmit, kNoQueue},
+                             {kSubmit, kInvalid},
+                             {kCancel, kBadKey},
+                             {kCancel, kNoQueue},
+                             {kEvacuate, kNoDomain},
+                             {kReport, kInvalid},
+                             {kPutCatalog, kUnavailable}}) {
+    CAPTURE(static_cast<int>(second.kind_));
+    CAPTURE(static_cast<int>(second.outcome_));
+    CHECK(OutcomeAfterUnknown(second) == kUnknown);
+  }
+}
+
+TEST_CASE("an answer that holds for every attempt is passed on") {
+  using enum GraphCallKind;
+  using enum GraphOutcome;
+  for (const Answered& second :
+       std::vector<Answered>{{kSubmit, kOk},
+                             {kCancel, kNoJob},
+                             {kPutCatalog, kInvalid},
+                             {kRead, kNoJob},
+                             {kRead, kBadKey},
+                             {kRead, kNoQueue},
+                             {kReadCatalog, kUnavailable},
+                             {kReadEvacuations, kUnavailable}}) {
+    CAPTURE(static_cast<int>(second.kind_));
+    CAPTURE(static_cast<int>(second.outcome_));
+    CHECK(OutcomeAfterUnknown(second) == second.outcome_);
+  }
+}
+
+TEST_CASE("a refusal of the only attempt is passed on") {
+  using enum GraphOutcome;
+  for (const GraphOutcome refusal :
+       {kUnavailable, kRefused, kBadKey, kNoQueue, kInvalid}) {
+    CAPTURE(static_cast<int>(refusal));
+    RelayFixture fixture({ReplyOf(refusal, Term())});
+    CHECK(fixture.Submit() == refusal);
+  }
+}
+
 }  // namespace
 }  // namespace flamingohollow
