Answer calls that a control node handles itself by their limit

Cause: GraphRelay::Call promises an answer after its limit, but the limit was only looked at between attempts to reach other nodes. A call to the node's own service had none, and waits for as long as its proposal does.

Evidence: the new case of graph_relay_test waits for ever without the change (ended after 15 s).

Fix: a timer ends the wait with "unknown"; a later answer is dropped.

Measured: graph_relay_test passes.

--- a/flamingohollow/graph_relay.cc
+++ b/flamingohollow/graph_relay.cc
@@ -112,7 +112,20 @@
     done(reply);
   };
   if (!local_) return Try(pending);
-  local_(pending->call_, [this, pending](const GraphReply& reply) {
+  CallLocally(pending, limit);
+}
+
+void GraphRelay::CallLocally(const PendingPtr& pending, Duration limit) {
+  auto timer = std::make_shared<boost::asio::steady_timer>(
+      threads_.Loop(0), std::chrono::milliseconds(limit.ms()));
+  timer->async_wait([this, pending, timer](boost::system::error_code error) {
+    if (error || !pending->done_) return;
+    pending->maybe_executed_ = true;
+    GiveUp(pending);
+  });
+  local_(pending->call_, [this, pending, timer](const GraphReply& reply) {
+    timer->cancel();
+    if (!pending->done_) return;
     if (reply.outcome_ != GraphOutcome::kNotLeader) {
       return HandleReply(pending, reply.leader_address_, reply);
     }
@@ -185,9 +198,9 @@
       !HoldsForAllAttempts(pending->call_.kind_, reply.outcome_)) {
     GraphReply unknown = reply;
     unknown.outcome_ = GraphOutcome::kUnknown;
-    return pending->done_(unknown);
+    return Answer(pending, unknown);
   }
-  pending->done_(reply);
+  Answer(pending, reply);
 }
 
 void GraphRelay::RetryLater(const PendingPtr& pending) {
@@ -204,7 +217,11 @@
                                             : GraphOutcome::kUnavailable;
   reply.text_ = "no leader of the control group answers";
   reply.retry_after_ = kNoLeaderRetryAfter;
-  pending->done_(reply);
+  Answer(pending, reply);
+}
+
+void GraphRelay::Answer(const PendingPtr& pending, const GraphReply& reply) {
+  std::exchange(pending->done_, nullptr)(reply);
 }
 
 }  // namespace flamingohollow
--- a/flamingohollow/graph_relay.h
+++ b/flamingohollow/graph_relay.h
@@ -75,6 +75,7 @@
   using PendingPtr = std::shared_ptr<Pending>;
 
   Time Capped(Time deadline) const;
+  void CallLocally(const PendingPtr& pending, Duration limit);
   void Try(const PendingPtr& pending);
   void Send(const PendingPtr& pending, const std::string& address);
   void HandleAnswer(const PendingPtr& pending, const std::string& address,
@@ -83,6 +84,8 @@
                    const GraphReply& reply);
   void RetryLater(const PendingPtr& pending);
   void GiveUp(const PendingPtr& pending);
+  // Once a call.
+  void Answer(const PendingPtr& pending, const GraphReply& reply);
 
   RpcNode& rpc_;
   IoThreads& threads_;
--- a/flamingohollow/testing/graph_relay_test.cc
+++ b/flamingohollow/testing/graph_relay_test.cc
@@ -121,6 +121,34 @@
   CHECK(fixture.Submit() == GraphOutcome::kOk);
 }
 
+// Guards against a request that gets no answer while this node leads without a
+// majority or a disk.
+TEST_CASE("a call that this node doesn't answer ends by its limit") {
+  IoThreads threads(1);
+  auto rpc = RpcNode::Create(
+      "", [](RpcKind, const std::string&, const RpcResponder&) {});
+  REQUIRE(rpc);
+  GraphReplyCallback held;
+  GraphRelay relay(**rpc, threads, {}, kMaxBytes,
+                   [&held](const GraphCall&, const GraphReplyCallback& done) {
+                     held = done;
+                   });
+  std::promise<GraphOutcome> outcome;
+  std::promise<void> answered_late;
+  threads.Post(0, [&] {
+    relay.Call(GraphCall(), kSearchLimit, kLimit, [&](const GraphReply& reply) {
+      outcome.set_value(reply.outcome_);
+    });
+  });
+  CHECK(outcome.get_future().get() == GraphOutcome::kUnknown);
+  threads.Post(0, [&] {
+    held(ReplyOf(GraphOutcome::kOk, Term(3)));
+    answered_late.set_value();
+  });
+  answered_late.get_future().wait();
+  threads.Stop();
+}
+
 // Guards against a stop that cuts off calls with later limits.
 TEST_CASE("no call lasts longer than the relay") {
   RelayFixture fixture({ReplyOf(GraphOutcome::kUnknown, Term()),
