--- a/flamingohollow/http_server.h
+++ b/flamingohollow/http_server.h
@@ -71,8 +71,8 @@
   std::uint64_t timed_out_ = 0;
 };
 
-// Limit on the headers of a request. Its trailers, and the header of each chunk,
-// may be a little longer.
+// Limit on the headers of a request. Its trailers, and the header of each
+// chunk, may be a little longer.
 inline constexpr std::uint32_t kMaxHeaderBytes = 16384;
 inline constexpr std::size_t kFreeHeaderBytes = 8192;
 // Closing a connection with unread input would reset it and could lose the
--- a/flamingohollow/raft.h
+++ b/flamingohollow/raft.h
@@ -224,7 +224,7 @@
   // until leadership is lost.
   std::optional<Time> transfer_deadline_;
   std::optional<Joining> joining_;
-  // What the nonces of this leader's probes are made of; 0 before the first one.
+  // What the nonces of this leader's probes are made of; 0 before the first.
   std::uint64_t probe_secret_ = 0;
   // An operator's change of membership that is answered once this entry is
   // committed.
