Answer a call once if its limit and its local answer come together

What callers saw: nothing; found in review. A control node ends with SIGABRT.

Cause: a call that a control node handles itself ends by a timer. If the node's own answer "unknown" comes in the same turn of the loop as the timer, the call is both answered and tried again, and the next try answers it a second time.

Evidence: the new case of graph_relay_test ends the test with SIGABRT without the fix.

Fix: a call that has been answered isn't tried again.

--- a/flamingohollow/graph_relay.cc
+++ b/flamingohollow/graph_relay.cc
@@ -137,6 +137,7 @@
 }
 
 void GraphRelay::Try(const PendingPtr& pending) {
+  if (!pending->done_) return;
   const Time end = Capped(pending->maybe_executed_ ? pending->deadline_
                                                    : pending->search_deadline_);
   if (MonotonicNow() >= end) return GiveUp(pending);
--- a/flamingohollow/graph_relay.h
+++ b/flamingohollow/graph_relay.h
@@ -64,8 +64,8 @@
   // after `limit` in any case.
   void Call(GraphCall call, Duration search_limit, Duration limit,
             GraphReplyCallback done);
-  // Every call is answered by `end`, also those with a later limit. For a
-  // process that stops: its connections end soon after.
+  // Every call is answered by `end`, or by kRelayPause later, also those with a
+  // later limit. For a process that stops: its connections end soon after.
   void EndBy(Time end);
   void SetSeeds(std::vector<std::string> seeds);
   const ControlFinder& finder() const { return finder_; }
--- a/flamingohollow/testing/graph_relay_test.cc
+++ b/flamingohollow/testing/graph_relay_test.cc
@@ -4,9 +4,14 @@
 
 #include <doctest/doctest.h>
 
+#include <atomic>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <chrono>
 #include <future>
 #include <memory>
 #include <string>
+#include <thread>
 #include <utility>
 #include <vector>
 
@@ -149,6 +154,35 @@
   threads.Stop();
 }
 
+// Guards against a process that ends as a call is answered a second time.
+TEST_CASE("an answer and the limit of a call may come at the same time") {
+  IoThreads threads(1);
+  auto rpc = RpcNode::Create(
+      "", [](RpcKind, const std::string&, const RpcResponder&) {});
+  REQUIRE(rpc);
+  boost::asio::steady_timer late(threads.Loop(0));
+  GraphRelay relay(**rpc, threads, {}, kMaxBytes,
+                   [&late](const GraphCall&, const GraphReplyCallback& done) {
+                     late.expires_after(std::chrono::milliseconds(20));
+                     late.async_wait([done](boost::system::error_code) {
+                       done(ReplyOf(GraphOutcome::kUnknown, Term()));
+                     });
+                   });
+  std::atomic<int> answers{0};
+  std::promise<void> called;
+  threads.Post(0, [&] {
+    relay.Call(GraphCall(), Duration(30), Duration(30),
+               [&](const GraphReply&) { ++answers; });
+    // Both timers have expired when the loop looks at them.
+    std::this_thread::sleep_for(std::chrono::milliseconds(80));
+    called.set_value();
+  });
+  called.get_future().wait();
+  std::this_thread::sleep_for(std::chrono::milliseconds(kRelayPause.ms() * 4));
+  CHECK(answers == 1);
+  threads.Stop();
+}
+
 // Guards against a stop that cuts off calls with later limits.
 TEST_CASE("no call lasts longer than the relay") {
   RelayFixture fixture({ReplyOf(GraphOutcome::kUnknown, Term()),
