Let no voter go early while several don't answer a new leader

What callers saw: nothing; found in review. A new leader whose messages to one voter are late by 0.75 s to 1.5 s, beside a dead one, may remove the late voter in favor of a learner; if it and another are lost in that moment, the group ends.

Cause: the shorter limit for voters that never answered a new leader. All those have been silent for equally long, as far as it knows, so the smallest VoterId decides.

The new case of membership_plan_test fails without the change.

Why it works: with one unanswering voter there is nobody to mistake it for.

Measured: membership_plan_test, raft_rules_test and 3,003 schedules of lost disks at the end pass.

--- a/flamingohollow/membership_plan.cc
+++ b/flamingohollow/membership_plan.cc
@@ -35,16 +35,23 @@
          (!member.unheard_ && now - member.answered_ <= kLearnerTimeout);
 }
 
-// The voter that has been silent longest, if for long enough.
+// The voter that has been silent longest, if for long enough. While several
+// don't answer a new leader, it can't tell which one has been silent longest,
+// so the shorter limit doesn't hold.
 std::optional<NodeName> FindSilentVoter(
     const std::vector<PlannedMember>& members, const NodeName& leader,
     Time now) {
+  const auto unanswering = std::count_if(
+      members.begin(), members.end(), [&](const PlannedMember& member) {
+        return !member.learner_ && !Answers(member, leader, now);
+      });
   std::optional<NodeName> silent;
   Time oldest = now;
   for (const PlannedMember& member : members) {
     if (member.name_ == leader || member.learner_) continue;
+    const bool only_unheard = member.unheard_ && unanswering == 1;
     const Duration limit =
-        member.unheard_ ? kReplaceUnheardAfter : kReplaceVoterAfter;
+        only_unheard ? kReplaceUnheardAfter : kReplaceVoterAfter;
     if (now - member.answered_ <= limit || member.answered_ >= oldest) continue;
     oldest = member.answered_;
     silent = member.name_;
--- a/flamingohollow/testing/membership_plan_test.cc
+++ b/flamingohollow/testing/membership_plan_test.cc
@@ -161,6 +161,22 @@
   CHECK_FALSE(group.Plan(3).has_value());
 }
 
+// Guards against a new leader that removes a voter whose answers come late in
+// place of one that is lost.
+TEST_CASE("of several voters that a new leader hasn't heard none goes early") {
+  Group group = ThreeVoters(kReplaceUnheardAfter + Duration(1));
+  group.Voter("n4");
+  group.Voter("n5");
+  group.Learner("n6", true);
+  group.members_[2].unheard_ = true;
+  group.members_[3].unheard_ = true;
+  group.members_[3].answered_ = group.members_[2].answered_;
+  CHECK_FALSE(group.Plan(5).has_value());
+  group.members_[3].answered_ = kNow;
+  group.members_[3].unheard_ = false;
+  CHECK_EQ(group.Plan(5)->remove_, NodeName("n3"));
+}
+
 // Guards against a leader that removes a voter that works, beside one that is
 // lost and has not been silent for long.
 TEST_CASE("a surplus voter is removed only while all voters answer") {
