Refuse calls that a control node can't hold, and other remarks of the review

What callers saw: nothing; found in review. A call that a control node drops for memory looked like a node that doesn't answer, so the entry forgot the leader and answered 504 for what didn't run.

The other lines are comments and the order of declarations.

--- a/flamingohollow/graph_control.cc
+++ b/flamingohollow/graph_control.cc
@@ -200,7 +200,12 @@
     queued_.fetch_sub(1);
     queued_bytes_ -= size;
     // An empty answer can't be decoded, so the sender treats it as lost.
-    return respond("");
+    if (kind != RpcKind::kGraph) return respond("");
+    GraphReply reply;
+    reply.outcome_ = GraphOutcome::kUnavailable;
+    reply.text_ = "too many calls wait";
+    reply.retry_after_ = kNoLeaderRetryAfter;
+    return respond(Pack(reply));
   }
   threads_.Post(0, [this, kind, size, body = std::move(body),
                     respond = std::move(respond)] {
--- a/flamingohollow/graph_scheduler.cc
+++ b/flamingohollow/graph_scheduler.cc
@@ -585,8 +585,9 @@
       JobTrace& trace = scheduler.traces_[key];
       trace.queued_at_ = now - age;
       // What the job waited for under earlier leaders is not known.
-      if (HasBegun(scheduler, job))
+      if (HasBegun(scheduler, job)) {
         trace.first_open_ = trace.last_open_ = trace.queued_at_;
+      }
     }
     if (!job.occurrences_.empty()) scheduler.jobs_to_check_.insert(key);
   }
--- a/flamingohollow/http_client.cc
+++ b/flamingohollow/http_client.cc
@@ -35,10 +35,9 @@
 namespace http = boost::beast::http;
 using boost::system::error_code;
 using Tcp = asio::ip::tcp;
-
-constexpr auto kUseTuple = asio::as_tuple(asio::use_awaitable);
 using ResponseParser = http::response_parser<http::string_body>;
 
+constexpr auto kUseTuple = asio::as_tuple(asio::use_awaitable);
 constexpr std::uint32_t kMaxHeaderBytes = 8192;
 // Limit on what a connection has read and not parsed yet.
 constexpr std::size_t kMaxBufferBytes = 16384;
--- a/flamingohollow/http_server.cc
+++ b/flamingohollow/http_server.cc
@@ -309,8 +309,7 @@
   return std::nullopt;
 }
 
-// What a connection holds of its request: until the response is written, as the
-// handler works on a copy.
+// The memory reserved for a request, until its response has been written.
 struct RequestMemory {
   explicit RequestMemory(HttpServerState& server)
       : options_(server.options_),
--- a/flamingohollow/http_server.h
+++ b/flamingohollow/http_server.h
@@ -8,8 +8,7 @@
 //     been idle for longest is closed, if for kMinIdle or longer;
 //   - headers, trailers or the header of a chunk over kMaxHeaderBytes: 431;
 //   - a body over the limit: 413;
-//   - more bytes of bodies, or of long headers, in memory than allowed: 503
-//   with
+//   - more bytes of bodies or long headers in memory than allowed: 503 with
 //     Retry-After.
 // A client that is still sending then has kDiscardTime to read the response.
 // A connection is closed when a request does not arrive completely within
--- a/flamingohollow/raft_membership.cc
+++ b/flamingohollow/raft_membership.cc
@@ -260,7 +260,7 @@
 void SendJoiningProbe(StepContext ctx) {
   Joining& joining = *ctx.state_.joining_;
   joining.resend_at_ = ctx.now_ + kContactResend;
-  // The asked may have been removed before this leader joined.
+  // The node that is asked may have been removed before this leader joined.
   std::vector<VoterId> members;
   for (const Member& member : CurrentMembership(ctx.state_.log_)) {
     members.push_back(member.id_);
