--- a/flamingohollow/testing/raft_rules_test.cc
+++ b/flamingohollow/testing/raft_rules_test.cc
@@ -263,19 +263,24 @@
   CHECK_FALSE(learner());
 }
 
+// The voter leads a group of three wanted voters; node 4 has joined it.
+void LeadWithLearner(OneVoter& voter) {
+  voter.Lead();
+  voter.CommitOpening();
+  voter.state_.config_.wanted_voters_ = 3;
+  voter.Give(AddVoterEvent{{NodeName("4"), "4"}});
+  ProbeReply reply;
+  reply.name_ = NodeName("4");
+  reply.nonce_ = voter.state_.joining_->nonce_;
+  voter.Receive(reply, 4, Term());
+}
+
 // Guards against a group that stays without the successor of a lost voter while
 // the successor's disk stalls.
 TEST_CASE("a learner with a part of the log is promoted to an odd number") {
   for (const bool holds_part : {false, true}) {
     OneVoter voter;
-    voter.Lead();
-    voter.CommitOpening();
-    voter.state_.config_.wanted_voters_ = 3;
-    voter.Give(AddVoterEvent{{NodeName("4"), "4"}});
-    ProbeReply reply;
-    reply.name_ = NodeName("4");
-    reply.nonce_ = voter.state_.joining_->nonce_;
-    voter.Receive(reply, 4, Term());
+    LeadWithLearner(voter);
     voter.Acknowledge(1, 4, voter.now_);
     voter.Acknowledge(2, 4, voter.now_);
     voter.Acknowledge(4, holds_part ? 1 : 0, voter.now_);
@@ -356,14 +361,7 @@
 // of the learner come late.
 TEST_CASE("a learner that answers late is promoted to an odd number") {
   OneVoter voter;
-  voter.Lead();
-  voter.CommitOpening();
-  voter.state_.config_.wanted_voters_ = 3;
-  voter.Give(AddVoterEvent{{NodeName("4"), "4"}});
-  ProbeReply reply;
-  reply.name_ = NodeName("4");
-  reply.nonce_ = voter.state_.joining_->nonce_;
-  voter.Receive(reply, 4, Term());
+  LeadWithLearner(voter);
   for (const std::uint64_t id : {1, 2, 4}) voter.Acknowledge(id, 4, voter.now_);
   voter.Give(RemoveVoterEvent{NodeName("3")});
   const Time late = voter.now_;
