--- a/flamingohollow/graph_relay.h
+++ b/flamingohollow/graph_relay.h
@@ -36,13 +36,13 @@
 // Retry delay sent to callers if no leader answers: about that of an election.
 inline constexpr Duration kNoLeaderRetryAfter = Duration(1000);
 
-// How often a call under way is held: decoded, packed, and twice on its way.
+// Copies of a call under way: decoded, packed, and two on their way.
 inline constexpr std::uint64_t kCallCopies = 4;
 // Larger calls leave half of the memory to others.
 inline constexpr std::uint64_t kSmallCallBytes = 65536;
 
-// Returns how much of `memory` calls may hold for one of `bytes` to be
-// accepted.
+// Returns the part of `memory` that all calls together may use if one of
+// `bytes` is among them.
 constexpr std::uint64_t CallMemory(std::uint64_t bytes, std::uint64_t memory) {
   return bytes > kSmallCallBytes ? memory / 2 : memory;
 }
@@ -84,7 +84,7 @@
                    const GraphReply& reply);
   void RetryLater(const PendingPtr& pending);
   void GiveUp(const PendingPtr& pending);
-  // Once a call.
+  // Answers the call; it must not have been answered before.
   void Answer(const PendingPtr& pending, const GraphReply& reply);
 
   RpcNode& rpc_;
--- a/flamingohollow/raft_membership.cc
+++ b/flamingohollow/raft_membership.cc
@@ -239,9 +239,9 @@
 //
 // If that makes the quorum larger, it must have synced all committed entries,
 // as they may be on a smaller majority. Otherwise a part is enough, such as of
-// a learner whose disk stalls: the voters of now suffice for the quorum, and
-// everything up to the last change is on so many of them that the loss of the
-// others' disks leaves it. The part is needed as a blank voter doesn't vote.
+// a learner whose disk stalls: the present voters suffice for the quorum, and
+// everything up to the last change is on a majority of them. The part is needed
+// as a blank voter doesn't vote.
 bool HoldsEnough(const RaftState& state, const Member& learner) {
   const Membership& current = CurrentMembership(state.log_);
   const Progress& progress = state.progress_.at(learner.id_);
