--- a/review/lib_2/harness.py
+++ b/review/lib_2/harness.py
@@ -361,8 +361,9 @@
   return body
 
 
-def main(case, folder, **options):
-  """Runs case(deployment), which returns whether the rule was broken."""
+def main(case, folder, usable=True, **options):
+  """Runs case(deployment), which returns whether the rule was broken. Unless
+  `usable`, the case itself starts the processes."""
   journal = Journal(pathlib.Path(folder) / 'record.txt')
   journal.write(f'case     trouble: {TROUBLE}')
   result = NOT_RUN
@@ -371,8 +372,9 @@
     try:
       if not PROGRAM.exists():
         raise CannotRun('the program is not built')
-      deployment.start_all()
-      deployment.wait_usable()
+      if usable:
+        deployment.start_all()
+        deployment.wait_usable()
       result = BROKEN if case(deployment) else HELD
     except Exception as error:  # pylint: disable=broad-exception-caught
       journal.write(f'case     could not run: {error!r}')
