Review case 6: a late poll makes done work run again (TWICE); case of a job given up withdrawn

Rule TWICE: "or a start after a run has ended done, if that end is taken note of then or later". A poll to a worker's first life is carried out 6 s late by its next life, which forgets an end that the leader hasn't seen; the done task is started again.

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,4 +1,4 @@
-"""A job whose tasks last, on workers of which one crashes three times."""
+"""A poll that is carried out late, by the next life of a worker that crashed."""
 
 import pathlib
 import sys
@@ -9,48 +9,83 @@
 
 import harness  # pylint: disable=wrong-import-position,import-error
 
-JOB = 1
-CRASHES = 3
-# How long a crashed worker is down, and runs between its crashes.
-DOWN_S = 4.5
-UP_S = 9
-
-
-def watch(deployment, seconds):
-  """Returns whether the job is shown as ended within the time."""
-  end = time.monotonic() + seconds
-  entry = 0
-  while time.monotonic() < end:
-    entry = (entry + 1) % len(deployment.entries)
-    state = deployment.state(JOB, entry)
-    if state in ('failed', 'cancelled', 'completed'):
-      failed = [e for e in deployment.record.ends if e[4] == 'failed']
-      deployment.journal.write(
-          f'case     BROKEN: the job is shown as {state}; nobody cancelled it, '
-          f'and {len(failed)} runs have ended failed')
-      return True
-    time.sleep(0.5)
-  return False
+FILL, JOB = 500, 600
+# "gets no answer and is carried out 2 to 12 s later".
+LATE_S = 6.0
+LATER_S = 10.0
+# From the first late poll on: when the worker crashes, how long it is down, and
+# when further polls get no answer either. All within one entry of 5.6 s.
+CRASH_S = 0.5
+DOWN_S = 1.0
+BLIND_S = (3.0, 5.5)
+TASK_MS = 3600
+
+
+class LatePolls:
+  """Picks the worker's polls that get no answer."""
+
+  def __init__(self, worker):
+    self.worker = worker
+    self.armed = False
+    self.first = None
+
+  def __call__(self, path, body):
+    if not harness.TROUBLE or not self.armed or path != '/hold':
+      return None
+    now = time.monotonic()
+    if self.first is None:
+      if not self.worker.last_end:
+        return None
+      self.first = now
+      return LATE_S
+    begin, end = BLIND_S
+    return LATER_S if begin <= now - self.first < end else None
+
+
+def sleep_until(when):
+  time.sleep(max(0, when - time.monotonic()))
 
 
 def case(deployment):
+  worker = deployment.workers[0]
+  polls = LatePolls(worker)
+  worker.lateness = polls
+  # Short jobs, whose ends the worker lists.
+  for number in range(1, 30):
+    deployment.submit(number, harness.standin.job([8], ms=60, gpus=8))
+    time.sleep(0.1)
+  time.sleep(3)
+  # The worker is polled while something runs there.
+  deployment.submit(FILL, harness.standin.job([8], ms=60000, gpus=7))
+  deployment.wait_running(FILL, 8)
+  time.sleep(1)
+  polls.armed = True
+  end = time.monotonic() + 5
+  while harness.TROUBLE and polls.first is None and time.monotonic() < end:
+    time.sleep(0.005)
+  if harness.TROUBLE and polls.first is None:
+    raise harness.CannotRun('no poll came')
+  first = polls.first or time.monotonic()
+  deployment.ask('DELETE', harness.key(FILL))
+  sleep_until(first + CRASH_S)
+  if harness.TROUBLE:
+    worker.crash()
+    time.sleep(DOWN_S)
+    worker.come_back()
+  sleep_until(first + CRASH_S + DOWN_S + 0.1)
   # One task on each worker.
-  deployment.submit(JOB, harness.lasting_job(8, 8))
-  deployment.wait_running(JOB, 8)
-  worker = deployment.workers[3]
-  for _ in range(CRASHES):
-    if watch(deployment, UP_S):
-      return True
-    if harness.TROUBLE:
-      worker.crash()
-    if watch(deployment, DOWN_S):
-      return True
-    if harness.TROUBLE:
-      worker.come_back()
-  broken = watch(deployment, 30)
-  deployment.journal.write(
-      f'case     tasks at work at the end: {deployment.count_running(JOB)}')
-  return broken
+  job = harness.standin.job([8], ms=TASK_MS, gpus=8)
+  job['phases'][0]['anti-affinity'] = 1
+  deployment.submit(JOB, job)
+  sleep_until(first + 15)
+  deployment.state(JOB)
+  orders = sum(w.orders for w in deployment.workers)
+  late = sum(w.late_orders for w in deployment.workers)
+  deployment.journal.write(f'case     {late} of {orders} orders were late')
+  twice = [v for v in deployment.record.violations if harness.key(JOB) in v]
+  for violation in twice:
+    deployment.journal.write(f'case     BROKEN: {violation}')
+  return bool(twice)
 
 
 if __name__ == '__main__':
