--- a/review/lib_2/harness.py
+++ b/review/lib_2/harness.py
@@ -42,6 +42,10 @@
   """The case could not be set up."""
 
 
+def stop_early(*_):
+  raise CannotRun('the script was stopped')
+
+
 class Journal:
   """Writes record.txt: what was sent, answered and run."""
 
@@ -199,8 +203,9 @@
       return super().handle_command(path, expected, body)
     self.late_orders += 1
     order = path.rsplit('-', maxsplit=1)[-1]
-    self.log(f'leaves the order to {order} {body.get("task")}#{body.get("attempt")} '
-             f'unanswered; to be carried out after {late_s} s')
+    self.log(f'leaves the order to {order} {body.get("task")}'
+             f'#{body.get("attempt")} unanswered; to be carried out after '
+             f'{late_s} s')
     threading.Timer(late_s, self.carry_out_late, (path, expected, body)).start()
     raise Unanswered()
 
@@ -364,6 +369,7 @@
 def main(case, folder, usable=True, **options):
   """Runs case(deployment), which returns whether the rule was broken. Unless
   `usable`, the case itself starts the processes."""
+  signal.signal(signal.SIGTERM, stop_early)
   journal = Journal(pathlib.Path(folder) / 'record.txt')
   journal.write(f'case     trouble: {TROUBLE}')
   result = NOT_RUN
