--- a/review/lib_3/scene.py
+++ b/review/lib_3/scene.py
@@ -242,7 +242,7 @@
                        'done': done[row['task']]})
       if running.get(row['task']):
         broken.append({**row, 'rule': 'two at once',
-                       'other': running[row['task']]})
+                       'other': list(running[row['task']])})
       running.setdefault(row['task'], []).append((row['worker'], row['run']))
     elif row['kind'] == 'ended':
       running[row['task']].remove((row['worker'], row['run']))
