--- a/review/lib_3/scene.py
+++ b/review/lib_3/scene.py
@@ -265,8 +265,8 @@
     broken = body(scene, events, trouble)
     code = BROKEN if broken else HELD
     verdict = f'{len(broken)} violations, first: {broken[:3]}'
-  except (AssertionError, OSError) as error:
-    code, verdict = CANNOT_RUN, f'could not run: {error}'
+  except Exception as error:  # pylint: disable=broad-except
+    code, verdict = CANNOT_RUN, f'could not run: {error!r}'
   finally:
     scene.close()
   events.write(record, verdict)
