--- a/review/lib_3/scene.py
+++ b/review/lib_3/scene.py
@@ -58,6 +58,7 @@
 
   def __init__(self, name, address, rack, controls, events, **options):
     self.events = events
+    self.lapsed_at = -1
     self.labels = options.get('labels', ['a'])  # The kind; the rack follows.
     self.size = options.get('size')
     super().__init__(name, address, rack, controls, standin.Record())
@@ -70,6 +71,7 @@
 
   def start(self, body):
     before = set(self.runs)
+    self.note_lapse()
     # An order whose own time is over is late, also if others extended the lease.
     if body['deadline-ms'] <= self.clock():
       status, answer = 409, {'reason': 'late'}
@@ -114,13 +116,29 @@
                       how=how, number=self.last_end + 1, life=self.incarnation)
     super().finish(key, how)
 
+  def crash(self):
+    with self.lock:
+      for task, run in self.runs:
+        self.events.add('ended', worker=self.name, task=task, run=run,
+                        how='crashed', number=0, life=self.incarnation)
+      super().crash()
+      self.lapsed_at = -1
+
+  def note_lapse(self):
+    if self.lease <= self.clock():
+      self.lapsed_at = self.clock()
+
   def answer_poll(self, body):
-    before = [end[0] for end in self.ends]
+    self.note_lapse()
+    before = {end[0]: end[5] for end in self.ends}
     status, answer = super().answer_poll(self.shorten(body))
-    gone = len(before) - len(set(before) & {end[0] for end in self.ends})
-    if gone:
+    left = {end[0] for end in self.ends}
+    # Not those before a time at which the lease had lapsed.
+    noted = [number for number, at in before.items()
+             if number not in left and at > self.lapsed_at]
+    if noted:
       self.events.add('noted', worker=self.name, life=self.incarnation,
-                      up_to=before[gone - 1])
+                      first=noted[0], last=noted[-1])
     answer['finished'] = answer['finished'][:MAX_ENDS]
     return status, answer
 
@@ -238,8 +256,8 @@
   was taken note of then or later, and starts beside another run of the task."""
   noted = {}
   for row in events.of('noted'):
-    life = (row['worker'], row['life'])
-    noted[life] = max(noted.get(life, 0), row['up_to'])
+    noted.setdefault((row['worker'], row['life']), set()).update(
+        range(row['first'], row['last'] + 1))
   done, running, broken = {}, {}, []
   with events.lock:
     rows = list(events.rows)
@@ -254,8 +272,8 @@
       running.setdefault(row['task'], []).append((row['worker'], row['run']))
     elif row['kind'] == 'ended':
       running[row['task']].remove((row['worker'], row['run']))
-      seen = noted.get((row['worker'], row['life']), 0)
-      if row['how'] == 'done' and row['number'] <= seen:
+      seen = noted.get((row['worker'], row['life']), ())
+      if row['how'] == 'done' and row['number'] in seen:
         done[row['task']] = row
   return broken
 
