--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,4 +1,4 @@
-"""A poll that is carried out late, by the next life of a worker that crashed."""
+"""More ends than one list holds, on a worker that was cut off for some seconds."""
 
 import pathlib
 import sys
@@ -9,82 +9,76 @@
 
 import harness  # pylint: disable=wrong-import-position,import-error
 
-FILL, JOB = 500, 600
-# "gets no answer and is carried out 2 to 12 s later".
-LATE_S = 6.0
-LATER_S = 10.0
-# From the first late poll on: when the worker crashes, how long it is down, and
-# when further polls get no answer either. All within one entry of 5.6 s.
-CRASH_S = 0.5
-DOWN_S = 1.0
-BLIND_S = (3.0, 5.5)
-TASK_MS = 3600
+# "The others are returned again (500 at a time)."
+MAX_ENDS = 500
+JOBS, TASKS, TASK_MS = (1, 2), 300, 8000
+# Within the largest dose: a share of 0.17 of the workers for 5.5 s.
+CUT_S = 4.5
+KIND = 'b'
 
 
-class LatePolls:
-  """Picks the worker's polls that get no answer."""
+class Worker(harness.Worker):
+  """A worker of 32 cores that lists at most MAX_ENDS ends at a time."""
 
-  def __init__(self, worker):
-    self.worker = worker
-    self.armed = False
-    self.first = None
+  def __init__(self, *arguments):
+    super().__init__(*arguments)
+    self.capacity = {'cpu': 32000, 'mem-mb': 128000, 'gpus': 8}
 
-  def __call__(self, path, body):
-    if not harness.TROUBLE or not self.armed or path != '/hold':
-      return None
-    now = time.monotonic()
-    if self.first is None:
-      if not self.worker.last_end:
-        return None
-      self.first = now
-      return LATE_S
-    begin, end = BLIND_S
-    return LATER_S if begin <= now - self.first < end else None
+  def answer_poll(self, body):
+    status, answer = super().answer_poll(body)
+    answer['finished'] = answer['finished'][:MAX_ENDS]
+    return status, answer
 
+  def make_handler(self):
+    handler = super().make_handler()
+    # Answers in two segments must not wait for each other's acknowledgement.
+    handler.disable_nagle_algorithm = True
+    return handler
 
-def sleep_until(when):
-  time.sleep(max(0, when - time.monotonic()))
+
+def find_repeated(record):
+  """Returns the tasks that were started again after a run has ended as done,
+  if that end was taken note of."""
+  done = {task for _, task, _, _, how in record.ends if how == 'done'}
+  with record.lock:
+    return sorted(task for task, starts in record.started.items()
+                  if len(starts) > 1 and task in done and
+                  task in record.acknowledged_done)
 
 
 def case(deployment):
   worker = deployment.workers[0]
-  polls = LatePolls(worker)
-  worker.lateness = polls
-  # Short jobs, whose ends the worker lists.
-  for number in range(1, 30):
-    deployment.submit(number, harness.standin.job([8], ms=60, gpus=8))
-    time.sleep(0.1)
-  time.sleep(3)
-  # The worker is polled while something runs there.
-  deployment.submit(FILL, harness.standin.job([8], ms=60000, gpus=7))
-  deployment.wait_running(FILL, 8)
-  time.sleep(1)
-  polls.armed = True
-  end = time.monotonic() + 5
-  while harness.TROUBLE and polls.first is None and time.monotonic() < end:
-    time.sleep(0.005)
-  if harness.TROUBLE and polls.first is None:
-    raise harness.CannotRun('no poll came')
-  first = polls.first or time.monotonic()
-  deployment.ask('DELETE', harness.key(FILL))
-  sleep_until(first + CRASH_S)
+  for number in JOBS:
+    job = harness.standin.job([TASKS], ms=TASK_MS, gpus=0)
+    job['phases'][0].update({'cpu': 50, 'requires': KIND})
+    deployment.submit(number, job)
+  began = time.monotonic()
+  for number in JOBS:
+    deployment.wait_running(number, TASKS, limit_s=7)
+  deployment.journal.write('case     all tasks run '
+                           f'{time.monotonic() - began:.1f} s after the jobs')
+  if deployment.record.ends:
+    raise harness.CannotRun('tasks have ended before the cut')
   if harness.TROUBLE:
-    worker.crash()
-    time.sleep(DOWN_S)
-    worker.come_back()
-  sleep_until(first + CRASH_S + DOWN_S + 0.1)
-  # One task on each worker.
-  job = harness.standin.job([8], ms=TASK_MS, gpus=8)
-  job['phases'][0]['anti-affinity'] = 1
-  deployment.submit(JOB, job)
-  sleep_until(first + 15)
-  deployment.state(JOB)
-  harness.write_share_of_late_orders(deployment)
-  twice = [v for v in deployment.record.violations if harness.key(JOB) in v]
-  for violation in twice:
-    deployment.journal.write(f'case     BROKEN: {violation}')
+    time.sleep(max(0, began + TASK_MS / 1000 - 0.5 - time.monotonic()))
+    deployment.journal.write('case     w0 is cut off')
+    worker.unreachable = True
+    time.sleep(CUT_S)
+    worker.unreachable = False
+    deployment.journal.write('case     w0 is back')
+  end = time.monotonic() + 40
+  for number in JOBS:
+    while deployment.state(number) != 'completed' and time.monotonic() < end:
+      time.sleep(0.5)
+  time.sleep(3)
+  if any(how == 'lapsed' for *_, how in deployment.record.ends):
+    raise harness.CannotRun('the lease of a worker lapsed')
+  twice = find_repeated(deployment.record)
+  deployment.journal.write(f'case     {len(twice)} tasks were started again '
+                           f'after an end as done: {" ".join(twice[:5])}')
   return bool(twice)
 
 
 if __name__ == '__main__':
-  harness.main(case, HERE, workers=8)
+  harness.Worker = Worker
+  harness.main(case, HERE, workers=6, kinds={0: KIND})
--- a/review/new/starve/run.sh
+++ /dev/null
@@ -1,4 +0,0 @@
-#!/bin/sh
-# Exits with 1 if the rule was broken, 0 if it held, 2 if it could not run.
-cd "$(dirname "$0")" || exit 2
-exec python3 case.py
