--- a/review/6/case.py
+++ b/review/6/case.py
@@ -23,9 +23,19 @@
   def __init__(self, *arguments):
     super().__init__(*arguments)
     self.capacity = {'cpu': 32000, 'mem-mb': 128000, 'gpus': 8}
+    # Runs that ended as done and were taken note of.
+    self.noted = set()
+    self.lapsed = False
 
   def answer_poll(self, body):
+    # Also while nothing runs. Before the first lease, nothing has run.
+    if self.last_end and self.lease <= self.clock():
+      self.lapsed = True
+    listed = {end[0]: end for end in self.ends}
     status, answer = super().answer_poll(body)
+    kept = {end[0] for end in self.ends}
+    self.noted |= {(task, attempt) for number, task, attempt, how, *_ in
+                   listed.values() if number not in kept and how == 'done'}
     answer['finished'] = answer['finished'][:MAX_ENDS]
     return status, answer
 
@@ -36,14 +46,13 @@
     return handler
 
 
-def find_repeated(record):
-  """Returns the tasks that were started again after a run has ended as done,
-  if that end was taken note of."""
-  done = {task for _, task, _, _, how in record.ends if how == 'done'}
-  with record.lock:
-    return sorted(task for task, starts in record.started.items()
-                  if len(starts) > 1 and task in done and
-                  task in record.acknowledged_done)
+def find_repeated(worker):
+  """Returns the tasks of which a later run was started though a run had ended
+  as done, or did so beside it, if that end was taken note of."""
+  with worker.record.lock:
+    return sorted({task for task, attempt in worker.noted
+                   if any(later > attempt for later, *_ in
+                          worker.record.started[task])})
 
 
 def case(deployment):
@@ -71,9 +80,10 @@
     while deployment.state(number) != 'completed' and time.monotonic() < end:
       time.sleep(0.5)
   time.sleep(3)
-  if any(how == 'lapsed' for *_, how in deployment.record.ends):
+  lapsed = [how for *_, how in deployment.record.ends if how == 'lapsed']
+  if lapsed or worker.lapsed:
     raise harness.CannotRun('the lease of a worker lapsed')
-  twice = find_repeated(deployment.record)
+  twice = find_repeated(worker)
   deployment.journal.write(f'case     {len(twice)} tasks were started again '
                            f'after an end as done: {" ".join(twice[:5])}')
   return bool(twice)
