--- a/flamingohollow/testing/raft_schedule_test.cc
+++ b/flamingohollow/testing/raft_schedule_test.cc
@@ -3,7 +3,9 @@
 // FLAMINGOHOLLOW_SCHEDULES=N runs N schedules of faults instead of kSchedules,
 // FLAMINGOHOLLOW_REPLACEMENTS=N runs N schedules of replaced machines,
 // FLAMINGOHOLLOW_ENDS=N runs N of them that end with lost disks and a loss of
-// power, and FLAMINGOHOLLOW_SEED=S starts at seed S.
+// power, and FLAMINGOHOLLOW_SEED=S starts at seed S. FLAMINGOHOLLOW_SHARD=I/N
+// runs only the Ith of N equal parts of the seeds of each test case, with I
+// from 1 to N.
 
 #include <doctest/doctest.h>
 
@@ -11,6 +13,7 @@
 #include <array>
 #include <cerrno>
 #include <cstdint>
+#include <cstdio>
 #include <cstdlib>
 #include <map>
 #include <optional>
@@ -48,6 +51,31 @@
   return text == nullptr ? default_value : std::strtoull(text, nullptr, 10);
 }
 
+// Returns the seeds of a test case that belong to this process's shard:
+// `extra`, unless FLAMINGOHOLLOW_SEED is set, and a range whose length is
+// `default_count` or what the environment says.
+std::vector<std::uint64_t> SeedsOfShard(
+    const char* count_name, std::uint64_t default_count,
+    const std::vector<std::uint64_t>& extra = {}) {
+  const std::uint64_t first = FromEnvironment("FLAMINGOHOLLOW_SEED", 1);
+  const std::uint64_t count = FromEnvironment(count_name, default_count);
+  std::vector<std::uint64_t> seeds;
+  if (std::getenv("FLAMINGOHOLLOW_SEED") == nullptr) seeds = extra;
+  for (std::uint64_t i = 0; i < count; ++i) seeds.push_back(first + i);
+  const char* text = std::getenv("FLAMINGOHOLLOW_SHARD");
+  if (text == nullptr) return seeds;
+  std::size_t shard = 0;
+  std::size_t shards = 0;
+  REQUIRE(std::sscanf(text, "%zu/%zu", &shard, &shards) == 2);
+  REQUIRE(shard >= 1);
+  REQUIRE(shard <= shards);
+  std::vector<std::uint64_t> part;
+  for (std::size_t i = shard - 1; i < seeds.size(); i += shards) {
+    part.push_back(seeds[i]);
+  }
+  return part;
+}
+
 class Schedule {
  public:
   explicit Schedule(std::uint64_t seed) : sim_(Options(seed)) {}
@@ -706,31 +734,25 @@
 // Guards against groups that end for good as machines are replaced in series,
 // or as disks are lost soon after a replacement.
 TEST_CASE("replaced machines leave the group able to lose more") {
-  const std::uint64_t first = FromEnvironment("FLAMINGOHOLLOW_SEED", 1);
-  const std::uint64_t count =
-      FromEnvironment("FLAMINGOHOLLOW_REPLACEMENTS", kReplacementSchedules);
+  const std::vector<std::uint64_t> seeds =
+      SeedsOfShard("FLAMINGOHOLLOW_REPLACEMENTS", kReplacementSchedules);
   std::size_t replaced = 0;
-  for (std::uint64_t seed = first; seed < first + count; ++seed) {
+  for (const std::uint64_t seed : seeds) {
     ReplacementSchedule schedule(seed);
     const std::string violation = schedule.Run();
     CAPTURE(seed);
     REQUIRE(violation == "");
     replaced += schedule.replaced();
   }
-  MESSAGE(count << " schedules, " << replaced << " replaced machines");
+  MESSAGE(seeds.size() << " schedules, " << replaced << " replaced machines");
 }
 
 // Guards against a moment at which the group has fewer voters, or fewer synced
 // copies of what was acknowledged, than the count of lost machines says.
 TEST_CASE("lost disks at the end leave a group that knows everything") {
-  const std::uint64_t first = FromEnvironment("FLAMINGOHOLLOW_SEED", 1);
-  const std::uint64_t count =
-      FromEnvironment("FLAMINGOHOLLOW_ENDS", kEndSchedules);
-  std::vector<std::uint64_t> seeds;
-  if (std::getenv("FLAMINGOHOLLOW_SEED") == nullptr) {
-    seeds.assign(kEndSeeds.begin(), kEndSeeds.end());
-  }
-  for (std::uint64_t i = 0; i < count; ++i) seeds.push_back(first + i);
+  const std::vector<std::uint64_t> seeds =
+      SeedsOfShard("FLAMINGOHOLLOW_ENDS", kEndSchedules,
+                   {kEndSeeds.begin(), kEndSeeds.end()});
   std::size_t ended = 0;
   for (const std::uint64_t seed : seeds) {
     ReplacementSchedule schedule(seed, true);
@@ -743,18 +765,18 @@
 }
 
 TEST_CASE("random schedules keep what was acknowledged") {
-  const std::uint64_t first = FromEnvironment("FLAMINGOHOLLOW_SEED", 1);
-  const std::uint64_t count =
-      FromEnvironment("FLAMINGOHOLLOW_SCHEDULES", kSchedules);
+  const std::vector<std::uint64_t> seeds =
+      SeedsOfShard("FLAMINGOHOLLOW_SCHEDULES", kSchedules);
   std::size_t acknowledged = 0;
-  for (std::uint64_t seed = first; seed < first + count; ++seed) {
+  for (const std::uint64_t seed : seeds) {
     Schedule schedule(seed);
     const std::string violation = schedule.Run();
     CAPTURE(seed);
     REQUIRE(violation == "");
     acknowledged += schedule.acknowledged();
   }
-  MESSAGE(count << " schedules, " << acknowledged << " acknowledged commands");
+  MESSAGE(seeds.size() << " schedules, " << acknowledged
+                       << " acknowledged commands");
 }
 
 }  // namespace
