The leader logs what jobs wait for of which nothing runs

A job that stands still left no line from its acceptance to its first attempt, or between two attempts, so the logs couldn't tell whether one job stood still, all of a tenant, or the scheduler, nor what for (LOST on the users' machines: no logs).

Every 2 s, if something has waited for 2 s: `jobs_wait` with the number of jobs, the longest wait and the age of the last placement pass; and `job_waits` for the ten longest waits, with what each stands at: no worker, no room, room that is kept for others, not considered, or an open attempt whose start, stop or end has no answer. At most 11 lines in 2 s. One placement pass in 2 s says why units don't start; the jobs and runs are looked at every 250 ms.

Unit tests: graph_waits_test; the plans are as before (placement_oracle_test).

--- a/flamingohollow/graph_placement.cc
+++ b/flamingohollow/graph_placement.cc
@@ -65,6 +65,7 @@
   const AttemptId gang_attempt = NextAttempt(unit);
   for (std::size_t i = 0; i < chosen.size(); ++i) {
     const std::size_t worker = chosen[i];
+    pass.unused_[worker] = pass.unused_[worker] - unit.need_;
     pass.free_[worker] = pass.free_[worker] - unit.need_;
     pass.free_after_stops_[worker] =
         pass.free_after_stops_[worker] - unit.need_;
@@ -335,6 +336,30 @@
   }
 }
 
+bool HasOpenAttempt(const GraphJob& job) {
+  return std::any_of(
+      job.occurrences_.begin(), job.occurrences_.end(), [](const auto& item) {
+        const auto& steps = item.second.steps_;
+        return std::any_of(
+            steps.begin(), steps.end(),
+            [](const StepRecord& step) { return step.open_ > 0; });
+      });
+}
+
+// Notes why nothing of the unit has started in this pass.
+void ExplainWait(Pass& pass, const Unit& unit) {
+  const GraphJobKey& key = unit.job_->key_;
+  if (pass.plan_.waits_.contains(key) || HasOpenAttempt(*unit.job_)) return;
+  const std::size_t tasks = unit.spec_->gang_ ? unit.tasks_.size() : 1;
+  UnitWait why = UnitWait::kNoRoom;
+  if (unit.eligible_->all_.empty()) {
+    why = UnitWait::kNoWorker;
+  } else if (FitUnit(pass, unit, tasks, &Pass::unused_, false).has_value()) {
+    why = UnitWait::kRoomKept;
+  }
+  pass.plan_.waits_.emplace(key, why);
+}
+
 }  // namespace
 
 bool CouldEverRun(const GraphSpec& spec, const PoolName& pool,
@@ -368,6 +393,7 @@
             .now_ = now,
             .workers_ = {},
             .capacity_ = {},
+            .unused_ = {},
             .free_ = {},
             .free_after_stops_ = {},
             .racks_ = {},
@@ -391,11 +417,14 @@
     const bool urgent = unit.job_->terms_.priority_ == 0;
     if (!urgent && !std::exchange(kept, true)) KeepFree(pass, keep_free);
     unit.eligible_ = &FindEligible(pass, unit, LeftOut::kNone);
+    const std::size_t opened = pass.plan_.open_.size();
     if (unit.spec_->gang_) {
       PlaceGang(pass, unit);
     } else {
       PlaceTasks(pass, unit);
     }
+    const bool waits = pass.plan_.open_.size() == opened;
+    if (waits && options.explain_waits_) ExplainWait(pass, unit);
   }
   return std::move(pass.plan_);
 }
--- a/flamingohollow/graph_placement.h
+++ b/flamingohollow/graph_placement.h
@@ -43,6 +43,7 @@
 #ifndef FLAMINGOHOLLOW_GRAPH_PLACEMENT_H_
 #define FLAMINGOHOLLOW_GRAPH_PLACEMENT_H_
 
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <vector>
@@ -88,6 +89,18 @@
   bool hold_limited_suspects_ = false;
   // Units considered in one pass.
   std::size_t max_units_ = 2000;
+  // Whether the plan says why units of jobs without an open attempt wait.
+  bool explain_waits_ = false;
+};
+
+// Why nothing of a unit starts.
+enum class UnitWait : std::uint8_t {
+  // No worker that accepts tasks has the unit's pool and label.
+  kNoWorker,
+  // The workers have no room for it.
+  kNoRoom,
+  // There is room, which is kept for other units.
+  kRoomKept,
 };
 
 struct PlacementPlan {
@@ -97,6 +110,8 @@
     AttemptRef attempt_;
   };
   std::vector<Stop> stop_;
+  // Filled only if asked for by the options; of a job's units, the first.
+  std::map<GraphJobKey, UnitWait> waits_;
   // The pools whose workers' speeds differ widely, by which the plan was made.
   std::map<PoolName, SpeedSpread> spreads_;
 };
@@ -104,6 +119,9 @@
 // Returns when a job became known, on the leader's steady clock.
 using JobQueuedAt = std::function<Time(const GraphJob&)>;
 
+// Since when nothing has run of each job that could have something running.
+using IdleJobs = std::map<GraphJobKey, Time>;
+
 // Only jobs of priority 0 use the room that `keep_free` names, up to a share of
 // each pool.
 PlacementPlan PlanPlacement(const GraphState& state, const Fleet& fleet,
--- a/flamingohollow/graph_placement_pass.cc
+++ b/flamingohollow/graph_placement_pass.cc
@@ -181,6 +181,7 @@
     pools[worker.report_.pool_].push_back(pass.workers_.size());
     pass.workers_.push_back(std::move(added));
     pass.capacity_.push_back(worker.report_.capacity_);
+    pass.unused_.push_back(free);
     pass.free_.push_back(free);
     pass.free_after_stops_.push_back(free_after_stops);
   }
--- a/flamingohollow/graph_placement_pass.h
+++ b/flamingohollow/graph_placement_pass.h
@@ -174,9 +174,11 @@
   const GraphPlacementOptions& options_;
   Time now_;
   std::vector<PassWorker> workers_;
-  // By worker: the whole capacity, what is free now and not held for a unit,
-  // and what is free once all runs that are being stopped have ended.
+  // By worker: the whole capacity, what is free now, what of that is not held
+  // for a unit, and what is free once all runs that are being stopped have
+  // ended.
   std::vector<Resources> capacity_;
+  std::vector<Resources> unused_;
   std::vector<Resources> free_;
   std::vector<Resources> free_after_stops_;
   std::vector<PassRack> racks_;
--- a/flamingohollow/graph_scheduler.cc
+++ b/flamingohollow/graph_scheduler.cc
@@ -426,6 +426,7 @@
   const bool series = ctx.scheduler_.wave_interval_ > Duration();
   options.hold_limited_suspects_ =
       awaits_calm && waves < (series ? kMaxWaitOfLimited : kMaxWaitForCalm);
+  options.explain_waits_ = ctx.now_ >= ctx.scheduler_.next_explanation_;
   const PlacementPlan plan =
       PlanPlacement(ctx.state_, ctx.scheduler_.fleet_, options, since, ctx.now_,
                     RoomToKeep(demands, need, ctx.now_));
@@ -433,6 +434,24 @@
   StopSlow(ctx);
   StopPlanned(ctx, plan);
   StartPlanned(ctx, plan);
+  if (options.explain_waits_) {
+    ctx.scheduler_.next_explanation_ = ctx.now_ + kWaitsInterval;
+    ctx.scheduler_.unit_waits_ = plan.waits_;
+  }
+}
+
+// Idle jobs are looked for this often.
+constexpr Duration kIdleInterval = Duration(250);
+
+void FindIdleJobs(Context& ctx) {
+  Scheduler& scheduler = ctx.scheduler_;
+  if (ctx.now_ < scheduler.next_idle_update_) return;
+  scheduler.next_idle_update_ = ctx.now_ + kIdleInterval;
+  UpdateIdleJobs(scheduler.idle_jobs_, ctx.state_, scheduler.fleet_, ctx.now_);
+  if (ctx.now_ < scheduler.next_waits_) return;
+  scheduler.next_waits_ = ctx.now_ + kWaitsInterval;
+  LogWaits(scheduler.idle_jobs_, scheduler.fleet_, scheduler.unit_waits_,
+           ctx.now_ - scheduler.last_placement_, ctx.now_);
 }
 
 }  // namespace
@@ -467,6 +486,7 @@
   ProposeSpeeds(ctx);
   ProposeVerdicts(ctx);
   PlaceTasks(ctx);
+  FindIdleJobs(ctx);
 }
 
 }  // namespace graph_scheduler_internal
--- a/flamingohollow/graph_scheduler.h
+++ b/flamingohollow/graph_scheduler.h
@@ -34,6 +34,7 @@
 #include "flamingohollow/graph_placement.h"
 #include "flamingohollow/graph_records.h"
 #include "flamingohollow/graph_state.h"
+#include "flamingohollow/graph_waits.h"
 #include "flamingohollow/job_trace.h"
 #include "flamingohollow/slow_runs.h"
 #include "flamingohollow/urgent_demand.h"
@@ -230,6 +231,13 @@
   std::map<GraphJobKey, Time> queued_since_;
   // Of the active jobs.
   std::map<GraphJobKey, JobTrace> traces_;
+  IdleJobs idle_jobs_;
+  Time next_idle_update_;
+  // What units waited for in a recent pass, and when a pass says so again.
+  std::map<GraphJobKey, UnitWait> unit_waits_;
+  Time next_explanation_;
+  // When the waits are logged next.
+  Time next_waits_;
   // What urgent jobs needed lately, by pool.
   UrgentDemands urgent_demands_;
   // Number of polls in flight that the workers may hold open. Counted anew at
