--- a/flamingohollow/graph_placement.cc
+++ b/flamingohollow/graph_placement.cc
@@ -4,7 +4,9 @@
 #include "flamingohollow/graph_placement.h"
 
 #include <algorithm>
+#include <optional>
 #include <utility>
+#include <vector>
 
 #include "flamingohollow/graph_placement_pass.h"
 
@@ -22,6 +24,8 @@
 using graph_placement_internal::FindQuietWorkers;
 using graph_placement_internal::FitMost;
 using graph_placement_internal::FitUnit;
+using graph_placement_internal::HaveRoomTwice;
+using graph_placement_internal::IsBusy;
 using graph_placement_internal::Lateness;
 using graph_placement_internal::LeftOut;
 using graph_placement_internal::MatchesStep;
@@ -51,6 +55,17 @@
   }
 }
 
+// As DeductFromFree, of what is being freed for the unit and so is not left to
+// others for any reason.
+void HoldForStops(Pass& pass, const Unit& unit,
+                  const std::vector<std::size_t>& chosen) {
+  DeductFromFree(pass, unit, chosen);
+  for (const std::size_t worker : chosen) {
+    pass.unused_[worker] =
+        ElementwiseMin(pass.unused_[worker], pass.free_after_stops_[worker]);
+  }
+}
+
 AttemptId NextAttempt(const Unit& unit) {
   AttemptId newest;
   for (const TaskIndex task : unit.tasks_) {
@@ -131,7 +146,7 @@
                    bool may_spread) {
   if (const auto fit =
           FitUnit(pass, unit, tasks, &Pass::free_after_stops_, may_spread)) {
-    DeductFromFree(pass, unit, *fit);
+    HoldForStops(pass, unit, *fit);
     return true;
   }
   // A late result has too little value to lose other work for it.
@@ -141,7 +156,7 @@
   const auto trial = FindCheapestPlacement(pass, unit, tasks, {}, may_spread);
   if (!trial.has_value()) return false;
   StopGroups(pass, *trial);
-  DeductFromFree(pass, unit, trial->chosen_);
+  HoldForStops(pass, unit, trial->chosen_);
   return true;
 }
 
@@ -166,14 +181,16 @@
   if (unit.guaranteed_ && !begun && waited > pass.options_.max_rack_wait_) {
     return true;
   }
-  if (!pass.busy_ && waited > pass.options_.max_idle_rack_wait_) return true;
+  if (!IsBusy(pass, unit) && waited > pass.options_.max_idle_rack_wait_)
+    return true;
   return !AnyRackCouldHold(pass, unit);
 }
 
 // Whether a fit into the free resources has failed in this pass that asked for
 // no more than this one.
-bool IsKnownToFail(const Pass& pass, const FailedFit& fit) {
-  return std::any_of(pass.failed_fits_.begin(), pass.failed_fits_.end(),
+bool IsKnownToFail(const std::vector<FailedFit>& failed_fits,
+                   const FailedFit& fit) {
+  return std::any_of(failed_fits.begin(), failed_fits.end(),
                      [&fit](const FailedFit& failed) {
                        return failed.eligible_ == fit.eligible_ &&
                               failed.tasks_ <= fit.tasks_ &&
@@ -196,7 +213,7 @@
   const FailedFit request{unit.eligible_, unit.need_, tasks,
                           WantsOneRack(unit) && !may_spread};
   const bool comparable = IsComparable(unit);
-  if (comparable && IsKnownToFail(pass, request)) return false;
+  if (comparable && IsKnownToFail(pass.failed_fits_, request)) return false;
   const auto fit = FitUnit(pass, unit, tasks, &Pass::free_, may_spread);
   if (fit.has_value()) {
     OpenAttempts(pass, unit, *fit);
@@ -206,6 +223,47 @@
   return fit.has_value();
 }
 
+// Whether nothing of the unit's job has run for so long that room that is held
+// for others must not keep it waiting.
+bool IsIdleTooLong(const Pass& pass, const Unit& unit) {
+  const auto idle = pass.idle_.find(unit.job_->key_);
+  return idle != pass.idle_.end() &&
+         pass.now_ - idle->second >= pass.options_.max_kept_wait_ &&
+         !IsBusy(pass, unit);
+}
+
+// Starts the unit's first `tasks` tasks in room that is held for units that
+// don't fit. This answers loads in which a gang waits for workers that take
+// long to become free, beside small jobs and an idle pool.
+bool StartInKeptRoom(Pass& pass, const Unit& unit, std::size_t tasks,
+                     bool may_spread) {
+  const FailedFit request{unit.eligible_, unit.need_, tasks,
+                          WantsOneRack(unit) && !may_spread};
+  const bool comparable = IsComparable(unit);
+  if (comparable && IsKnownToFail(pass.failed_kept_fits_, request)) {
+    return false;
+  }
+  // What is left then is for the units that it is held for.
+  std::optional<std::vector<std::size_t>> fit;
+  if (HaveRoomTwice(pass, unit, tasks, &Pass::unused_)) {
+    fit = FitUnit(pass, unit, tasks, &Pass::unused_, may_spread);
+  }
+  if (fit.has_value()) {
+    OpenAttempts(pass, unit, *fit);
+  } else if (comparable) {
+    pass.failed_kept_fits_.push_back(request);
+  }
+  return fit.has_value();
+}
+
+// As StartInKeptRoom, for a job of which nothing has run for too long.
+bool StartIdle(Pass& pass, const Unit& unit, bool may_spread) {
+  if (!IsIdleTooLong(pass, unit)) return false;
+  const bool gang = unit.spec_->gang_;
+  // One running task is enough for a job.
+  return StartInKeptRoom(pass, unit, gang ? unit.tasks_.size() : 1, may_spread);
+}
+
 // Keeps other tasks off some workers until a strong suspect may start there.
 // Returns false if it waits for room instead.
 bool HoldQuietWorkers(Pass& pass, const Unit& unit, bool may_spread) {
@@ -255,6 +313,7 @@
   if (PlaceOffSlowWorkers(pass, unit, may_spread)) return;
   if (PlaceOffSuspects(pass, unit, may_spread)) return;
   if (StartGang(pass, unit, may_spread)) return;
+  if (StartIdle(pass, unit, may_spread)) return;
   if (HoldQuietWorkers(pass, unit, may_spread)) return;
   const std::size_t tasks = unit.tasks_.size();
   if (unit.job_->terms_.priority_ == 0) {
@@ -271,13 +330,14 @@
   const FailedFit request{unit.eligible_, unit.need_, 1, false};
   const bool comparable = IsComparable(unit);
   std::size_t started = 0;
-  if (!comparable || !IsKnownToFail(pass, request)) {
+  if (!comparable || !IsKnownToFail(pass.failed_fits_, request)) {
     const auto chosen = FitMost(pass, unit, &Pass::free_);
     OpenAttempts(pass, unit, chosen);
     started = chosen.size();
     const bool failed = started < unit.tasks_.size();
     if (failed && comparable) pass.failed_fits_.push_back(request);
   }
+  if (started == 0 && StartIdle(pass, unit, false)) return;
   if (started == 0 && HoldQuietWorkers(pass, unit, false)) return;
   if (unit.job_->terms_.priority_ != 0) return;
   for (std::size_t i = started; i < unit.tasks_.size(); ++i) {
@@ -323,8 +383,8 @@
 // with the most free accelerators. Most of these are whole workers, as urgent
 // gangs need them. A pool that is not busy has room enough.
 void KeepFree(Pass& pass, const ResourcesByPool& keep_free) {
-  if (!pass.busy_) return;
   for (const auto& [pool, room] : keep_free) {
+    if (!pass.busy_.contains(pool)) continue;
     std::vector<std::size_t> workers;
     for (std::size_t i = 0; i < pass.workers_.size(); ++i) {
       const PassWorker& worker = pass.workers_[i];
@@ -386,10 +446,12 @@
 PlacementPlan PlanPlacement(const GraphState& state, const Fleet& fleet,
                             const GraphPlacementOptions& options,
                             const JobQueuedAt& queued_at, Time now,
-                            const ResourcesByPool& keep_free) {
+                            const ResourcesByPool& keep_free,
+                            const IdleJobs& idle) {
   Pass pass{.state_ = state,
             .fleet_ = fleet,
             .options_ = options,
+            .idle_ = idle,
             .now_ = now,
             .workers_ = {},
             .capacity_ = {},
@@ -402,7 +464,9 @@
             .groups_ = {},
             .by_loss_ = {},
             .by_end_ = {},
+            .busy_ = {},
             .failed_fits_ = {},
+            .failed_kept_fits_ = {},
             .plan_ = {}};
   CollectGuaranteed(pass);
   std::vector<Unit> units = CollectUnits(pass, queued_at);
--- a/flamingohollow/graph_placement.h
+++ b/flamingohollow/graph_placement.h
@@ -35,6 +35,9 @@
 // - Resources that are being freed for a unit of priority 0 are held for it. A
 //   few gangs and units of priority 0 that don't fit hold the resources that
 //   are likely to become free first, so that small tasks can't starve them.
+//   They hold none if tasks that last are in their way. While a pool is at most
+//   half in use, a task of a job of which nothing runs for too long may use
+//   held resources.
 //
 // Cost: one look at each run of the fleet, and at each worker for each unit
 // that starts, is preempted for or holds resources. A unit that asks for no
@@ -87,6 +90,9 @@
   bool hold_strong_suspects_ = false;
   // The same, of those that may be started only a few times more.
   bool hold_limited_suspects_ = false;
+  // In a pool that is at most half in use, a job of which nothing has run for
+  // this long may use resources that are held for units that don't fit.
+  Duration max_kept_wait_ = Duration(10'000);
   // Units considered in one pass.
   std::size_t max_units_ = 2000;
   // Whether the plan says why units of jobs without an open attempt wait.
@@ -127,7 +133,8 @@
 PlacementPlan PlanPlacement(const GraphState& state, const Fleet& fleet,
                             const GraphPlacementOptions& options,
                             const JobQueuedAt& queued_at, Time now,
-                            const ResourcesByPool& keep_free = {});
+                            const ResourcesByPool& keep_free = {},
+                            const IdleJobs& idle = {});
 
 // Returns the total estimate of the longest chain of dependent steps.
 Duration LongestChain(const GraphSpec& spec);
--- a/flamingohollow/graph_placement_fit.cc
+++ b/flamingohollow/graph_placement_fit.cc
@@ -139,6 +139,22 @@
   return false;
 }
 
+}  // namespace
+
+bool HaveRoomTwice(const Pass& pass, const Unit& unit, std::size_t tasks,
+                   ResourcesOf free) {
+  const std::uint64_t wanted = 2 * tasks;
+  std::uint64_t sum = 0;
+  for (const std::size_t worker : unit.eligible_->all_) {
+    if (CountFitsOn(pass, unit, worker, (pass.*free)[worker]) == 0) continue;
+    sum += CountFits(unit.need_, (pass.*free)[worker], wanted);
+    if (sum >= wanted) return true;
+  }
+  return false;
+}
+
+namespace {
+
 // A worker with free resources for at least one task of a unit.
 struct Candidate {
   FitRank rank_;
--- a/flamingohollow/graph_placement_pass.cc
+++ b/flamingohollow/graph_placement_pass.cc
@@ -266,6 +266,7 @@
   group.remaining_ms_ = std::max(group.remaining_ms_, left);
   const bool runs = run.phase_ == RunPhase::kRunning && !run.end_proposed_;
   group.all_running_ = group.all_running_ && runs;
+  group.lasts_ = spec.long_running_;
 }
 
 void SortGroups(Pass& pass) {
@@ -331,16 +332,28 @@
 }
 
 void MeasureUse(Pass& pass) {
-  Resources used;
-  Resources total;
+  struct Use {
+    Resources used_;
+    Resources total_;
+  };
+  std::map<PoolName, Use> pools;
   for (const PassWorker& worker : pass.workers_) {
     if (!worker.usable_) continue;
-    used = used + TakenResources(*worker.fleet_worker_);
-    total = total + worker.fleet_worker_->report_.capacity_;
+    const PoolWorkerReport& report = worker.fleet_worker_->report_;
+    Use& use = pools[report.pool_];
+    use.used_ = use.used_ + TakenResources(*worker.fleet_worker_);
+    use.total_ = use.total_ + report.capacity_;
+  }
+  for (const auto& [pool, use] : pools) {
+    const bool busy = use.used_.accelerators_ * 2 > use.total_.accelerators_ ||
+                      use.used_.memory_mb_ * 2 > use.total_.memory_mb_ ||
+                      use.used_.millicores_ * 2 > use.total_.millicores_;
+    if (busy) pass.busy_.insert(pool);
   }
-  pass.busy_ = used.accelerators_ * 2 > total.accelerators_ ||
-               used.memory_mb_ * 2 > total.memory_mb_ ||
-               used.millicores_ * 2 > total.millicores_;
+}
+
+bool IsBusy(const Pass& pass, const Unit& unit) {
+  return pass.busy_.contains(unit.job_->terms_.pool_);
 }
 
 bool MayPreempt(const Pass& pass, const RunGroup& group, const Unit& unit) {
--- a/flamingohollow/graph_placement_pass.h
+++ b/flamingohollow/graph_placement_pass.h
@@ -19,6 +19,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <tuple>
 #include <unordered_set>
@@ -149,6 +150,8 @@
   std::int64_t remaining_ms_ = 0;
   // Only a group whose members all run may be stopped.
   bool all_running_ = true;
+  // Its tasks last, so it won't end by itself.
+  bool lasts_ = false;
   bool preempted_ = false;
 };
 
@@ -172,10 +175,12 @@
   const GraphState& state_;
   const Fleet& fleet_;
   const GraphPlacementOptions& options_;
+  const IdleJobs& idle_;
   Time now_;
   std::vector<PassWorker> workers_;
-  // By worker: the whole capacity, what is free now, what of that is not held
-  // for a unit, and what is free once all runs that are being stopped have
+  // By worker: the whole capacity, what is free now and not about to be used by
+  // a unit for which runs are stopped, what of that is not held for a unit that
+  // doesn't fit, and what is free once all runs that are being stopped have
   // ended.
   std::vector<Resources> capacity_;
   std::vector<Resources> unused_;
@@ -194,13 +199,15 @@
   std::vector<std::vector<GroupOnWorker>> by_end_;
   // Some worker is shunned.
   bool any_shunned_ = false;
-  // More than half of the usable workers' capacity is in use.
-  bool busy_ = false;
+  // The pools of which more than half of the usable workers' capacity is in
+  // use.
+  std::set<PoolName> busy_;
   // Number of units that may still hold resources in this pass.
   std::size_t reservations_ = 0;
-  // Fits into `free_` that failed. They fail for the rest of the pass, as
-  // `free_` only decreases.
+  // Fits into `free_` and into `unused_` that failed. They fail for the rest of
+  // the pass, as both only decrease.
   std::vector<FailedFit> failed_fits_;
+  std::vector<FailedFit> failed_kept_fits_;
   PlacementPlan plan_;
 };
 
@@ -219,6 +226,7 @@
 void CollectGroups(Pass& pass);
 // Sets `busy_`.
 void MeasureUse(Pass& pass);
+bool IsBusy(const Pass& pass, const Unit& unit);
 const EligibleWorkers& FindEligible(Pass& pass, const Unit& unit,
                                     LeftOut left_out);
 bool MayPreempt(const Pass& pass, const RunGroup& group, const Unit& unit);
@@ -259,6 +267,10 @@
                                                 std::size_t tasks,
                                                 ResourcesOf free,
                                                 bool may_spread);
+// Whether the eligible workers that may take a task of the unit have room for
+// `tasks` of its size twice over.
+bool HaveRoomTwice(const Pass& pass, const Unit& unit, std::size_t tasks,
+                   ResourcesOf free);
 // For a strong suspect that only has to wait until the tasks on the workers
 // have proved harmless: returns the workers with room for it whose newest start
 // is the oldest, or nothing if it doesn't fit. In a pool of short tasks, each
@@ -290,7 +302,7 @@
 struct TrialOptions {
   GroupCost cost_ = &LostWork;
   // Considers only groups that the unit may preempt; otherwise all groups that
-  // are not preempted already.
+  // are not preempted already and end by themselves.
   bool preemptible_only_ = true;
 };
 
--- a/flamingohollow/graph_placement_trial.cc
+++ b/flamingohollow/graph_placement_trial.cc
@@ -64,7 +64,7 @@
 
   bool IsCandidate(const RunGroup& group) const {
     return options_.preemptible_only_ ? MayPreempt(pass_, group, unit_)
-                                      : !group.preempted_;
+                                      : !group.preempted_ && !group.lasts_;
   }
   std::optional<WorkerOffer> Offer(std::size_t worker) const;
   // Adds the worker's current offer to `heap_`.
--- a/flamingohollow/graph_scheduler.cc
+++ b/flamingohollow/graph_scheduler.cc
@@ -373,6 +373,18 @@
   }
 }
 
+// Resources are held against a stream of small jobs, which would keep large
+// gangs from ever starting. Once no job has been accepted for this long, there
+// is none, and an idle job waits for held resources for the shorter time only.
+constexpr Duration kStreamPause = Duration(2000);
+constexpr Duration kMaxKeptWait = Duration(2000);
+constexpr Duration kMaxKeptWaitInStream = Duration(10'000);
+
+Duration MaxKeptWait(const Context& ctx) {
+  const Duration pause = ctx.now_ - ctx.scheduler_.last_accepted_;
+  return pause >= kStreamPause ? kMaxKeptWait : kMaxKeptWaitInStream;
+}
+
 // Strong suspects start again when their crashes can't be taken for a part of
 // the wave, or when waves have gone on for this long.
 constexpr Duration kMaxWaitForCalm = Duration(20'000);
@@ -426,10 +438,11 @@
   const bool series = ctx.scheduler_.wave_interval_ > Duration();
   options.hold_limited_suspects_ =
       awaits_calm && waves < (series ? kMaxWaitOfLimited : kMaxWaitForCalm);
+  options.max_kept_wait_ = MaxKeptWait(ctx);
   options.explain_waits_ = ctx.now_ >= ctx.scheduler_.next_explanation_;
-  const PlacementPlan plan =
-      PlanPlacement(ctx.state_, ctx.scheduler_.fleet_, options, since, ctx.now_,
-                    RoomToKeep(demands, need, ctx.now_));
+  const PlacementPlan plan = PlanPlacement(
+      ctx.state_, ctx.scheduler_.fleet_, options, since, ctx.now_,
+      RoomToKeep(demands, need, ctx.now_), ctx.scheduler_.idle_jobs_);
   ctx.scheduler_.speed_ratio_ = SpeedRatio(plan);
   StopSlow(ctx);
   StopPlanned(ctx, plan);
@@ -595,6 +608,7 @@
   scheduler.options_ = options;
   scheduler.token_ = token;
   scheduler.wall_time_ = wall;
+  scheduler.last_accepted_ = now;
   RecoverWorkers(scheduler, state, now);
   for (const auto& [key, job] : state.jobs_) {
     const Duration age =
--- a/flamingohollow/graph_scheduler.h
+++ b/flamingohollow/graph_scheduler.h
@@ -227,6 +227,8 @@
   double speed_ratio_ = 1;
   // No speeds are recorded before this.
   Time next_speeds_record_;
+  // When a job was accepted last, or this scheduler began.
+  Time last_accepted_;
   // When this scheduler learned of each job; its waiting time starts then.
   std::map<GraphJobKey, Time> queued_since_;
   // Of the active jobs.
--- a/flamingohollow/graph_scheduler_records.cc
+++ b/flamingohollow/graph_scheduler_records.cc
@@ -111,6 +111,7 @@
 }
 
 void OnApplied(Context& ctx, const SubmitRecord& record) {
+  ctx.scheduler_.last_accepted_ = ctx.now_;
   ctx.scheduler_.queued_since_.emplace(record.key_, ctx.now_);
   ctx.scheduler_.traces_[record.key_].queued_at_ = ctx.now_;
   if (record.terms_.priority_ == 0) ctx.scheduler_.urgent_placement_due_ = true;
--- a/flamingohollow/testing/graph_placement_test.cc
+++ b/flamingohollow/testing/graph_placement_test.cc
@@ -106,6 +106,67 @@
   }
 }
 
+// A pool of four workers: a task that runs for another minute is on each of the
+// first three, and a gang waits for all four. The job of two small tasks has
+// had nothing running since `idle_since`.
+struct WaitingGang {
+  GraphState state_;
+  Fleet fleet_ = MakeFleet(1, 4, kNow);
+
+  explicit WaitingGang(bool lasts) {
+    StepSpec running = MakeStep(3, 1, Duration(60'000));
+    running.long_running_ = lasts;
+    Submit(state_, 1, {running}, {});
+    for (std::uint32_t i = 0; i < 3; ++i) {
+      RunTask(state_, fleet_, 1, i, "w" + std::to_string(i), kNow);
+    }
+    Submit(state_, 2, {MakeGang(4, 8, Duration(1000), false)}, {.slack_ = 100});
+    Submit(state_, 3, {MakeStep(2, 1, Duration(1000))}, {.slack_ = 200});
+  }
+
+  PlacementPlan Plan(Time idle_since = kNow) const {
+    GraphPlacementOptions options;
+    options.explain_waits_ = true;
+    return PlanPlacement(state_, fleet_, options,
+                         [](const GraphJob&) { return kNow; }, kNow, {},
+                         {{MakeKey(3), idle_since}});
+  }
+};
+
+// Guards against small jobs that never start beside a gang that waits for tasks
+// that last.
+TEST_CASE("a gang holds no room while tasks that last are in its way") {
+  CHECK_EQ(WaitingGang(true).Plan().open_.size(), 2);
+}
+
+// Guards against jobs that stand still in a pool that is mostly idle.
+TEST_CASE("an idle job uses held room once it has waited for too long") {
+  const Duration wait = GraphPlacementOptions().max_kept_wait_;
+  WaitingGang pool(false);
+  SUBCASE("not before") {
+    const PlacementPlan plan = pool.Plan(kNow - wait + Duration(1));
+    CHECK(plan.open_.empty());
+    CHECK_EQ(plan.waits_.at(MakeKey(2)), UnitWait::kNoRoom);
+    CHECK_EQ(plan.waits_.at(MakeKey(3)), UnitWait::kRoomKept);
+  }
+  SUBCASE("one task, as the rest is held") {
+    const PlacementPlan plan = pool.Plan(kNow - wait);
+    REQUIRE_EQ(plan.open_.size(), 1);
+    CHECK_EQ(plan.open_[0].attempt_.task_.job_, MakeKey(3));
+  }
+  SUBCASE("not in a busy pool") {
+    Submit(pool.state_, 4, {MakeStep(3, 5, Duration(60'000))}, {});
+    for (std::uint32_t i = 0; i < 3; ++i) {
+      RunTask(pool.state_, pool.fleet_, 4, i, "w" + std::to_string(i), kNow);
+    }
+    CHECK(pool.Plan(kNow - wait).open_.empty());
+  }
+  SUBCASE("not the last of the room") {
+    pool.state_.jobs_.at(MakeKey(3)).spec_.steps_[0].need_.accelerators_ = 8;
+    CHECK(pool.Plan(kNow - wait).open_.empty());
+  }
+}
+
 TEST_CASE("small tasks leave whole workers free") {
   GraphState state;
   Fleet fleet = MakeFleet(1, 2, kNow);
--- a/flamingohollow/testing/placement_oracle_test.cc
+++ b/flamingohollow/testing/placement_oracle_test.cc
@@ -36,12 +36,16 @@
 
 struct RandomPool {
   std::mt19937_64 random_;
+  // For what does not concern the rest of the pool.
+  std::mt19937_64 lasting_random_;
   GraphState state_;
   Fleet fleet_;
+  IdleJobs idle_;
   std::uint64_t jobs_ = 0;
   int workers_ = 0;
 
-  explicit RandomPool(std::uint64_t seed) : random_(seed) {
+  explicit RandomPool(std::uint64_t seed)
+      : random_(seed), lasting_random_(seed) {
     const int racks = 1 + Below(5);
     const int per_rack = 1 + Below(6);
     workers_ = racks * per_rack;
@@ -54,6 +58,11 @@
     for (int i = 0; i < running; ++i) AddRunning();
     const int waiting = 1 + Below(25);
     for (int i = 0; i < waiting; ++i) AddWaiting();
+    for (const auto& [key, job] : state_.jobs_) {
+      if (lasting_random_() % 2 == 0) {
+        idle_[key] = kNow - Duration(lasting_random_() % 20'000);
+      }
+    }
   }
 
   int Below(int limit) {
@@ -99,6 +108,7 @@
     if (Chance(15)) step.data_rack_ = Rack(fmt::format("r{}", Below(5)));
     if (Chance(15)) step.max_per_worker_ = 1 + Below(2);
     if (Chance(5)) step.is_filler_ = true;
+    step.long_running_ = lasting_random_() % 10 == 0;
     return step;
   }
   void AddWaiting() {
@@ -153,10 +163,12 @@
       keep_free[PoolName("pool")] = {.millicores_ = 4000 * size,
                                      .accelerators_ = size};
     }
-    const PlacementPlan plan = PlanPlacement(pool.state_, pool.fleet_, options,
-                                             queued_at, kNow, keep_free);
-    const PlacementPlan slow = SlowPlanPlacement(
-        pool.state_, pool.fleet_, options, queued_at, kNow, keep_free);
+    const PlacementPlan plan =
+        PlanPlacement(pool.state_, pool.fleet_, options, queued_at, kNow,
+                      keep_free, pool.idle_);
+    const PlacementPlan slow =
+        SlowPlanPlacement(pool.state_, pool.fleet_, options, queued_at, kNow,
+                          keep_free, pool.idle_);
     REQUIRE_EQ(Describe(plan), Describe(slow));
     opened += plan.open_.size();
     stopped += plan.stop_.size();
--- a/flamingohollow/testing/slow_placement.cc
+++ b/flamingohollow/testing/slow_placement.cc
@@ -62,7 +62,9 @@
   bool suspect_ = false;
   // A suspect in a pool that has few of them.
   bool shunned_ = false;
-  // Resources that are free now and not held for a unit.
+  // Resources that are free now, apart from those for which runs are stopped,
+  // and what of them is not held for a unit.
+  Resources unused_;
   Resources free_;
   // Resources that are free once all runs that are being stopped have ended.
   Resources free_after_stops_;
@@ -87,6 +89,7 @@
   std::int64_t remaining_ms_ = 0;
   // Only a group whose members all run may be stopped.
   bool all_running_ = true;
+  bool lasts_ = false;
   bool preempted_ = false;
 };
 
@@ -94,6 +97,7 @@
   const GraphState& state_;
   const Fleet& fleet_;
   const GraphPlacementOptions& options_;
+  const IdleJobs& idle_;
   Time now_;
   std::vector<PassWorker> workers_;
   std::map<Rack, std::vector<std::size_t>> racks_;
@@ -108,6 +112,8 @@
   bool busy_ = false;
   // Number of units that may still hold resources in this pass.
   std::size_t reservations_ = 0;
+  // Steps of which this pass has opened an attempt.
+  std::set<const StepRecord*> opened_;
   PlacementPlan plan_;
 };
 
@@ -298,6 +304,7 @@
                      worker.report_.failure_domain_) &&
         AcceptsTasks(worker, pass.options_.report_interval_, pass.now_);
     added.free_ = worker.report_.capacity_ - worker.used_;
+    added.unused_ = added.free_;
     added.free_after_stops_ = added.free_;
     for (const auto& [attempt, run] : worker.runs_) {
       ++added.tasks_[StepOf(attempt.task_)];
@@ -345,6 +352,7 @@
   group.remaining_ms_ = std::max(group.remaining_ms_, left);
   const bool runs = run.phase_ == RunPhase::kRunning && !run.end_proposed_;
   group.all_running_ = group.all_running_ && runs;
+  group.lasts_ = spec.long_running_;
 }
 
 void SortGroups(Pass& pass) {
@@ -636,7 +644,7 @@
 bool IsCandidate(const Pass& pass, const RunGroup& group, const Unit& unit,
                  const TrialOptions& trial_options) {
   return trial_options.preemptible_only_ ? MayPreempt(pass, group, unit)
-                                         : !group.preempted_;
+                                         : !group.preempted_ && !group.lasts_;
 }
 
 Resources NeedOn(const RunGroup& group, std::size_t worker) {
@@ -910,6 +918,16 @@
   }
 }
 
+// As DeductFromFree, of what is being freed for the unit.
+void HoldForStops(Pass& pass, const Unit& unit,
+                  const std::vector<std::size_t>& chosen) {
+  DeductFromFree(pass, unit, chosen);
+  for (const std::size_t index : chosen) {
+    PassWorker& worker = pass.workers_[index];
+    worker.unused_ = ElementwiseMin(worker.unused_, worker.free_after_stops_);
+  }
+}
+
 AttemptId NextAttempt(const Unit& unit) {
   AttemptId newest;
   for (const TaskIndex task : unit.tasks_) {
@@ -922,8 +940,10 @@
                   const std::vector<std::size_t>& chosen) {
   const Resources need = ReservedResources(*unit.spec_);
   const AttemptId attempt = NextAttempt(unit);
+  if (!chosen.empty()) pass.opened_.insert(unit.step_);
   for (std::size_t i = 0; i < chosen.size(); ++i) {
     PassWorker& worker = pass.workers_[chosen[i]];
+    worker.unused_ = worker.unused_ - need;
     worker.free_ = worker.free_ - need;
     worker.free_after_stops_ = worker.free_after_stops_ - need;
     ++worker.tasks_[{unit.job_->key_, unit.occurrence_, unit.index_}];
@@ -978,7 +998,7 @@
     return pass.workers_[worker].free_after_stops_;
   };
   if (const auto fit = FitUnit(pass, unit, free_after_stops, may_spread)) {
-    DeductFromFree(pass, unit, *fit);
+    HoldForStops(pass, unit, *fit);
     return true;
   }
   const bool guaranteed = pass.guaranteed_.contains(unit.job_->key_);
@@ -987,7 +1007,7 @@
   if (worth_stops && pass.now_ >= EarliestPreemption(pass, unit)) {
     if (const auto trial = FindCheapestPlacement(pass, unit, {}, may_spread)) {
       StopGroups(pass, *trial);
-      DeductFromFree(pass, unit, trial->chosen_);
+      HoldForStops(pass, unit, trial->chosen_);
       return true;
     }
   }
@@ -1026,6 +1046,35 @@
       });
 }
 
+bool HaveRoomTwice(const Pass& pass, const Unit& unit,
+                   const FreeResourcesFn& free_of) {
+  const Resources need = ReservedResources(*unit.spec_);
+  const std::uint64_t wanted = 2 * unit.tasks_.size();
+  std::uint64_t sum = 0;
+  for (const Candidate& candidate :
+       FindCandidates(pass, unit, AllWorkers(pass), free_of)) {
+    sum += CountFits(need, candidate.free_, wanted);
+  }
+  return sum >= wanted;
+}
+
+// Starts the unit in resources that are held for others, if nothing of its job
+// has run for too long. Returns whether other tasks of its step need not be
+// tried in this pass.
+bool StartIdle(Pass& pass, const Unit& unit, bool may_spread) {
+  const FreeResourcesFn unused = [&pass](std::size_t worker) {
+    return pass.workers_[worker].unused_;
+  };
+  const auto idle = pass.idle_.find(unit.job_->key_);
+  const bool too_long =
+      idle != pass.idle_.end() && !pass.busy_ &&
+      pass.now_ - idle->second >= pass.options_.max_kept_wait_;
+  if (!too_long || !HaveRoomTwice(pass, unit, unused)) return false;
+  const auto fit = FitUnit(pass, unit, unused, may_spread);
+  if (fit.has_value()) OpenAttempts(pass, unit, *fit);
+  return fit.has_value();
+}
+
 // Starts the unit or, if it does not fit now, may hold or free resources for
 // it. Returns false if other tasks of its step need not be tried in this pass.
 bool PlaceUnit(Pass& pass, const Unit& unit) {
@@ -1045,13 +1094,18 @@
   if (ShouldAvoidSlow(pass, unit) && place_elsewhere(elsewhere)) return true;
   elsewhere.avoids_slow_ = false;
   elsewhere.avoids_suspects_ = true;
+  // Without suspects, what follows does the same.
   const bool urgent_gang =
-      unit.spec_->gang_ && unit.job_->terms_.priority_ == 0;
+      unit.spec_->gang_ && unit.job_->terms_.priority_ == 0 &&
+      std::any_of(pass.workers_.begin(), pass.workers_.end(),
+                  [](const PassWorker& worker) { return worker.shunned_; });
   if (urgent_gang && place_elsewhere(elsewhere)) return true;
   if (const auto fit = FitUnit(pass, unit, free, may_spread)) {
     OpenAttempts(pass, unit, *fit);
     return true;
   }
+  const bool opened = pass.opened_.contains(unit.step_);
+  if (!opened && StartIdle(pass, unit, may_spread)) return false;
   if (unit.job_->terms_.priority_ == 0) {
     PlaceUrgent(pass, unit, may_spread);
     // Resources may still be held for other tasks of the same step.
@@ -1109,10 +1163,12 @@
 PlacementPlan SlowPlanPlacement(const GraphState& state, const Fleet& fleet,
                                 const GraphPlacementOptions& options,
                                 const JobQueuedAt& queued_at, Time now,
-                                const ResourcesByPool& keep_free) {
+                                const ResourcesByPool& keep_free,
+                                const IdleJobs& idle) {
   Pass pass{.state_ = state,
             .fleet_ = fleet,
             .options_ = options,
+            .idle_ = idle,
             .now_ = now,
             .workers_ = {},
             .racks_ = {},
@@ -1121,6 +1177,7 @@
             .by_loss_ = {},
             .by_end_ = {},
             .reservations_ = 0,
+            .opened_ = {},
             .plan_ = {}};
   CollectGuaranteed(pass);
   const std::vector<Unit> units = CollectUnits(pass, queued_at);
--- a/flamingohollow/testing/slow_placement.h
+++ b/flamingohollow/testing/slow_placement.h
@@ -10,7 +10,8 @@
 PlacementPlan SlowPlanPlacement(const GraphState& state, const Fleet& fleet,
                                 const GraphPlacementOptions& options,
                                 const JobQueuedAt& queued_at, Time now,
-                                const ResourcesByPool& keep_free);
+                                const ResourcesByPool& keep_free,
+                                const IdleJobs& idle);
 
 }  // namespace flamingohollow::testing
 
