--- a/flamingohollow/graph_placement.cc
+++ b/flamingohollow/graph_placement.cc
@@ -223,6 +223,18 @@
   return fit.has_value();
 }
 
+// The tasks of the unit that last and have run before. Each of them is wanted
+// again at once, whatever else of its job runs.
+std::vector<TaskIndex> LostLastingTasks(const Unit& unit) {
+  std::vector<TaskIndex> lost;
+  if (!unit.spec_->long_running_) return lost;
+  for (const TaskIndex task : unit.tasks_) {
+    const TaskRecord& record = unit.step_->tasks_[task.value()];
+    if (record.attempt_ != AttemptId()) lost.push_back(task);
+  }
+  return lost;
+}
+
 // Whether nothing of the unit's job has run for so long that room that is held
 // for others must not keep it waiting.
 bool IsIdleTooLong(const Pass& pass, const Unit& unit) {
@@ -256,12 +268,23 @@
   return fit.has_value();
 }
 
-// As StartInKeptRoom, for a job of which nothing has run for too long.
+// As StartInKeptRoom, for tasks that must not wait for others to fit.
 bool StartIdle(Pass& pass, const Unit& unit, bool may_spread) {
-  if (!IsIdleTooLong(pass, unit)) return false;
-  const bool gang = unit.spec_->gang_;
+  if (unit.spec_->gang_) {
+    const bool wanted =
+        IsIdleTooLong(pass, unit) || !LostLastingTasks(unit).empty();
+    return wanted &&
+           StartInKeptRoom(pass, unit, unit.tasks_.size(), may_spread);
+  }
+  Unit lost = unit;
+  lost.tasks_ = LostLastingTasks(unit);
+  if (!lost.tasks_.empty()) {
+    const auto chosen = FitMost(pass, lost, &Pass::unused_);
+    OpenAttempts(pass, lost, chosen);
+    return !chosen.empty();
+  }
   // One running task is enough for a job.
-  return StartInKeptRoom(pass, unit, gang ? unit.tasks_.size() : 1, may_spread);
+  return IsIdleTooLong(pass, unit) && StartInKeptRoom(pass, unit, 1, false);
 }
 
 // Keeps other tasks off some workers until a strong suspect may start there.
--- a/flamingohollow/graph_placement.h
+++ b/flamingohollow/graph_placement.h
@@ -37,7 +37,8 @@
 //   are likely to become free first, so that small tasks can't starve them.
 //   They hold none if tasks that last are in their way. While a pool is at most
 //   half in use, a task of a job of which nothing runs for too long may use
-//   held resources.
+//   held resources; so may a task that lasts and has lost its worker, at any
+//   time.
 //
 // Cost: one look at each run of the fleet, and at each worker for each unit
 // that starts, is preempted for or holds resources. A unit that asks for no
--- a/flamingohollow/graph_placement_units.cc
+++ b/flamingohollow/graph_placement_units.cc
@@ -88,7 +88,8 @@
       left <= Duration() ? std::numeric_limits<double>::infinity()
                          : static_cast<double>(unit.remaining_.ms()) *
                                kEstimateError / static_cast<double>(left.ms());
-  if (finish > unit.deadline_)
+  // A task that lasts is of use whenever it runs.
+  if (finish > unit.deadline_ && !unit.spec_->long_running_)
     unit.lateness_ = finish > late ? Lateness::kTooLate : Lateness::kLate;
 }
 
--- a/flamingohollow/testing/graph_placement_test.cc
+++ b/flamingohollow/testing/graph_placement_test.cc
@@ -167,6 +167,36 @@
   }
 }
 
+// Guards against a lasting task that stays down while gangs wait for room.
+TEST_CASE("a task that lasts is started again beside gangs that wait") {
+  GraphState state;
+  Fleet fleet = MakeFleet(1, 2, kNow);
+  Submit(state, 1, {MakeStep(2, 5, Duration(3000))}, {});
+  RunTask(state, fleet, 1, 0, "w0", kNow);
+  RunTask(state, fleet, 1, 1, "w1", kNow);
+  Submit(state, 2, {MakeGang(2, 5, Duration(3000), false)}, {.slack_ = 100});
+  StepSpec lasting = MakeStep(1, 1, Duration(100));
+  lasting.long_running_ = true;
+  Submit(state, 3, {lasting}, {.priority_ = 2});
+  // Long after six times the time that a job of this length has.
+  const Time queued_at = kNow - Duration(60'000);
+  CHECK(Plan(state, fleet, queued_at).open_.empty());
+  StepOf(state, 3).tasks_[0].attempt_ = AttemptId(1);
+  CHECK_EQ(JobsOf(Plan(state, fleet, queued_at)),
+           std::set<std::string>{MakeKey(3).value()});
+}
+
+TEST_CASE("a task that lasts is never too late") {
+  GraphState state;
+  const Fleet fleet = MakeFleet(1, 1, kNow);
+  StepSpec lasting = MakeStep(1, 8, Duration(100));
+  lasting.long_running_ = true;
+  Submit(state, 1, {lasting}, {});
+  Submit(state, 2, {MakeStep(1, 8, Duration(60'000))}, {});
+  CHECK_EQ(JobsOf(Plan(state, fleet, kNow - Duration(30'000))),
+           std::set<std::string>{MakeKey(1).value()});
+}
+
 TEST_CASE("small tasks leave whole workers free") {
   GraphState state;
   Fleet fleet = MakeFleet(1, 2, kNow);
--- a/flamingohollow/testing/slow_placement.cc
+++ b/flamingohollow/testing/slow_placement.cc
@@ -835,7 +835,7 @@
   unit.required_speed_ =
       left > 0 ? static_cast<double>(unit.remaining_.ms()) * 1.5 / left
                : std::numeric_limits<double>::infinity();
-  if (finish > unit.deadline_)
+  if (finish > unit.deadline_ && !unit.spec_->long_running_)
     unit.lateness_ = finish > late ? Lateness::kTooLate : Lateness::kLate;
 }
 
@@ -1058,18 +1058,37 @@
   return sum >= wanted;
 }
 
-// Starts the unit in resources that are held for others, if nothing of its job
-// has run for too long. Returns whether other tasks of its step need not be
-// tried in this pass.
+// Starts the unit in resources that are held for others, if it lasts and has
+// run before, or nothing of its job has run for too long. Returns whether other
+// tasks of its step need not be tried in this pass.
 bool StartIdle(Pass& pass, const Unit& unit, bool may_spread) {
   const FreeResourcesFn unused = [&pass](std::size_t worker) {
     return pass.workers_[worker].unused_;
   };
+  std::vector<TaskIndex> lost;
+  for (std::uint32_t i = 0; i < unit.step_->tasks_.size(); ++i) {
+    const TaskRecord& task = unit.step_->tasks_[i];
+    const bool waits = !task.open_ && !task.done_;
+    if (unit.spec_->long_running_ && waits && task.attempt_ != AttemptId()) {
+      lost.emplace_back(i);
+    }
+  }
+  if (!unit.spec_->gang_ && !lost.empty()) {
+    for (const TaskIndex task : lost) {
+      Unit single = unit;
+      single.tasks_ = {task};
+      if (const auto fit = FitUnit(pass, single, unused, false)) {
+        OpenAttempts(pass, single, *fit);
+      }
+    }
+    return pass.opened_.contains(unit.step_);
+  }
   const auto idle = pass.idle_.find(unit.job_->key_);
   const bool too_long =
       idle != pass.idle_.end() && !pass.busy_ &&
       pass.now_ - idle->second >= pass.options_.max_kept_wait_;
-  if (!too_long || !HaveRoomTwice(pass, unit, unused)) return false;
+  if (!too_long && lost.empty()) return false;
+  if (!HaveRoomTwice(pass, unit, unused)) return false;
   const auto fit = FitUnit(pass, unit, unused, may_spread);
   if (fit.has_value()) OpenAttempts(pass, unit, *fit);
   return fit.has_value();
