A restart of a worker ends the wait for answers of its former life (LOST)

Cause: if the end of an attempt is proposed while a command to its worker is under way, the worker restarts, and the record is then lost, the answer of the former life is ignored but still awaited. Nothing was sent again until the lease of the worker's next life ended, which other tasks there put off.

HandleRestart now resets that for all attempts, not only for those whose end is not proposed.

--- a/flamingohollow/graph_scheduler_workers.cc
+++ b/flamingohollow/graph_scheduler_workers.cc
@@ -67,9 +67,10 @@
   for (auto& [attempt, run] : fresh.runs_) {
     // The new incarnation's polls are numbered anew.
     run.first_valid_poll_ = 0;
+    // An answer of the earlier life is ignored.
+    run.command_in_flight_ = false;
     if (run.end_proposed_ || run.phase_ == RunPhase::kProposed) continue;
     SetPhase(ctx, run, RunPhase::kStopping);
-    run.command_in_flight_ = false;
     run.last_command_at_ = ctx.now_ - ctx.scheduler_.options_.resend_interval_;
   }
   fresh.unanswered_starts_ = std::move(worker.unanswered_starts_);
--- a/flamingohollow/testing/graph_scheduler_test.cc
+++ b/flamingohollow/testing/graph_scheduler_test.cc
@@ -622,6 +622,28 @@
   CHECK_FALSE(world.IsTaskOpen(2));
 }
 
+// Guards against an attempt that waits for ever for the answer to a command
+// that was sent to an earlier life of its worker.
+TEST_CASE("a restart ends the wait for answers, also of ends that get lost") {
+  OneWorker world;
+  world.RunOneTask();
+  world.Answer(*world.Next<PollCommand>(), CommandOutcome::kDone, 901'000);
+  world.Apply(MakeSubmit(2, {MakeStep(1, 1, Duration(500))}, {}));
+  REQUIRE(world.Next<StartCommand>().has_value());
+  world.scheduler_.fleet_.at(WorkerId("w")).lease_end_ = world.now_;
+  std::optional<GraphRecord> lost;
+  for (const SchedulerAction& action : world.Feed(SchedulerTick{world.now_})) {
+    const auto* record = std::get_if<GraphRecord>(&action);
+    if (record != nullptr && std::holds_alternative<EndRecord>(*record)) {
+      lost = *record;
+    }
+  }
+  REQUIRE(lost.has_value());
+  world.Report(2, 400);
+  world.Feed(RecordLost{*lost});
+  CHECK(world.Next<StartCommand>().has_value());
+}
+
 constexpr Duration kPassCost(40);
 
 // How long it takes until a job that is accepted right after a placement pass
