A worker that returns after it left carries out no earlier start (TWICE)

Cause: the leader forgets the starts that a worker did not answer as the worker leaves. Besides, the stops by which it keeps a worker's next life from carrying them out were sent once, and were lost with a connection of the former life.

The starts of workers that have left are kept by id until they can't be carried out any more, and such stops are sent again until they are confirmed, also after a restart.

Evidence: the unit test failed before (no stop).

--- a/flamingohollow/fleet.h
+++ b/flamingohollow/fleet.h
@@ -102,6 +102,10 @@
   bool speed_measured_ = false;
 };
 
+// Start commands that were not answered, and when they were sent. For
+// kLateCommandBound they may still be carried out, also by a later incarnation.
+using UnansweredStarts = std::map<AttemptRef, Time>;
+
 struct FleetWorker {
   PoolWorkerReport report_;
   // False while only the worker's attempts are known, and after it has left.
@@ -145,10 +149,10 @@
   bool answered_poll_ = false;
   // Consecutive calls that were not answered.
   std::uint32_t unanswered_calls_ = 0;
-  // Start commands that were not answered, and when they were sent. For
-  // kLateCommandBound they may still be carried out, also by a later
-  // incarnation.
-  std::map<AttemptRef, Time> unanswered_starts_;
+  UnansweredStarts unanswered_starts_;
+  // Stops of those that earlier incarnations did not answer, until this one has
+  // confirmed them, and when each was sent last.
+  std::map<AttemptRef, Time> unconfirmed_stops_;
   // It gets no new tasks before this.
   Time avoid_until_;
   // Lately started workers are slow until then.
--- a/flamingohollow/graph_scheduler.cc
+++ b/flamingohollow/graph_scheduler.cc
@@ -123,6 +123,7 @@
     ProposeLostRuns(ctx, worker, "its lease is over");
   }
   if (!worker.reported_) return;
+  ResendStops(ctx, worker);
   for (auto& [attempt, run] : worker.runs_) {
     if (!run.end_proposed_) RetryCommands(ctx, worker, attempt, run);
   }
--- a/flamingohollow/graph_scheduler.h
+++ b/flamingohollow/graph_scheduler.h
@@ -217,6 +217,8 @@
   SchedulerOptions options_;
   FencingToken token_;
   Fleet fleet_;
+  // Of workers that have left, as a process may return under their id.
+  std::map<WorkerId, UnansweredStarts> unanswered_by_left_;
   // The worker that started last at each address.
   std::map<std::string, WorkerId> addresses_;
   // Progress per second of the tasks of each step.
--- a/flamingohollow/graph_scheduler_step.h
+++ b/flamingohollow/graph_scheduler_step.h
@@ -76,6 +76,8 @@
 // and updates the worker accordingly.
 bool HandleIncarnationEnd(Context& ctx, FleetWorker& worker,
                           CommandOutcome outcome);
+// Sends the worker's unconfirmed stops that are due.
+void ResendStops(Context& ctx, FleetWorker& worker);
 void On(Context& ctx, const PoolWorkerReport& report);
 void On(Context& ctx, const WorkerLeft& left);
 void On(Context& ctx, const WorkerCold& cold);
--- a/flamingohollow/graph_scheduler_workers.cc
+++ b/flamingohollow/graph_scheduler_workers.cc
@@ -46,6 +46,22 @@
          found->second.report_.incarnation_ > report.incarnation_;
 }
 
+void ForgetOldStarts(UnansweredStarts& starts, Time now) {
+  std::erase_if(starts, [now](const auto& start) {
+    return now - start.second > kLateCommandBound;
+  });
+}
+
+// Keeps a worker's new incarnation from carrying out starts that an earlier one
+// did not answer.
+void StopUnansweredStarts(Context& ctx, FleetWorker& worker) {
+  for (const auto& [attempt, sent] : worker.unanswered_starts_) {
+    if (worker.runs_.contains(attempt)) continue;
+    worker.unconfirmed_stops_[attempt] = Time();
+  }
+  ResendStops(ctx, worker);
+}
+
 // Resets the state of a worker that restarted. Its tasks are over, but a start
 // command still in transit names the worker only by its id, which has not
 // changed, so the new incarnation may carry it out. Each attempt is therefore
@@ -76,17 +92,35 @@
   fresh.unanswered_starts_ = std::move(worker.unanswered_starts_);
   worker = std::move(fresh);
   worker.report_ = report;
-  std::erase_if(worker.unanswered_starts_, [&ctx](const auto& start) {
-    return ctx.now_ - start.second > kLateCommandBound;
+  StopUnansweredStarts(ctx, worker);
+}
+
+// Takes over what a worker that has left did not answer, if a process has
+// returned under its id.
+void HandleReturn(Context& ctx, FleetWorker& worker,
+                  const PoolWorkerReport& report) {
+  auto left = ctx.scheduler_.unanswered_by_left_.extract(report.id_);
+  if (left.empty()) return;
+  worker.report_ = report;
+  worker.unanswered_starts_ = std::move(left.mapped());
+  StopUnansweredStarts(ctx, worker);
+}
+
+}  // namespace
+
+void ResendStops(Context& ctx, FleetWorker& worker) {
+  if (worker.unconfirmed_stops_.empty()) return;
+  ForgetOldStarts(worker.unanswered_starts_, ctx.now_);
+  std::erase_if(worker.unconfirmed_stops_, [&worker](const auto& stop) {
+    return !worker.unanswered_starts_.contains(stop.first);
   });
-  for (const auto& [attempt, sent] : worker.unanswered_starts_) {
-    if (worker.runs_.contains(attempt)) continue;
+  for (auto& [attempt, sent] : worker.unconfirmed_stops_) {
+    if (ctx.now_ - sent < ctx.scheduler_.options_.resend_interval_) continue;
+    sent = ctx.now_;
     ctx.actions_.emplace_back(StopCommand{TargetOf(ctx, worker), attempt});
   }
 }
 
-}  // namespace
-
 void On(Context& ctx, const PoolWorkerReport& report) {
   if (IsSuperseded(ctx, report)) return;
   FleetWorker& worker = ctx.scheduler_.fleet_[report.id_];
@@ -99,6 +133,7 @@
     return;
   }
   if (known && !same_incarnation) HandleRestart(ctx, worker, report);
+  if (!known) HandleReturn(ctx, worker, report);
   if (!worker.reported_ || worker.report_.draining_ != report.draining_) {
     ctx.scheduler_.placement_due_ = true;
     LogEvent("worker", {{"worker", report.id_.value()},
@@ -143,7 +178,12 @@
   worker.reported_ = false;
   ProposeLostRuns(ctx, worker, "it left");
   Propose(ctx, WorkerRecord{{}, {left.id_}});
-  if (worker.runs_.empty()) ctx.scheduler_.fleet_.erase(found);
+  if (!worker.runs_.empty()) return;
+  auto& by_left = ctx.scheduler_.unanswered_by_left_;
+  by_left[left.id_] = std::move(worker.unanswered_starts_);
+  for (auto& [id, starts] : by_left) ForgetOldStarts(starts, ctx.now_);
+  std::erase_if(by_left, [](const auto& item) { return item.second.empty(); });
+  ctx.scheduler_.fleet_.erase(found);
 }
 
 void On(Context& ctx, const WorkerCold& cold) {
@@ -268,13 +308,16 @@
 }
 
 void On(Context& ctx, const StopResult& result) {
+  const bool confirmed = result.outcome_ == CommandOutcome::kDone ||
+                         result.outcome_ == CommandOutcome::kRefused;
+  FleetWorker* stopped =
+      FindIncarnation(ctx, result.worker_, result.incarnation_);
+  if (stopped != nullptr && confirmed) {
+    stopped->unconfirmed_stops_.erase(result.attempt_);
+  }
   const auto [worker, run] =
       HandleCommandAnswer(ctx, result, RunPhase::kStopping);
-  if (run == nullptr) return;
-  if (result.outcome_ != CommandOutcome::kDone &&
-      result.outcome_ != CommandOutcome::kRefused) {
-    return;
-  }
+  if (run == nullptr || !confirmed) return;
   run->first_valid_poll_ = worker->polls_sent_ + 1;
   SetPhase(ctx, *run, RunPhase::kStopped);
 }
--- a/flamingohollow/testing/graph_scheduler_test.cc
+++ b/flamingohollow/testing/graph_scheduler_test.cc
@@ -622,6 +622,44 @@
   CHECK_FALSE(world.IsTaskOpen(2));
 }
 
+// Guards against a task that runs twice, as its delayed start reaches a process
+// that has returned under the id of a worker that left.
+TEST_CASE("a worker that returns after it left is told what must not start") {
+  OneWorker world;
+  world.RunOneTask();
+  world.Answer(*world.Next<PollCommand>(), CommandOutcome::kDone, 901'000);
+  world.Apply(MakeSubmit(2, {MakeStep(1, 1, Duration(500))}, {}));
+  const auto start = world.Next<StartCommand>();
+  REQUIRE(start.has_value());
+  world.Feed(StartResult{WorkerId("w"), WorkerIncarnation(1), start->attempt_,
+                         CommandOutcome::kNoAnswer, 0, ""});
+  FleetWorker& worker = world.scheduler_.fleet_.at(WorkerId("w"));
+  worker.runs_.clear();
+  worker.report_.draining_ = true;
+  Duration away(1000);
+  SUBCASE("soon") {}
+  SUBCASE("too late for the start") { away = kLateCommandBound; }
+  world.ApplyRecords(world.Feed(WorkerLeft{WorkerId("w")}));
+  REQUIRE(world.scheduler_.fleet_.empty());
+  world.now_ = world.now_ + away;
+  PoolWorkerReport report = MakeReport("w", "r");
+  report.incarnation_ = WorkerIncarnation(2);
+  world.ApplyRecords(world.Feed(report));
+  const bool expected = away < kLateCommandBound;
+  // The first is lost with a connection of the worker's former life.
+  for (const CommandOutcome outcome :
+       {CommandOutcome::kNoAnswer, CommandOutcome::kDone}) {
+    const auto stop = world.Next<StopCommand>();
+    REQUIRE_EQ(stop.has_value(), expected);
+    if (!expected) return;
+    CHECK_EQ(stop->attempt_, start->attempt_);
+    CHECK_EQ(stop->target_.incarnation_, WorkerIncarnation(2));
+    world.Feed(StopResult{WorkerId("w"), WorkerIncarnation(2), start->attempt_,
+                          outcome, 500});
+  }
+  CHECK_FALSE(world.Next<StopCommand>().has_value());
+}
+
 // Guards against an attempt that waits for ever for the answer to a command
 // that was sent to an earlier life of its worker.
 TEST_CASE("a restart ends the wait for answers, also of ends that get lost") {
