Placement, waits: what a reading of the diff found

A unit is copied only if tasks of it that last are to be started again, and not for each unit that waits; two comments said more than holds (ends need not be numbered without a gap; logging is no pure function); two conversions that the linter refuses.

--- a/flamingohollow/graph_placement.cc
+++ b/flamingohollow/graph_placement.cc
@@ -270,21 +270,18 @@
 
 // As StartInKeptRoom, for tasks that must not wait for others to fit.
 bool StartIdle(Pass& pass, const Unit& unit, bool may_spread) {
-  if (unit.spec_->gang_) {
-    const bool wanted =
-        IsIdleTooLong(pass, unit) || !LostLastingTasks(unit).empty();
-    return wanted &&
-           StartInKeptRoom(pass, unit, unit.tasks_.size(), may_spread);
-  }
-  Unit lost = unit;
-  lost.tasks_ = LostLastingTasks(unit);
-  if (!lost.tasks_.empty()) {
-    const auto chosen = FitMost(pass, lost, &Pass::unused_);
-    OpenAttempts(pass, lost, chosen);
+  const bool gang = unit.spec_->gang_;
+  std::vector<TaskIndex> lost = LostLastingTasks(unit);
+  if (!gang && !lost.empty()) {
+    Unit again = unit;
+    again.tasks_ = std::move(lost);
+    const auto chosen = FitMost(pass, again, &Pass::unused_);
+    OpenAttempts(pass, again, chosen);
     return !chosen.empty();
   }
-  // One running task is enough for a job.
-  return IsIdleTooLong(pass, unit) && StartInKeptRoom(pass, unit, 1, false);
+  if (lost.empty() && !IsIdleTooLong(pass, unit)) return false;
+  // Of a job of single tasks, one that runs is enough.
+  return StartInKeptRoom(pass, unit, gang ? unit.tasks_.size() : 1, may_spread);
 }
 
 // Keeps other tasks off some workers until a strong suspect may start there.
--- a/flamingohollow/graph_scheduler.h
+++ b/flamingohollow/graph_scheduler.h
@@ -173,7 +173,7 @@
   // The worker's clock when it answered; 0 if the answer has none.
   std::int64_t clock_ms_ = 0;
   std::vector<RunningAttempt> running_;
-  // In ascending order of `number_`, without a gap.
+  // In ascending order of `number_`.
   std::vector<ReportedEnd> ends_;
   // The worker may have further ends, which follow those in `ends_`. An attempt
   // that is in neither list may have ended in any way.
--- a/flamingohollow/graph_waits.h
+++ b/flamingohollow/graph_waits.h
@@ -1,9 +1,8 @@
 // What the jobs wait for of which nothing runs, for the log.
 //
-// A job's wait is the part of its way on which it stands: its attempts are
-// under way, or nothing of it is open and the last placement pass says why.
-// Pure functions. Logging is bounded: one line a job for the longest waits, and
-// one that counts all.
+// A job waits for an answer or a record if it has an open attempt, and
+// otherwise for what a recent placement pass says. The number of lines is
+// bounded: one for each of the longest waits, and one that counts all.
 
 #ifndef FLAMINGOHOLLOW_GRAPH_WAITS_H_
 #define FLAMINGOHOLLOW_GRAPH_WAITS_H_
--- a/flamingohollow/testing/graph_world.cc
+++ b/flamingohollow/testing/graph_world.cc
@@ -456,10 +456,9 @@
   }
   result.outcome_ = CommandOutcome::kDone;
   result.clock_ms_ = (now_ + worker.clock_offset_).ms();
-  const std::size_t listed =
-      std::min(worker.ends_.size(), options_.listed_ends_);
-  result.ends_.assign(worker.ends_.begin(), worker.ends_.begin() + listed);
-  result.more_ends_ = listed == options_.listed_ends_;
+  result.ends_ = worker.ends_;
+  result.more_ends_ = result.ends_.size() >= options_.listed_ends_;
+  if (result.more_ends_) result.ends_.resize(options_.listed_ends_);
   for (auto& [attempt, run] : worker.runs_) {
     Advance(attempt, run);
     const std::int64_t percent =
--- a/flamingohollow/testing/placement_oracle_test.cc
+++ b/flamingohollow/testing/placement_oracle_test.cc
@@ -60,7 +60,8 @@
     for (int i = 0; i < waiting; ++i) AddWaiting();
     for (const auto& [key, job] : state_.jobs_) {
       if (lasting_random_() % 2 == 0) {
-        idle_[key] = kNow - Duration(lasting_random_() % 20'000);
+        const auto ms = static_cast<std::int64_t>(lasting_random_() % 20'000);
+        idle_[key] = kNow - Duration(ms);
       }
     }
   }
