--- a/flamingohollow/graph_placement_pass.h
+++ b/flamingohollow/graph_placement_pass.h
@@ -178,13 +178,13 @@
   const IdleJobs& idle_;
   Time now_;
   std::vector<PassWorker> workers_;
-  // By worker: the whole capacity, what is free now and not about to be used by
-  // a unit for which runs are stopped, what of that is not held for a unit that
-  // doesn't fit, and what is free once all runs that are being stopped have
-  // ended.
+  // By worker: its whole capacity.
   std::vector<Resources> capacity_;
+  // What is free now, less what is kept for units that runs are stopped for.
   std::vector<Resources> unused_;
+  // What of that is not held for a unit that doesn't fit.
   std::vector<Resources> free_;
+  // What is free once all runs that are being stopped have ended.
   std::vector<Resources> free_after_stops_;
   std::vector<PassRack> racks_;
   std::map<EligibleKey, EligibleWorkers> eligible_;
