--- a/review/11/case.py
+++ b/review/11/case.py
@@ -1,4 +1,4 @@
-"""One worker crashes three times under a sound task that lasts."""
+"""A heartbeat of a service that the configuration no longer has."""
 
 import pathlib
 import sys
@@ -9,46 +9,59 @@
 import small  # pylint: disable=wrong-import-position
 
 WORKERS = 8
-CRASHES = 3
-# How long the worker is down, and how long it is up before it crashes again.
-DOWN_S = 2
-UP_S = 6
-# The state is asked for so long after the last crash.
-WATCH_S = 15
+NEW = 'pool-2'
+# Half of the workers serve the new service.
+IN_NEW = {f'w{number}' for number in range(WORKERS // 2, WORKERS)}
+OLD_JOB = '00000000000000a1'
+JOB = '00000000000000b1'
+TASKS = 4
+
+
+def catalog(version, service, services):
+  """The configuration that sends the queue to the service."""
+  content = small.standin.catalog(version)
+  content['services'] = [{'name': name, 'rejects-overload': True}
+                         for name in services]
+  content['routes'][0]['service'] = service
+  return content
+
+
+def foreign_heartbeat(system, worker):
+  """Another writer's heartbeat, of the old service, at the worker's address."""
+  body = {'service': small.standin.POOL,
+          'address': f'{worker.address}:{small.standin.WORKER_PORT}',
+          'zone': 'z', 'version': 'v1', 'slots': 8, 'cold-left-ms': 0,
+          'state': 'ready', 'capacity': worker.capacity,
+          'labels': [worker.kind, worker.rack], 'server-time-ms': 1, 'seq': 1,
+          'born': int(time.time() * 1000), 'remaining-ms': 0}
+  status, _ = small.standin.call(system.controls[0], small.standin.HTTP_PORT,
+                                 'PUT', '/instances/another', body, timeout=1)
+  system.notes.add(f'heartbeat of another writer at the address of '
+                   f'{worker.name}: {status}')
 
 
 def play(system):
-  jobs = [f'{number:016x}' for number in range(1, WORKERS + 1)]
-  for job in jobs:
-    system.accept(job, small.standin.lasting_job(1, gpus=8))
-  for job in jobs:
-    small.wait_for(f'{job} runs', lambda job=job: system.record.where(job)[0],
-                   10)
-  victim = jobs[-1]
-  name, _ = system.record.where(victim)
+  old = small.standin.POOL
+  system.configure(catalog(2, old, [old, NEW]))
+  system.accept(OLD_JOB, small.standin.lasting_job(1))
+  small.wait_for('the first job runs',
+                 lambda: system.record.where(OLD_JOB)[0], 10)
+  # The queue moves to another service, and the old one is left out.
+  system.configure(catalog(3, NEW, [NEW]))
+  time.sleep(4)
+  system.accept(JOB, small.standin.job([TASKS], ms=8000, gpus=2))
+  small.wait_for('the second job runs',
+                 lambda: system.record.where(JOB)[0], 10)
+  time.sleep(1)
+  name, _ = system.record.where(JOB)
   worker = next(w for w in system.workers if w.name == name)
-  for _ in range(CRASHES):
-    time.sleep(UP_S)
-    if system.state(victim) == 'failed':
-      break
-    small.wait_for('the task runs', lambda: system.record.where(victim)[0], 20)
-    if system.record.where(victim)[0] != name:
-      raise AssertionError('the task runs on another worker')
-    if small.is_trouble():
-      system.notes.add(f'worker {name} crashes, down for {DOWN_S} s')
-      worker.down_until = time.monotonic() + DOWN_S
-      worker.crash()
-    time.sleep(DOWN_S)
-  end = time.monotonic() + WATCH_S
-  while time.monotonic() < end:
-    state = system.state(victim)
-    failed = any(task.split('.')[0] == victim and how == 'failed'
-                 for task, how in system.record.ends)
-    if state in ('failed', 'cancelled') and not failed:
-      system.notes.add(f'LOST: the job is shown as {state} without cause')
-      return small.BROKEN
-    time.sleep(1)
-  return small.HELD
+  if small.is_trouble():
+    foreign_heartbeat(system, worker)
+  time.sleep(10)
+  for violation in system.record.violations:
+    system.notes.add(f'TWICE: {violation}')
+  return small.BROKEN if system.record.violations else small.HELD
 
 
+small.ZonedWorker.services = {name: NEW for name in IN_NEW}
 small.run(__file__, play, controls=3, entries=2, workers=WORKERS)
--- a/review/15/case.py
+++ b/review/15/case.py
@@ -1,4 +1,4 @@
-"""A frozen entry wakes and hands in a job that was cancelled meanwhile."""
+"""A frozen control node wakes and carries out an order that is long overtaken."""
 
 import pathlib
 import sys
@@ -8,41 +8,55 @@
 
 import small  # pylint: disable=wrong-import-position
 
-JOB = '00000000000000c1'
-FREEZE_S = 4
-CANCEL_S = 3
-# How long the client waits before it leaves.
-PATIENCE_S = 0.5
+WORKERS = 8
+ZONE = 'y'
+# Half of the workers are in the zone that is emptied.
+IN_ZONE = {f'w{number}' for number in range(WORKERS // 2, WORKERS)}
+ORDER = f'/evacuate/{ZONE}'
+FREEZE_S = 7
+EVACUATE_S = 5
+CONTACT_S = 4
+
+
+def order(system, method, controls):
+  """Sends the order to one node after the other until it is acknowledged."""
+  for control in controls:
+    if system.order(method, ORDER, control) == 200:
+      return time.time()
+  raise AssertionError('the order is not acknowledged')
 
 
 def play(system):
-  # Connections and the catalog are in use before.
-  system.accept('00000000000000a1', small.standin.job([2], ms=300))
-  system.accept('00000000000000a2', small.standin.job([2], ms=300), entry=1)
-  time.sleep(4)
+  leader = system.leader()
+  follower = next(name for name in system.nodes
+                  if name.startswith('control') and name != leader)
+  others = [name for name in system.nodes
+            if name.startswith('control') and name != follower]
+  order(system, 'POST', others)
+  time.sleep(5)
   if small.is_trouble():
-    system.freeze('entry-0')
+    system.freeze(follower)
   frozen_at = time.monotonic()
-  system.send('POST', JOB, small.standin.lasting_job(2), entry=0,
-              timeout=PATIENCE_S)
-  cancelled = None
-  while cancelled is None:
-    if system.send('DELETE', JOB, entry=1)[0] in (200, 410):
-      cancelled = time.time()
-  system.state(JOB, entry=1)
+  # The zone is taken back; the first node that is asked is the frozen one.
+  order(system, 'DELETE', [follower, *others])
+  time.sleep(2)
+  # It is emptied once more.
+  ordered = order(system, 'POST', others)
   time.sleep(max(0.0, frozen_at + FREEZE_S - time.monotonic()))
   if small.is_trouble():
-    system.thaw('entry-0')
-  time.sleep(8)
-  system.state(JOB, entry=1)
-  late = [(task, worker, at) for task, starts in system.record.started.items()
+    system.thaw(follower)
+  time.sleep(EVACUATE_S + CONTACT_S)
+  for number in range(1, WORKERS + 1):
+    system.accept(f'{number:016x}', small.standin.job([1], ms=3000, gpus=8))
+  time.sleep(10)
+  late = [(task, worker) for task, starts in system.record.started.items()
           for _, worker, at in starts
-          if task.split('.')[0] == JOB and at > cancelled + CANCEL_S]
-  for task, worker, at in late:
-    system.notes.add(f'UNASKED: {task} was started on {worker}, '
-                     f'{at - cancelled:.1f} s after the cancelling was '
-                     'acknowledged')
+          if worker in IN_ZONE and at > ordered + EVACUATE_S]
+  for task, worker in late:
+    system.notes.add(f'EVAC: {task} was started on {worker} in zone {ZONE}')
   return small.BROKEN if late else small.HELD
 
 
-small.run(__file__, play, controls=3, entries=2, workers=4)
+small.ZonedWorker.zones = {name: ZONE for name in IN_ZONE}
+small.run(__file__, play, settings={'failure_domains': f'["z", "{ZONE}"]'},
+          controls=3, entries=2, workers=WORKERS)
