--- a/review/12/case.py
+++ b/review/12/case.py
@@ -8,7 +8,7 @@
 
 import small  # pylint: disable=wrong-import-position
 
-WORKERS = 13
+WORKERS = 16
 FREEZE_S = 7
 # The worker says for how long it stays at least, and stays a little longer.
 FIRST_STAY_S = 2.5
