--- a/review/14/case.py
+++ b/review/14/case.py
@@ -25,6 +25,8 @@
     key = ''
   time.sleep(VISIBLE_S + 1)
   states = [system.state(JOB, entry=entry, key=key) for entry in (0, 1, 0, 1)]
+  # For the record only.
+  system.send('DELETE', JOB, key=key)
   if '410' in states:
     system.notes.add('LOST: a job that was accepted and not cancelled is '
                      'answered with 410')
