--- a/review/12/case.py
+++ b/review/12/case.py
@@ -20,27 +20,40 @@
 
 
 class Leaver(small.ZonedWorker):
-  """A worker that reports only what the case lets it report."""
+  """A worker that leaves and returns; its reports say how long it stays."""
 
-  def send_heartbeat(self):
-    pass
+  # When it leaves; None if it doesn't.
+  leaves_at = None
+  # It is about to end, or hasn't returned yet.
+  is_ending = False
 
-  def tell(self, system, controls, stay_s=0.0):
-    """Reports its state; with `stay_s` that it leaves after that time."""
-    self.draining = stay_s > 0
+  def report(self):
     with self.lock:
       self.sequence += 1
-      body = {
+      left_s = max(0.0, (self.leaves_at or 0) - time.monotonic())
+      return {
           'service': small.standin.POOL,
           'address': f'{self.address}:{small.standin.WORKER_PORT}',
           'zone': 'z', 'version': 'v1', 'slots': 8, 'cold-left-ms': 0,
-          'state': 'draining' if self.draining else 'ready',
+          'state': 'draining' if self.leaves_at else 'ready',
           'capacity': self.capacity, 'labels': [self.kind, self.rack],
           'server-time-ms': self.clock(), 'seq': self.sequence,
-          'born': self.incarnation, 'remaining-ms': int(stay_s * 1000)}
+          'born': self.incarnation, 'remaining-ms': int(left_s * 1000)}
+
+  def send_heartbeat(self):
+    if not self.is_ending:
+      small.standin.call(self.controls[0], small.standin.HTTP_PORT, 'PUT',
+                         f'/instances/{self.name}', self.report(), timeout=1)
+
+  def tell(self, system, controls, stay_s=0.0):
+    """Reports its state; with `stay_s` that it leaves after that time."""
+    self.leaves_at = time.monotonic() + stay_s if stay_s else None
+    self.is_ending = False
+    body = self.report()
     self.call(system, controls, 'PUT', body, body['state'])
 
   def leave(self, system, controls):
+    self.is_ending = True
     self.call(system, controls, 'DELETE', None, 'leaves')
 
   def call(self, system, controls, method, body, what):
