A service that was left out takes no reports of unknown workers

What callers saw: the configuration has left a service out, a job that was accepted for it still runs, and one heartbeat of that service, of another writer, is answered 200.

Cause: IsPoolInUse admitted any report of a pool that an active job was accepted for. Only the workers that the pool already has need to go on reporting.

With the check turned round, graph_service_test "a report of an unknown pool does not replace the worker" failed on the old code (4 assertions) and passes now. Its former last check asked for the fault: it let an unknown worker in for the sake of a job. In its place are a refusal of that worker, and a test that a listed worker of the removed pool still reports, also under a new leader and after a restart.

Why it works: MayReport admits a report of a pool without a row in the catalog only from a worker that the log lists in that pool. That list is replicated.

--- a/flamingohollow/graph_service.cc
+++ b/flamingohollow/graph_service.cc
@@ -249,7 +249,7 @@
 void GraphService::HandleReport(const GraphCall& call,
                                 const Responder& respond) {
   // The worker at its address would be taken for gone.
-  if (!IsPoolInUse(state_, call.report_.pool_)) {
+  if (!MayReport(state_, call.report_)) {
     LogEvent("report_of_unknown_pool", {{"worker", call.report_.id_.value()},
                                         {"pool", call.report_.pool_.value()}});
     return respond(
--- a/flamingohollow/graph_state.cc
+++ b/flamingohollow/graph_state.cc
@@ -453,9 +453,14 @@
   return listed == report;
 }
 
-bool IsPoolInUse(const GraphState& state, const PoolName& pool) {
+bool MayReport(const GraphState& state, const PoolWorkerReport& report) {
+  const PoolName& pool = report.pool_;
   if (state.catalog_.version_ == CatalogVersion()) return true;
   if (FindPool(state.catalog_, pool) != nullptr) return true;
+  const auto listed = state.workers_.find(report.id_);
+  if (listed == state.workers_.end() || listed->second.pool_ != pool) {
+    return false;
+  }
   return std::any_of(
       state.jobs_.begin(), state.jobs_.end(), [&pool](const auto& item) {
         const GraphJob& job = item.second;
--- a/flamingohollow/graph_state.h
+++ b/flamingohollow/graph_state.h
@@ -150,9 +150,10 @@
 // Whether the state holds the report, ignoring its sequence number, clock and
 // remaining time.
 bool IsListed(const GraphState& state, const PoolWorkerReport& report);
-// Whether the catalog names the pool, or an active job runs in it. No catalog
-// yet names every pool. O(1) for pools of the catalog, else O(jobs).
-bool IsPoolInUse(const GraphState& state, const PoolName& pool);
+// Whether a worker may report itself: the catalog names its pool, or it is
+// listed in that pool and an active job runs there. No catalog yet names every
+// pool. O(1) for pools of the catalog, else O(jobs).
+bool MayReport(const GraphState& state, const PoolWorkerReport& report);
 // Null if the occurrence is not due yet, has finished or does not exist.
 const StepRecord* FindStep(const GraphJob& job, Occurrence occurrence,
                            StepIndex step);
--- a/flamingohollow/testing/graph_service_test.cc
+++ b/flamingohollow/testing/graph_service_test.cc
@@ -12,6 +12,7 @@
 #include <optional>
 #include <random>
 #include <string>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -60,6 +61,20 @@
     return Send(call);
   }
 
+  // Answers the polls that were sent, as idle workers.
+  void AnswerPolls() {
+    for (const Command& sent : std::exchange(commands_, {})) {
+      const auto* poll = std::get_if<PollCommand>(&sent.command_);
+      if (poll == nullptr) continue;
+      sent.done_(PollResult{.worker_ = poll->target_.worker_,
+                            .incarnation_ = poll->target_.incarnation_,
+                            .number_ = poll->number_,
+                            .outcome_ = CommandOutcome::kDone,
+                            .running_ = {},
+                            .ends_ = {}});
+    }
+  }
+
   // As above, for any call.
   std::optional<GraphOutcome>& Send(const GraphCall& call) {
     auto& answer = answers_.emplace_back();
@@ -98,7 +113,9 @@
   CHECK_EQ(workers.at(WorkerId("w")).incarnation_, WorkerIncarnation(1));
   // Clocks may differ by less.
   call.report_.incarnation_ = WorkerIncarnation(latest.ms());
-  CHECK_EQ(leader.Send(call), GraphOutcome::kOk);
+  const auto& answer = leader.Send(call);
+  leader.AnswerPolls();
+  CHECK_EQ(answer, GraphOutcome::kOk);
   CHECK_EQ(workers.at(call.report_.id_).incarnation_,
            call.report_.incarnation_);
 }
@@ -125,13 +142,47 @@
   const auto& workers = leader.service_.state().workers_;
   REQUIRE_EQ(workers.size(), 1);
   CHECK_EQ(workers.at(WorkerId("w")).incarnation_, WorkerIncarnation(1));
-  // A job that was accepted before its pool was removed still needs workers.
+  // Nor does one of a pool that has only jobs left.
   SubmitRecord submit;
   submit.key_ = MakeKey(1);
   submit.terms_.pool_ = call.report_.pool_;
   submit.spec_.steps_ = {MakeStep(1, 1, Duration(1000))};
   leader.service_.ApplyCommitted(LogIndex(100), Pack(GraphRecord{submit}));
-  CHECK_EQ(leader.Send(call), GraphOutcome::kOk);
+  CHECK_EQ(leader.Send(call), GraphOutcome::kInvalid);
+  CHECK_EQ(workers.at(WorkerId("w")).incarnation_, WorkerIncarnation(1));
+}
+
+// Guards against the loss of what still runs on workers of a removed pool, as
+// their own reports are refused.
+TEST_CASE("a known worker of a removed pool reports while a job runs there") {
+  Leader leader;
+  leader.replica_.completes_immediately_ = true;
+  leader.Report(false);
+  GraphCall put;
+  put.kind_ = GraphCallKind::kPutCatalog;
+  put.catalog_.version_ = CatalogVersion(1);
+  put.catalog_.pools_.push_back({.name_ = PoolName("another")});
+  REQUIRE_EQ(leader.Send(put), GraphOutcome::kOk);
+  CHECK_EQ(leader.Report(false), GraphOutcome::kInvalid);
+  SubmitRecord submit;
+  submit.key_ = MakeKey(1);
+  submit.terms_.pool_ = MakeReport("w", "r").pool_;
+  submit.spec_.steps_ = {MakeStep(1, 1, Duration(1000))};
+  leader.service_.ApplyCommitted(LogIndex(100), Pack(GraphRecord{submit}));
+  CHECK_EQ(leader.Report(false), GraphOutcome::kOk);
+  SUBCASE("also under a new leader") {
+    leader.replica_.LoseLeadership(ProposeOutcome::kUnknown);
+    leader.replica_.GainLeadership();
+  }
+  SUBCASE("also after a restart") {
+    GraphCall call;
+    call.kind_ = GraphCallKind::kReport;
+    call.report_ = MakeReport("w", "r");
+    call.report_.incarnation_ = WorkerIncarnation(2);
+    CHECK_EQ(leader.Send(call), GraphOutcome::kOk);
+    return;
+  }
+  CHECK_EQ(leader.Report(true), GraphOutcome::kOk);
 }
 
 TEST_CASE("a report without changes is acknowledged at once") {
