--- a/flamingohollow/fleet.h
+++ b/flamingohollow/fleet.h
@@ -145,7 +145,11 @@
   // Number of polls sent.
   std::uint64_t polls_sent_ = 0;
   Time next_poll_at_;
-  // This incarnation has answered a poll of this leader.
+  // The address that the poll in flight, or the last one, was sent to.
+  std::string polled_address_;
+  // When another process was found to have its address; unset before that.
+  Time replaced_at_;
+  // This incarnation has answered a poll of this leader at its address.
   bool answered_poll_ = false;
   // Consecutive calls that were not answered.
   std::uint32_t unanswered_calls_ = 0;
--- a/flamingohollow/graph_scheduler.cc
+++ b/flamingohollow/graph_scheduler.cc
@@ -33,6 +33,10 @@
 // A worker on which urgent work was found to be slow gets no new tasks for this
 // long. Such faults last seconds.
 constexpr Duration kAvoidSlowWorker = Duration(6000);
+// The process that has taken a worker's address is expected to report within
+// this time. The worker's runs end with that report, so that its crash counts
+// before they start again.
+constexpr Duration kMaxSuccessorReport = Duration(1000);
 // Remaining times are accurate to about a third: a task that needs more than
 // this many tenths of its worker's remaining time won't finish there.
 constexpr std::int64_t kRemainingTimeMarginTenths = 13;
@@ -122,19 +126,18 @@
   if (!worker.runs_.empty() && ctx.now_ >= worker.lease_end_) {
     ProposeLostRuns(ctx, worker, "its lease is over");
   }
+  if (worker.replaced_at_ != Time() &&
+      ctx.now_ - worker.replaced_at_ >= kMaxSuccessorReport) {
+    ProposeLostRuns(ctx, worker, "another worker answered at its address");
+  }
   if (!worker.reported_) return;
+  ListIfSettled(ctx, worker);
   ResendStops(ctx, worker);
   for (auto& [attempt, run] : worker.runs_) {
     if (!run.end_proposed_) RetryCommands(ctx, worker, attempt, run);
   }
   if (worker.report_.draining_) Evacuate(ctx, worker);
-  const bool needed = !worker.answered_poll_ || !worker.runs_.empty() ||
-                      worker.strays_ != Resources() ||
-                      worker.unanswered_calls_ > 0 ||
-                      worker.acknowledged_end_ < worker.logged_end_;
-  const bool idle = !worker.poll_in_flight_ && !worker.ends_proposed_ &&
-                    ctx.now_ >= worker.next_poll_at_;
-  if (needed && idle) SendPoll(ctx, worker);
+  PollIfDue(ctx, worker);
 }
 
 // Stops an open attempt. Returns false if that is not possible yet.
--- a/flamingohollow/graph_scheduler_commands.cc
+++ b/flamingohollow/graph_scheduler_commands.cc
@@ -244,7 +244,25 @@
   worker.poll_held_ = command.wait_ > Duration(0);
   if (worker.poll_held_) ++ctx.scheduler_.held_polls_;
   worker.poll_in_flight_ = true;
+  worker.polled_address_ = worker.report_.address_;
   ctx.actions_.emplace_back(std::move(command));
 }
 
+void PollIfDue(Context& ctx, FleetWorker& worker) {
+  const bool needed = !worker.answered_poll_ || !worker.runs_.empty() ||
+                      worker.strays_ != Resources() ||
+                      worker.unanswered_calls_ > 0 ||
+                      worker.acknowledged_end_ < worker.logged_end_;
+  if (!needed || worker.ends_proposed_ || ctx.now_ < worker.next_poll_at_) {
+    return;
+  }
+  const bool contested = IsAddressContested(ctx, worker);
+  if (worker.poll_in_flight_ && !contested) return;
+  SendPoll(ctx, worker);
+  // A poll that gets lost must not put off the news of a crash.
+  if (contested) {
+    worker.next_poll_at_ = ctx.now_ + ctx.scheduler_.options_.resend_interval_;
+  }
+}
+
 }  // namespace flamingohollow::graph_scheduler_internal
--- a/flamingohollow/graph_scheduler_polls.cc
+++ b/flamingohollow/graph_scheduler_polls.cc
@@ -219,8 +219,13 @@
   }
   RecordClock(*worker, result.clock_ms_, ctx.now_);
   worker->last_heard_at_ = std::max(worker->last_heard_at_, ctx.now_);
-  if (!worker->answered_poll_) ctx.scheduler_.placement_due_ = true;
-  worker->answered_poll_ = true;
+  worker->replaced_at_ = Time();
+  const bool here = worker->polled_address_ == worker->report_.address_;
+  if (here && !worker->answered_poll_) {
+    ctx.scheduler_.placement_due_ = true;
+    worker->answered_poll_ = true;
+    if (worker->reported_) ListWorker(ctx, *worker);
+  }
   worker->next_poll_at_ = std::max(worker->next_poll_at_, ctx.now_);
   if (silent_before == 0) {
     worker->acknowledged_end_ =
--- a/flamingohollow/graph_scheduler_step.h
+++ b/flamingohollow/graph_scheduler_step.h
@@ -62,6 +62,8 @@
 void StopRun(Context& ctx, FleetWorker& worker, const AttemptRef& attempt,
              Run& run, std::string_view why);
 void SendPoll(Context& ctx, FleetWorker& worker);
+// Polls the worker if something is to be learned from it now.
+void PollIfDue(Context& ctx, FleetWorker& worker);
 // Records which of the worker's accused attempts are known to have begun (see
 // worker_crashes.h).
 void ProposeConfirmed(Context& ctx, const FleetWorker& worker);
@@ -71,6 +73,15 @@
 
 // graph_scheduler_workers.cc
 
+// Whether another worker may still be at the address of this one, which has yet
+// to answer there. A report alone may be another writer's, or a delayed one of
+// an earlier process.
+bool IsAddressContested(const Context& ctx, const FleetWorker& worker);
+// Proposes to list the worker if its report is not in the log, and assigns its
+// address to it. Another worker that was there is over, and so are its runs.
+void ListWorker(Context& ctx, const FleetWorker& worker);
+// Lists a worker whose address is no longer contested.
+void ListIfSettled(Context& ctx, const FleetWorker& worker);
 void RecordAnswer(Context& ctx, FleetWorker& worker, CommandOutcome outcome);
 // Returns whether the answer shows that this incarnation of the worker is over,
 // and updates the worker accordingly.
--- a/flamingohollow/graph_scheduler_workers.cc
+++ b/flamingohollow/graph_scheduler_workers.cc
@@ -14,36 +14,16 @@
 // Answers of a worker may arrive out of order by about the duration of a call.
 constexpr Duration kAnswerReorderBound = Duration(1500);
 
-// Returns the worker whose address a newer process reports from, which is
-// therefore gone; null if there is none.
-FleetWorker* FindReplaced(const Context& ctx, const PoolWorkerReport& report) {
+// Returns the other worker that the report's address is assigned to; null if
+// there is none.
+FleetWorker* FindHolder(const Context& ctx, const PoolWorkerReport& report) {
   const auto holder = ctx.scheduler_.addresses_.find(report.address_);
   if (holder == ctx.scheduler_.addresses_.end()) return nullptr;
   if (holder->second == report.id_) return nullptr;
   const auto found = ctx.scheduler_.fleet_.find(holder->second);
-  const bool replaced = found != ctx.scheduler_.fleet_.end() &&
-                        found->second.report_.address_ == report.address_;
-  return replaced ? &found->second : nullptr;
-}
-
-void AssignAddress(Context& ctx, const PoolWorkerReport& report) {
-  if (FleetWorker* replaced = FindReplaced(ctx, report)) {
-    replaced->reported_ = false;
-    ProposeLostRuns(ctx, *replaced, "another worker started at its address");
-  }
-  ctx.scheduler_.addresses_[report.address_] = report.id_;
-}
-
-// Whether the report is a delayed one of a process whose address is now used by
-// a newer process.
-bool IsSuperseded(const Context& ctx, const PoolWorkerReport& report) {
-  const auto holder = ctx.scheduler_.addresses_.find(report.address_);
-  if (holder == ctx.scheduler_.addresses_.end()) return false;
-  if (holder->second == report.id_) return false;
-  const auto found = ctx.scheduler_.fleet_.find(holder->second);
-  return found != ctx.scheduler_.fleet_.end() && found->second.reported_ &&
-         found->second.report_.address_ == report.address_ &&
-         found->second.report_.incarnation_ > report.incarnation_;
+  const bool there = found != ctx.scheduler_.fleet_.end() &&
+                     found->second.report_.address_ == report.address_;
+  return there ? &found->second : nullptr;
 }
 
 void ForgetOldStarts(UnansweredStarts& starts, Time now) {
@@ -108,6 +88,36 @@
 
 }  // namespace
 
+bool IsAddressContested(const Context& ctx, const FleetWorker& worker) {
+  if (worker.answered_poll_) return false;
+  const FleetWorker* holder = FindHolder(ctx, worker.report_);
+  return holder != nullptr && holder->replaced_at_ == Time() &&
+         (holder->reported_ || !holder->runs_.empty());
+}
+
+void ListWorker(Context& ctx, const FleetWorker& worker) {
+  const PoolWorkerReport& report = worker.report_;
+  FleetWorker* replaced = FindHolder(ctx, report);
+  // Proposed again with each report until it is in the log.
+  if (!IsListed(ctx.state_, report)) {
+    if (replaced != nullptr) ProposeRunning(ctx, *replaced);
+    Propose(ctx, WorkerRecord{{report}, {}});
+  }
+  if (replaced != nullptr) {
+    replaced->reported_ = false;
+    replaced->answered_poll_ = false;
+    ProposeLostRuns(ctx, *replaced, "another worker started at its address");
+  }
+  ctx.scheduler_.addresses_[report.address_] = report.id_;
+}
+
+void ListIfSettled(Context& ctx, const FleetWorker& worker) {
+  if (worker.answered_poll_ || FindHolder(ctx, worker.report_) == nullptr) {
+    return;
+  }
+  if (!IsAddressContested(ctx, worker)) ListWorker(ctx, worker);
+}
+
 void ResendStops(Context& ctx, FleetWorker& worker) {
   if (worker.unconfirmed_stops_.empty()) return;
   ForgetOldStarts(worker.unanswered_starts_, ctx.now_);
@@ -122,7 +132,6 @@
 }
 
 void On(Context& ctx, const PoolWorkerReport& report) {
-  if (IsSuperseded(ctx, report)) return;
   FleetWorker& worker = ctx.scheduler_.fleet_[report.id_];
   const bool known = worker.report_.incarnation_ != WorkerIncarnation();
   if (known && report.incarnation_ < worker.report_.incarnation_) return;
@@ -142,12 +151,7 @@
                         {"draining", report.draining_}});
   }
   const bool first = !worker.reported_;
-  // Proposed again with each report until it is in the log.
-  if (!IsListed(ctx.state_, report)) {
-    const FleetWorker* replaced = FindReplaced(ctx, report);
-    if (replaced != nullptr) ProposeRunning(ctx, *replaced);
-    Propose(ctx, WorkerRecord{{report}, {}});
-  }
+  if (worker.report_.address_ != report.address_) worker.answered_poll_ = false;
   if (worker.reported_ && worker.report_.capacity_ != report.capacity_) {
     ctx.scheduler_.placement_due_ = true;
     LogEvent("worker_capacity",
@@ -164,7 +168,12 @@
   worker.last_heard_at_ = ctx.now_;
   RecordClock(worker, report.clock_ms_, ctx.now_);
   if (first) worker.next_poll_at_ = ctx.now_;
-  AssignAddress(ctx, report);
+  if (!IsAddressContested(ctx, worker)) return ListWorker(ctx, worker);
+  if (first) {
+    LogEvent("address_contested",
+             {{"worker", report.id_.value()}, {"address", report.address_}});
+  }
+  PollIfDue(ctx, worker);
 }
 
 void On(Context& ctx, const WorkerLeft& left) {
@@ -231,7 +240,8 @@
                           CommandOutcome outcome) {
   if (outcome == CommandOutcome::kOtherWorker) {
     worker.reported_ = false;
-    ProposeLostRuns(ctx, worker, "another worker answered at its address");
+    worker.answered_poll_ = false;
+    if (worker.replaced_at_ == Time()) worker.replaced_at_ = ctx.now_;
     return true;
   }
   if (outcome != CommandOutcome::kOtherIncarnation) return false;
--- a/flamingohollow/testing/graph_world.cc
+++ b/flamingohollow/testing/graph_world.cc
@@ -208,6 +208,11 @@
   if (lost) return;
   At(arrives, [this, command, result, carry_out, answer, late]() mutable {
     FakeWorker* worker = FindWorker(command.target_.worker_);
+    if (worker == nullptr && AnswersAt(command.target_.address_)) {
+      result.outcome_ = CommandOutcome::kOtherWorker;
+      if (!late) answer(result, now_ + Delay());
+      return;
+    }
     if (worker == nullptr || worker->disconnected_ || worker->down_) {
       if (!late) answer(result, now_ + kCommandTimeout);
       return;
@@ -232,6 +237,23 @@
   return nullptr;
 }
 
+bool GraphWorld::AnswersAt(const std::string& address) const {
+  return std::any_of(workers_.begin(), workers_.end(),
+                     [&address](const FakeWorker& worker) {
+                       return worker.report_.address_ == address &&
+                              !worker.disconnected_ && !worker.down_;
+                     });
+}
+
+void GraphWorld::ReportAnother(int worker) {
+  PoolWorkerReport report = workers_[worker].report_;
+  report.id_ = WorkerId("another");
+  report.incarnation_ = WorkerIncarnation(now_.ms());
+  report.sequence_ = static_cast<std::uint64_t>(now_.ms());
+  report.draining_ = false;
+  Feed(report);
+}
+
 bool GraphWorld::AcceptToken(FakeWorker& worker, const CommandTarget& target,
                              CommandOutcome& outcome) {
   // Commands name the worker by its id, which it keeps when it restarts, so its
--- a/flamingohollow/testing/graph_world.h
+++ b/flamingohollow/testing/graph_world.h
@@ -75,6 +75,8 @@
   // The worker's next report shows this capacity. A smaller one is exceeded
   // only by what starts two reports later.
   void SetCapacity(int worker, const Resources& capacity);
+  // Another writer reports a worker of its own at the worker's address.
+  void ReportAnother(int worker);
   // Drops all commands and reports of the worker until Reconnect.
   void Disconnect(int worker);
   void Reconnect(int worker);
@@ -171,6 +173,8 @@
   void Deliver(const Command& command, Result result,
                std::function<void(FakeWorker&, Result&)> carry_out);
   FakeWorker* FindWorker(const WorkerId& id);
+  // Whether a process answers at the address.
+  bool AnswersAt(const std::string& address) const;
   Time ExtendLease(FakeWorker& worker, std::int64_t until_ms) const;
   bool AcceptToken(FakeWorker& worker, const CommandTarget& target,
                    CommandOutcome& outcome);
