--- a/flamingohollow/fleet.h
+++ b/flamingohollow/fleet.h
@@ -149,6 +149,9 @@
   std::string polled_address_;
   // When another process was found to have its address; unset before that.
   Time replaced_at_;
+  // A process has said under its id that it leaves, and this incarnation has
+  // not reported since.
+  bool left_ = false;
   // This incarnation has answered a poll of this leader at its address.
   bool answered_poll_ = false;
   // Consecutive calls that were not answered.
--- a/flamingohollow/graph_scheduler.h
+++ b/flamingohollow/graph_scheduler.h
@@ -6,11 +6,12 @@
 //   - A start command is sent only after its attempt is in the log, and a
 //     worker may forget an end only after that end is in the log.
 //   - An attempt counts as ended only if its start command was never sent, if
-//     its worker says so under this leader's token, if the worker left or was
-//     replaced at its address, or if the worker's lease is known to have
-//     expired. An attempt whose start command had no answer, or whose worker
-//     restarted, is stopped first. A worker that shows an attempt neither as
-//     running nor as ended says so only if it has no further ends to show.
+//     its worker says so under this leader's token, if the worker left and
+//     refuses connections, if it was replaced at its address, or if its lease
+//     is known to have expired. An attempt whose start command had no answer,
+//     or whose worker restarted, is stopped first. A worker that shows an
+//     attempt neither as running nor as ended says so only if it has no further
+//     ends to show.
 //   - A gang's next attempt starts only after all members of the last one
 //     ended.
 //   - A worker that drains, does not answer or is likely to make its tasks fail
@@ -178,6 +179,9 @@
   // The worker may have further ends, which follow those in `ends_`. An attempt
   // that is in neither list may have ended in any way.
   bool more_ends_ = false;
+  // With kNoAnswer: the connection was refused, so that nothing listens at the
+  // worker's address, or a cut refuses connections.
+  bool refused_ = false;
 };
 
 struct WorkerLeft {
--- a/flamingohollow/graph_scheduler_polls.cc
+++ b/flamingohollow/graph_scheduler_polls.cc
@@ -12,6 +12,10 @@
 namespace flamingohollow::graph_scheduler_internal {
 namespace {
 
+// A worker that has said that it leaves is polled this often until it is known
+// to be gone, as its tasks wait for that.
+constexpr Duration kLeftPollInterval(50);
+
 void CountOutcome(Context& ctx, FleetWorker& worker, AttemptEnd end) {
   const bool failed = end == AttemptEnd::kFailed;
   if (!failed && end != AttemptEnd::kDone) return;
@@ -214,7 +218,10 @@
   RecordAnswer(ctx, *worker, result.outcome_);
   if (HandleIncarnationEnd(ctx, *worker, result.outcome_)) return;
   if (result.outcome_ != CommandOutcome::kDone) {
-    worker->next_poll_at_ = ctx.now_ + ctx.scheduler_.options_.resend_interval_;
+    if (worker->left_ && result.refused_) return RemoveLeft(ctx, *worker);
+    worker->next_poll_at_ =
+        ctx.now_ + (worker->left_ ? kLeftPollInterval
+                                  : ctx.scheduler_.options_.resend_interval_);
     return;
   }
   RecordClock(*worker, result.clock_ms_, ctx.now_);
--- a/flamingohollow/graph_scheduler_step.h
+++ b/flamingohollow/graph_scheduler_step.h
@@ -91,6 +91,8 @@
 void ResendStops(Context& ctx, FleetWorker& worker);
 void On(Context& ctx, const PoolWorkerReport& report);
 void On(Context& ctx, const WorkerLeft& left);
+// Removes a worker that has left: its process is over, and so are its runs.
+void RemoveLeft(Context& ctx, FleetWorker& worker);
 void On(Context& ctx, const WorkerCold& cold);
 void On(Context& ctx, const StartResult& result);
 void On(Context& ctx, const StopResult& result);
--- a/flamingohollow/graph_scheduler_workers.cc
+++ b/flamingohollow/graph_scheduler_workers.cc
@@ -164,6 +164,7 @@
   worker.largest_capacity_ =
       ElementwiseMax(worker.largest_capacity_, report.capacity_);
   worker.reported_ = true;
+  worker.left_ = false;
   worker.report_received_at_ = ctx.now_;
   worker.last_heard_at_ = ctx.now_;
   RecordClock(worker, report.clock_ms_, ctx.now_);
@@ -184,15 +185,26 @@
   // message of an earlier incarnation. If the worker is really gone, its
   // lease expires or its next incarnation reports.
   if (!worker.report_.draining_) return;
+  if (worker.runs_.empty()) return RemoveLeft(ctx, worker);
+  // A delayed message of an earlier incarnation that drained looks the same.
+  LogEvent("worker_left", {{"worker", left.id_.value()},
+                           {"life", worker.report_.incarnation_.value()},
+                           {"runs", worker.runs_.size()}});
+  worker.left_ = true;
+  worker.next_poll_at_ = ctx.now_;
+}
+
+void RemoveLeft(Context& ctx, FleetWorker& worker) {
+  const WorkerId id = worker.report_.id_;
   worker.reported_ = false;
   ProposeLostRuns(ctx, worker, "it left");
-  Propose(ctx, WorkerRecord{{}, {left.id_}});
+  Propose(ctx, WorkerRecord{{}, {id}});
   if (!worker.runs_.empty()) return;
   auto& by_left = ctx.scheduler_.unanswered_by_left_;
-  by_left[left.id_] = std::move(worker.unanswered_starts_);
-  for (auto& [id, starts] : by_left) ForgetOldStarts(starts, ctx.now_);
+  by_left[id] = std::move(worker.unanswered_starts_);
+  for (auto& [left, starts] : by_left) ForgetOldStarts(starts, ctx.now_);
   std::erase_if(by_left, [](const auto& item) { return item.second.empty(); });
-  ctx.scheduler_.fleet_.erase(found);
+  ctx.scheduler_.fleet_.erase(id);
 }
 
 void On(Context& ctx, const WorkerCold& cold) {
--- a/flamingohollow/http_client.cc
+++ b/flamingohollow/http_client.cc
@@ -172,6 +172,9 @@
   if (!endpoint.has_value()) co_return HttpClientError::kBadAddress;
   const auto [connect_error] =
       co_await connection.stream_.async_connect(*endpoint, kUseTuple);
+  if (connect_error == asio::error::connection_refused) {
+    co_return HttpClientError::kConnectRefused;
+  }
   if (connect_error) co_return HttpClientError::kConnectFailed;
   error_code ignored;
   connection.stream_.socket().set_option(Tcp::no_delay(true), ignored);
--- a/flamingohollow/http_client.h
+++ b/flamingohollow/http_client.h
@@ -46,6 +46,8 @@
   kOverloaded,
   // Connecting failed; nothing was sent.
   kConnectFailed,
+  // The same, since nothing listens at the address.
+  kConnectRefused,
   // No complete response. The request may have been sent in part or whole, and
   // the peer may have acted on it.
   kNoAnswer,
--- a/flamingohollow/testing/graph_scheduler_test.cc
+++ b/flamingohollow/testing/graph_scheduler_test.cc
@@ -662,6 +662,83 @@
   CHECK_FALSE(world.IsTaskOpen(2));
 }
 
+// Guards against a task that runs twice, as a delayed leave of an earlier
+// process is taken for that of the present one, which drains too.
+TEST_CASE("a leave ends a run once the worker is known to be gone") {
+  OneWorker world;
+  world.RunOneTask();
+  world.Answer(*world.Next<PollCommand>(), CommandOutcome::kDone, 901'000);
+  world.Apply(MakeSubmit(2, {MakeStep(1, 1, Duration(500))}, {}));
+  const auto start = world.Next<StartCommand>();
+  world.Feed(StartResult{WorkerId("w"), WorkerIncarnation(1), start->attempt_,
+                         CommandOutcome::kDone, 901'100, ""});
+  PoolWorkerReport report = MakeReport("w", "r");
+  report.sequence_ = 10;
+  report.draining_ = true;
+  report.remaining_ = Duration(5000);
+  world.ApplyRecords(world.Feed(report));
+  world.ApplyRecords(world.Feed(WorkerLeft{WorkerId("w")}));
+  CHECK(world.IsTaskOpen(2));
+  auto poll = world.Next<PollCommand>(5);
+  REQUIRE(poll.has_value());
+  PollResult silent{.worker_ = WorkerId("w"),
+                    .incarnation_ = WorkerIncarnation(1),
+                    .number_ = poll->number_,
+                    .running_ = {},
+                    .ends_ = {}};
+  const FleetWorker& worker = world.scheduler_.fleet_.at(WorkerId("w"));
+  SUBCASE("it refuses connections") {
+    silent.refused_ = true;
+    world.ApplyRecords(world.Feed(silent));
+    CHECK_FALSE(world.IsTaskOpen(2));
+    CHECK_FALSE(world.state_.workers_.contains(WorkerId("w")));
+    return;
+  }
+  SUBCASE("it is silent") {
+    world.ApplyRecords(world.Feed(silent));
+    CHECK(world.Next<PollCommand>(5).has_value());
+    world.Pass(worker.lease_end_ - world.now_ - Duration(100));
+    CHECK(world.IsTaskOpen(2));
+    world.Pass(Duration(200));
+    CHECK_FALSE(world.IsTaskOpen(2));
+    return;
+  }
+  SUBCASE("it is there: it answers and reports again") {
+    silent.outcome_ = CommandOutcome::kDone;
+    silent.clock_ms_ = 901'300;
+    silent.running_ = {{start->attempt_, {}, {}}};
+    world.ApplyRecords(world.Feed(silent));
+    CHECK(world.IsTaskOpen(2));
+    ++report.sequence_;
+    world.ApplyRecords(world.Feed(report));
+    // From now on a refused connection may be that of a cut.
+    poll = world.Next<PollCommand>(5);
+    REQUIRE(poll.has_value());
+    world.ApplyRecords(
+        world.Feed(PollResult{.worker_ = WorkerId("w"),
+                              .incarnation_ = WorkerIncarnation(1),
+                              .number_ = poll->number_,
+                              .running_ = {},
+                              .ends_ = {},
+                              .refused_ = true}));
+    CHECK(world.IsTaskOpen(2));
+  }
+}
+
+TEST_CASE("a task of a worker that leaves soon runs elsewhere") {
+  GraphWorld world({.racks_ = 1, .per_rack_ = 2});
+  world.Submit(1, {MakeStep(1, 8, Duration(30'000))}, {});
+  world.RunFor(Duration(2500));
+  world.StartDraining(0, Duration(40'000));
+  world.RunFor(Duration(500));
+  REQUIRE_EQ(world.RunningTasks(1), 1);
+  world.Leave(0, Duration(60'000));
+  const Duration waited = WaitRunning(world, 1, 1);
+  MESSAGE("runs again after " << waited.ms() << " ms");
+  CHECK_LE(waited, Duration(200));
+  CHECK_EQ(Broken(world), "");
+}
+
 // Guards against a task that runs twice, as its delayed start reaches a process
 // that has returned under the id of a worker that left.
 TEST_CASE("a worker that returns after it left is told what must not start") {
@@ -950,8 +1027,20 @@
   }
 }
 
+// Makes a worker that drains leave, or a delayed copy of its leave arrive.
+void LeaveOrRepeat(GraphWorld& world, std::mt19937_64& random) {
+  const int worker = static_cast<int>(random() % world.workers());
+  if (random() % 2 == 0) return world.LeaveAgain(worker);
+  if (!world.drains(worker)) {
+    return world.StartDraining(worker, Duration(3000));
+  }
+  world.Leave(worker, Duration(static_cast<std::int64_t>(random() % 4000)));
+}
+
+enum class More : std::uint8_t { kNone, kAnotherWriter, kLeaves };
+
 void RunRandomSchedule(std::uint64_t seed, std::size_t listed_ends,
-                       bool another_writer = false) {
+                       More more = More::kNone) {
   std::mt19937_64 random(seed);
   GraphWorld world({.seed_ = seed,
                     .lost_ = static_cast<int>(random() % 60),
@@ -965,9 +1054,11 @@
                  {.priority_ = priority, .max_attempts_ = 4});
     world.RunFor(Duration(static_cast<std::int64_t>(random() % 1500)));
     Disturb(world, random);
-    if (another_writer) {
+    if (more == More::kAnotherWriter) {
       world.ReportAnother(static_cast<int>(job) % world.workers());
     }
+    if (more != More::kLeaves) continue;
+    for (int i = 0; i < 4; ++i) LeaveOrRepeat(world, random);
   }
   if (seed % 2 == 0) world.Evacuate(static_cast<int>(seed / 2 % 2), true);
   world.RunFor(Duration(static_cast<std::int64_t>(seed % 5) * 1000));
@@ -996,7 +1087,16 @@
 TEST_CASE("random schedules: the same with reports at workers' addresses") {
   for (std::uint64_t seed = 1; seed <= ScheduleCount(); ++seed) {
     CAPTURE(seed);
-    RunRandomSchedule(seed, GraphWorldOptions().listed_ends_, true);
+    RunRandomSchedule(seed, GraphWorldOptions().listed_ends_,
+                      More::kAnotherWriter);
+  }
+}
+
+// Guards against tasks that run twice after a delayed leave.
+TEST_CASE("random schedules: the same with workers that leave and return") {
+  for (std::uint64_t seed = 1; seed <= ScheduleCount(); ++seed) {
+    CAPTURE(seed);
+    RunRandomSchedule(seed, GraphWorldOptions().listed_ends_, More::kLeaves);
   }
 }
 
--- a/flamingohollow/testing/graph_world.cc
+++ b/flamingohollow/testing/graph_world.cc
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <charconv>
 #include <cmath>
+#include <type_traits>
 #include <utility>
 
 namespace flamingohollow::testing {
@@ -214,7 +215,12 @@
       return;
     }
     if (worker == nullptr || worker->disconnected_ || worker->down_) {
-      if (!late) answer(result, now_ + kCommandTimeout);
+      const bool refuses =
+          worker != nullptr && worker->left_ && !worker->disconnected_;
+      if constexpr (std::is_same_v<Result, PollResult>) {
+        result.refused_ = refuses;
+      }
+      if (!late) answer(result, now_ + (refuses ? Delay() : kCommandTimeout));
       return;
     }
     // A command that the process had received but not carried out is lost with
@@ -595,6 +601,7 @@
 
 void GraphWorld::Restart(FakeWorker& worker) {
   worker.down_ = false;
+  worker.left_ = false;
   LoseRuns(worker);
   worker.highest_attempts_.clear();
   worker.ends_.clear();
@@ -637,6 +644,20 @@
   workers_[worker].next_report_ = now_;
 }
 
+void GraphWorld::Leave(int worker, Duration away) {
+  FakeWorker& leaver = workers_[worker];
+  if (leaver.down_) return;
+  leaver.runs_.clear();
+  leaver.down_ = true;
+  leaver.left_ = true;
+  At(now_ + away, [this, &leaver] { Restart(leaver); });
+  if (!leaver.disconnected_) LeaveAgain(worker);
+}
+
+void GraphWorld::LeaveAgain(int worker) {
+  Feed(WorkerLeft{workers_[worker].report_.id_});
+}
+
 void GraphWorld::EndFaults() {
   options_.lost_ = 0;
   options_.late_ = 0;
--- a/flamingohollow/testing/graph_world.h
+++ b/flamingohollow/testing/graph_world.h
@@ -81,10 +81,16 @@
   void Disconnect(int worker);
   void Reconnect(int worker);
   void StartDraining(int worker, Duration remaining);
+  // The worker's process says that it leaves, and ends. Until the next one
+  // starts under its id after `away`, connections are refused.
+  void Leave(int worker, Duration away);
+  // A delayed copy of a leave of the worker's id arrives.
+  void LeaveAgain(int worker);
   // Reconnects all workers, restarts those that drain, and injects no more
   // faults.
   void EndFaults();
 
+  bool drains(int worker) const { return workers_[worker].report_.draining_; }
   int workers() const { return static_cast<int>(workers_.size()); }
   const GraphState& state() const { return state_; }
   GraphJobState JobState(std::uint64_t number) const;
@@ -147,6 +153,8 @@
     bool disconnected_ = false;
     // Its process has crashed, and the next one has not started yet.
     bool down_ = false;
+    // Its process has left: while it is down, connections are refused.
+    bool left_ = false;
     // When it leaves, while it drains.
     Time leaves_at_;
     double slowness_ = 1;
--- a/flamingohollow/testing/http_server_test.cc
+++ b/flamingohollow/testing/http_server_test.cc
@@ -438,7 +438,7 @@
     closed_port = gone.server_->port();
   }
   const HttpResult refused = Send(client, MakePost(closed_port, "/", "")).get();
-  CHECK(refused.error_ == HttpClientError::kConnectFailed);
+  CHECK(refused.error_ == HttpClientError::kConnectRefused);
   CHECK_FALSE(refused.broke_off_);
 }
 
@@ -486,7 +486,7 @@
     }
     post.new_connection_ = new_connection;
     const HttpResult result = Send(client, post).get();
-    CHECK(result.error_ == (new_connection ? HttpClientError::kConnectFailed
+    CHECK(result.error_ == (new_connection ? HttpClientError::kConnectRefused
                                            : HttpClientError::kNoAnswer));
     CHECK_FALSE(result.broke_off_);
     CHECK(client.open_connections() == 0);
