--- a/flamingohollow/catalog.h
+++ b/flamingohollow/catalog.h
@@ -8,6 +8,7 @@
 #ifndef FLAMINGOHOLLOW_CATALOG_H_
 #define FLAMINGOHOLLOW_CATALOG_H_
 
+#include <compare>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -45,6 +46,22 @@
   }
 };
 
+// Where callers reach a queue, and its jobs.
+struct QueuePlace {
+  std::string host_;
+  std::string path_prefix_;
+
+  friend auto operator<=>(const QueuePlace&, const QueuePlace&) = default;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(host_, path_prefix_);
+  }
+};
+
+inline QueuePlace PlaceOf(const QueueRow& queue) {
+  return {queue.host_, queue.path_prefix_};
+}
+
 struct PoolRow {
   PoolName name_;
   // Whether the workers reject tasks that exceed their capacity. Otherwise they
--- a/flamingohollow/graph_messages.h
+++ b/flamingohollow/graph_messages.h
@@ -18,22 +18,6 @@
 
 namespace flamingohollow {
 
-// Archives a field at the end of a message that the first version lacks: its
-// messages end before the field, and its nodes ignore what follows the fields
-// they know.
-template <class Archive, class Value>
-void ArchiveIfPresent(Archive& archive, Value& value) {
-  if constexpr (Archive::is_loading::value) {
-    try {
-      archive(value);
-    } catch (const cereal::Exception&) {
-      value = Value();
-    }
-  } else {
-    archive(value);
-  }
-}
-
 enum class GraphCallKind : std::uint8_t {
   kSubmit = 1,
   // Reads a job's state or, if the path is only a queue's prefix, how many
--- a/flamingohollow/graph_records.h
+++ b/flamingohollow/graph_records.h
@@ -51,16 +51,19 @@
 struct SubmitRecord {
   GraphJobKey key_;
   QueueName queue_;
-  // Empty when the queue is public.
+  // Empty if it was handed in without a known key, on a public queue.
   CustomerId customer_;
   JobTerms terms_;
   GraphSpec spec_;
   // Unix time by the leader's clock, which may jump.
   Time accepted_;
+  // Where it was handed in; empty in records of earlier versions.
+  QueuePlace place_;
 
   template <class Archive>
   void serialize(Archive& archive) {
     archive(key_, queue_, customer_, terms_, spec_, accepted_);
+    ArchiveIfPresent(archive, place_);
   }
 };
 
--- a/flamingohollow/graph_service.cc
+++ b/flamingohollow/graph_service.cc
@@ -140,6 +140,18 @@
   return std::nullopt;
 }
 
+const GraphJob* GraphService::FindVisibleJob(const Access& access) const {
+  const GraphJob* job = FindJob(state_, GraphJobKey(access.rest_));
+  if (job == nullptr) return nullptr;
+  const bool same_customer = job->customer_ == access.customer_;
+  // The place of a job that an earlier version accepted is not known.
+  if (job->place_ == QueuePlace()) return same_customer ? job : nullptr;
+  if (job->place_ != PlaceOf(*access.queue_)) return nullptr;
+  const bool may_see =
+      access.queue_->public_ || job->customer_ == CustomerId() || same_customer;
+  return may_see ? job : nullptr;
+}
+
 std::optional<GraphReply> GraphService::RefuseSubmit(
     const GraphSpec& spec, const QueueRow& queue) const {
   const bool settled = Now() - leadership_->gained_at_ > kSettleTime;
@@ -183,7 +195,8 @@
       .terms_ = {queue.pool_, queue.priority_, queue.max_attempts_,
                  queue.slack_, queue.objective_},
       .spec_ = *call.spec_,
-      .accepted_ = clocks_.wall_()};
+      .accepted_ = clocks_.wall_(),
+      .place_ = PlaceOf(queue)};
   ProposeFor(record, respond, [this, key, queue] {
     Count("jobs_accepted_total");
     LogEvent("accept", {{"job", key.value()},
@@ -200,8 +213,8 @@
     return respond(*refusal);
   }
   if (access.rest_.empty()) return respond(QueueLength(access.queue_->name_));
-  const GraphJob* job = FindJob(state_, GraphJobKey(access.rest_));
-  if (job == nullptr || job->customer_ != access.customer_) {
+  const GraphJob* job = FindVisibleJob(access);
+  if (job == nullptr) {
     return respond(Reply(GraphOutcome::kNoJob, "no such job"));
   }
   respond(Reply(GraphOutcome::kOk,
@@ -214,11 +227,11 @@
   if (auto refusal = CheckAccess(call.caller_, access)) {
     return respond(*refusal);
   }
-  const GraphJobKey key(access.rest_);
-  const GraphJob* job = FindJob(state_, key);
-  if (job == nullptr || job->customer_ != access.customer_) {
+  const GraphJob* job = FindVisibleJob(access);
+  if (job == nullptr) {
     return respond(Reply(GraphOutcome::kNoJob, "no such job"));
   }
+  const GraphJobKey key = job->key_;
   if (job->state_ != GraphJobState::kActive) {
     return respond(Reply(GraphOutcome::kOk, "ended"));
   }
--- a/flamingohollow/graph_service.h
+++ b/flamingohollow/graph_service.h
@@ -153,6 +153,9 @@
   };
   std::optional<GraphReply> CheckAccess(const CallerRequest& caller,
                                         Access& access) const;
+  // The job that the request names, if its caller may see and cancel it; else
+  // null.
+  const GraphJob* FindVisibleJob(const Access& access) const;
   // Whether the job is active and no worker has begun a task of it, as far as
   // this leader knows.
   bool IsWaiting(const GraphJob& job) const;
--- a/flamingohollow/graph_state.cc
+++ b/flamingohollow/graph_state.cc
@@ -179,6 +179,7 @@
                .terms_ = record.terms_,
                .spec_ = record.spec_,
                .accepted_ = record.accepted_,
+               .place_ = record.place_,
                .ended_ = Time(),
                .occurrences_ = {}};
   if (record.spec_.occurrences_ == 0) {
@@ -376,10 +377,29 @@
   // Parts 3 and 4 were earlier ledgers: one listed a gang as one task, the
   // other did not tell what had begun.
   kCrashes = 5,
+  kPlaces = 6,
 };
 
 using SnapshotParts = std::map<std::uint32_t, std::string>;
 
+// The jobs by their places, of which there are few.
+using JobsByPlace = std::map<QueuePlace, std::vector<GraphJobKey>>;
+
+JobsByPlace ListPlaces(const GraphState& state) {
+  JobsByPlace places;
+  for (const auto& [key, job] : state.jobs_) places[job.place_].push_back(key);
+  return places;
+}
+
+void SetPlaces(GraphState& state, const JobsByPlace& places) {
+  for (const auto& [place, keys] : places) {
+    for (const GraphJobKey& key : keys) {
+      GraphJob* job = FindJob(state, key);
+      if (job != nullptr) job->place_ = place;
+    }
+  }
+}
+
 // Returns false if the part is there but can't be read.
 template <class Value>
 bool ReadPart(const SnapshotParts& parts, SnapshotPart part, Value& value) {
@@ -401,6 +421,8 @@
       Pack(state.worker_speeds_);
   parts[static_cast<std::uint32_t>(SnapshotPart::kCrashes)] =
       Pack(state.crashes_);
+  parts[static_cast<std::uint32_t>(SnapshotPart::kPlaces)] =
+      Pack(ListPlaces(state));
   return Pack(BaseParts<const GraphState>{state}) + Pack(parts);
 }
 
@@ -415,11 +437,14 @@
   } catch (const std::exception&) {
     return std::nullopt;
   }
-  if (!ReadPart(parts, SnapshotPart::kEvacuations, state.evacuations_) ||
+  JobsByPlace places;
+  if (!ReadPart(parts, SnapshotPart::kPlaces, places) ||
+      !ReadPart(parts, SnapshotPart::kEvacuations, state.evacuations_) ||
       !ReadPart(parts, SnapshotPart::kWorkerSpeeds, state.worker_speeds_) ||
       !ReadPart(parts, SnapshotPart::kCrashes, state.crashes_)) {
     return std::nullopt;
   }
+  SetPlaces(state, places);
   IndexOpenAttempts(state);
   return state;
 }
--- a/flamingohollow/graph_state.h
+++ b/flamingohollow/graph_state.h
@@ -94,6 +94,8 @@
   JobTerms terms_;
   GraphSpec spec_;
   Time accepted_;
+  // Not part of the job's archive, which earlier versions read.
+  QueuePlace place_;
   GraphJobState state_ = GraphJobState::kActive;
   // Unix time at which the job stopped being active; unset before.
   Time ended_;
--- a/flamingohollow/testing/graph_service_test.cc
+++ b/flamingohollow/testing/graph_service_test.cc
@@ -3,6 +3,7 @@
 #include "flamingohollow/graph_service.h"
 
 #include <doctest/doctest.h>
+#include <fmt/format.h>
 
 #include <algorithm>
 #include <cstdint>
@@ -418,6 +419,97 @@
   }
 }
 
+constexpr const char* kHost = "jobs.example";
+constexpr const char* kOwnPlace = "/own/";
+constexpr const char* kOtherPlace = "/other/";
+constexpr const char* kOwnKey = "key of acme";
+constexpr const char* kOtherKey = "key of bolt";
+constexpr const char* kUnknownKey = "key of nobody";
+
+// Puts a catalog with a queue at each of the two places, and two customers.
+void PutQueues(Leader& leader, std::int64_t version, bool own_public,
+               bool other_public) {
+  const auto queue = [version](const char* place, bool is_public) {
+    QueueRow row;
+    row.name_ = QueueName(fmt::format("{} {}", place, version));
+    row.host_ = kHost;
+    row.path_prefix_ = place;
+    row.pool_ = PoolName("pool");
+    row.public_ = is_public;
+    row.timeout_ = Duration(1000);
+    return row;
+  };
+  GraphCall put;
+  put.kind_ = GraphCallKind::kPutCatalog;
+  put.catalog_.version_ = CatalogVersion(version);
+  put.catalog_.queues_ = {queue(kOwnPlace, own_public),
+                          queue(kOtherPlace, other_public)};
+  put.catalog_.pools_ = {{.name_ = PoolName("pool")}};
+  put.catalog_.customers_ = {{CustomerId("acme"), {kOwnKey}, 0},
+                             {CustomerId("bolt"), {kOtherKey}, 0}};
+  REQUIRE_EQ(leader.Send(put), GraphOutcome::kOk);
+}
+
+std::optional<GraphOutcome> CallJob(Leader& leader, GraphCallKind kind,
+                                    const char* place, const char* key) {
+  GraphCall call;
+  call.kind_ = kind;
+  call.caller_ = {kHost, place + MakeKey(1).value(), key};
+  if (kind == GraphCallKind::kSubmit) {
+    call.spec_.emplace().steps_ = {MakeStep(1, 1, Duration(1000))};
+  }
+  return leader.Send(call);
+}
+
+// What a call at `place` gets of a job that was handed in at kOwnPlace with
+// `job_key`, once that place and the call's own are public or not.
+GraphOutcome ExpectedOfCall(const std::string& job_key, bool same_place,
+                            bool is_public, const std::string& key) {
+  const bool known = key == kOwnKey || key == kOtherKey;
+  if (!known && !is_public) return GraphOutcome::kBadKey;
+  if (!same_place) return GraphOutcome::kNoJob;
+  const bool may_see = is_public || job_key.empty() || key == job_key;
+  return may_see ? GraphOutcome::kOk : GraphOutcome::kNoJob;
+}
+
+// Guards against a job that its caller can't find after the route at its place
+// has become public or asks for keys, and against one that others find.
+TEST_CASE("who sees and cancels a job, after its route was replaced") {
+  for (const std::string job_key : {"", kOwnKey}) {
+    for (const std::string place : {kOwnPlace, kOtherPlace}) {
+      for (const bool is_public : {false, true}) {
+        for (const std::string key : {"", kOwnKey, kOtherKey, kUnknownKey}) {
+          CAPTURE(job_key);
+          CAPTURE(place);
+          CAPTURE(is_public);
+          CAPTURE(key);
+          Leader leader;
+          leader.replica_.completes_immediately_ = true;
+          PutQueues(leader, 1, job_key.empty(), false);
+          REQUIRE_EQ(CallJob(leader, GraphCallKind::kSubmit, kOwnPlace,
+                             job_key.c_str()),
+                     GraphOutcome::kOk);
+          const bool same_place = place == kOwnPlace;
+          PutQueues(leader, 2, same_place && is_public,
+                    !same_place && is_public);
+          REQUIRE(leader.service_.RestoreSnapshot(
+              leader.service_.EncodeSnapshot()));
+          const GraphOutcome expected =
+              ExpectedOfCall(job_key, same_place, is_public, key);
+          for (const auto kind :
+               {GraphCallKind::kRead, GraphCallKind::kCancel}) {
+            CHECK_EQ(CallJob(leader, kind, place.c_str(), key.c_str()),
+                     expected);
+          }
+          const GraphJob& job = *FindJob(leader.service_.state(), MakeKey(1));
+          CHECK_EQ(job.state_ == GraphJobState::kCancelled,
+                   expected == GraphOutcome::kOk);
+        }
+      }
+    }
+  }
+}
+
 TEST_CASE("an unknown failure domain is refused") {
   Leader leader;
   CHECK_EQ(leader.Send(Evacuate("nowhere", true)), GraphOutcome::kNoDomain);
--- a/util/pack.h
+++ b/util/pack.h
@@ -72,6 +72,22 @@
   value = Time(ms);
 }
 
+// Archives a field at the end of a message or record that earlier versions
+// lack: what they write ends before the field, and they ignore what follows the
+// fields they know.
+template <class Archive, class Value>
+void ArchiveIfPresent(Archive& archive, Value& value) {
+  if constexpr (Archive::is_loading::value) {
+    try {
+      archive(value);
+    } catch (const cereal::Exception&) {
+      value = Value();
+    }
+  } else {
+    archive(value);
+  }
+}
+
 template <class T>
 std::string Pack(const T& value) {
   std::ostringstream out(std::ios::binary);
