--- a/flamingohollow/graph_messages.h
+++ b/flamingohollow/graph_messages.h
@@ -66,6 +66,23 @@
   }
 };
 
+// How old a call is, for calls that must not take effect after their caller has
+// sent them again or given up.
+struct CallAge {
+  // The leader by whose clock `arrived_` is; 0 if no leader's clock is known.
+  Term term_;
+  // The call has arrived at its node at this time or later.
+  Time arrived_;
+  // How long the caller waits for an answer.
+  Duration patience_;
+
+  friend bool operator==(const CallAge&, const CallAge&) = default;
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(term_, arrived_, patience_);
+  }
+};
+
 struct GraphCall {
   GraphCallKind kind_ = GraphCallKind::kAnnounce;
   // Whether a control node that is not the leader forwards the call to it. A
@@ -86,6 +103,8 @@
   NodeAnnouncement node_;
   // kEvacuate.
   EvacuationOrder evacuation_;
+  // Empty in calls of earlier versions, whose age is not known.
+  std::optional<CallAge> age_;
 
   template <class Archive>
   void serialize(Archive& archive) {
@@ -118,6 +137,7 @@
         archive(node_);
         break;
     }
+    ArchiveIfPresent(archive, age_);
   }
 };
 
@@ -155,11 +175,14 @@
   // from nodes that are not the leader, and in answers to announcements).
   std::string leader_address_;
   std::vector<std::string> control_addresses_;
+  // From the leader: its monotonic clock.
+  Time leader_time_;
 
   template <class Archive>
   void serialize(Archive& archive) {
     archive(outcome_, text_, count_, retry_after_, term_, catalog_version_,
             leader_address_, control_addresses_);
+    ArchiveIfPresent(archive, leader_time_);
   }
 };
 
--- a/flamingohollow/graph_relay.cc
+++ b/flamingohollow/graph_relay.cc
@@ -56,8 +56,12 @@
 }  // namespace
 
 struct GraphRelay::Pending {
+  // With its age by a leader's clock; `age_` is by this node's.
   GraphCall call_;
   std::string body_;
+  CallAge age_;
+  // What was known of the leader's clock when the call came.
+  LeaderClock clock_;
   Time search_deadline_;
   Time deadline_;
   GraphReplyCallback done_;
@@ -84,6 +88,16 @@
 
 void GraphRelay::EndBy(Time end) { end_ = end; }
 
+// A reply was sent before it is heard, so the result is not later than the
+// call's arrival. What was known when the call came also holds if this node's
+// clock stood still since.
+CallAge GraphRelay::AgeOf(const Pending& pending) const {
+  const bool same = pending.clock_.term_ == clock_.term_;
+  const LeaderClock& clock = same ? pending.clock_ : clock_;
+  return {clock.term_, clock.time_ + (pending.age_.arrived_ - clock.heard_at_),
+          pending.age_.patience_};
+}
+
 Time GraphRelay::Capped(Time deadline) const {
   return std::min(deadline, end_.value_or(deadline));
 }
@@ -92,6 +106,9 @@
                       GraphReplyCallback done) {
   const Time now = MonotonicNow();
   auto pending = std::make_shared<Pending>();
+  pending->age_ = call.age_.value_or(CallAge{Term(), now, limit});
+  pending->clock_ = clock_;
+  call.age_ = AgeOf(*pending);
   pending->body_ = Pack(call);
   const std::uint64_t bytes = pending->body_.size() * kCallCopies;
   const std::uint64_t allowed = CallMemory(pending->body_.size(), max_bytes_);
@@ -155,6 +172,11 @@
 void GraphRelay::Send(const PendingPtr& pending, const std::string& address) {
   const Duration left = Capped(pending->deadline_) - MonotonicNow();
   const Duration timeout = std::min(kRelayAttemptTimeout, left);
+  const CallAge age = AgeOf(*pending);
+  if (age != pending->call_.age_) {
+    pending->call_.age_ = age;
+    pending->body_ = Pack(pending->call_);
+  }
   std::string body = pending->body_;
   if (address != finder_.leader_) {
     GraphCall call = pending->call_;
@@ -187,6 +209,9 @@
                              const GraphReply& reply) {
   // Also if the reply is ignored for its term, the call may be in the log.
   if (MayHaveExecuted(reply.outcome_)) pending->maybe_executed_ = true;
+  if (reply.leader_time_ != Time() && reply.term_ >= clock_.term_) {
+    clock_ = {reply.term_, reply.leader_time_, MonotonicNow()};
+  }
   if (!RecordReply(finder_, from, reply)) {
     const bool elsewhere = !finder_.leader_.empty() && finder_.leader_ != from;
     if (elsewhere && ++pending->redirects_ <= kMaxRedirects) {
@@ -195,6 +220,12 @@
     return RetryLater(pending);
   }
   if (reply.outcome_ == GraphOutcome::kUnknown) return RetryLater(pending);
+  // A new leader couldn't tell the call's age.
+  const bool age_unknown = reply.outcome_ == GraphOutcome::kUnavailable &&
+                           pending->call_.age_->term_ != clock_.term_;
+  if (age_unknown && ++pending->redirects_ <= kMaxRedirects) {
+    return Try(pending);
+  }
   if (pending->maybe_executed_ &&
       !HoldsForAllAttempts(pending->call_.kind_, reply.outcome_)) {
     GraphReply unknown = reply;
--- a/flamingohollow/graph_relay.h
+++ b/flamingohollow/graph_relay.h
@@ -61,7 +61,9 @@
              std::uint64_t max_bytes, LocalHandler local);
 
   // Gives up after `search_limit` if no leader can have received the call, and
-  // after `limit` in any case.
+  // after `limit` in any case. `call.age_` gives the call's arrival on this
+  // node's clock; without it the call arrives now, and its caller waits for
+  // `limit`. The leader gets it on its own clock.
   void Call(GraphCall call, Duration search_limit, Duration limit,
             GraphReplyCallback done);
   // Every call is answered by `end`, or by kRelayPause later, also those with a
@@ -74,7 +76,16 @@
   struct Pending;
   using PendingPtr = std::shared_ptr<Pending>;
 
+  // The leader's clock, as of its last reply.
+  struct LeaderClock {
+    Term term_;
+    Time time_;
+    Time heard_at_;
+  };
+
   Time Capped(Time deadline) const;
+  // The call's age by the clock of the leader that is known now.
+  CallAge AgeOf(const Pending& pending) const;
   void CallLocally(const PendingPtr& pending, Duration limit);
   void Try(const PendingPtr& pending);
   void Send(const PendingPtr& pending, const std::string& address);
@@ -91,6 +102,7 @@
   IoThreads& threads_;
   LocalHandler local_;
   ControlFinder finder_;
+  LeaderClock clock_;
   // No call lasts longer; see EndBy.
   std::optional<Time> end_;
   const std::uint64_t max_bytes_;
--- a/flamingohollow/graph_service.cc
+++ b/flamingohollow/graph_service.cc
@@ -18,6 +18,63 @@
              std::string_view::npos;
 }
 
+// Whether a copy of the call that comes late may undo what came after it. The
+// other calls change nothing or carry what orders them: a catalog its version,
+// the report of a listed worker its incarnation and sequence number.
+bool MayBeOvertaken(const GraphState& state, const GraphCall& call) {
+  switch (call.kind_) {
+    case GraphCallKind::kSubmit:
+    case GraphCallKind::kCancel:
+    case GraphCallKind::kLeave:
+    case GraphCallKind::kEvacuate:
+    case GraphCallKind::kAnnounce:
+      return true;
+    case GraphCallKind::kReport:
+      return !state.workers_.contains(call.report_.id_);
+    case GraphCallKind::kRead:
+    case GraphCallKind::kPutCatalog:
+    case GraphCallKind::kReadCatalog:
+    case GraphCallKind::kReadEvacuations:
+      return false;
+  }
+  return false;
+}
+
+std::string_view CallKindName(GraphCallKind kind) {
+  switch (kind) {
+    case GraphCallKind::kSubmit:
+      return "submit";
+    case GraphCallKind::kCancel:
+      return "cancel";
+    case GraphCallKind::kLeave:
+      return "leave";
+    case GraphCallKind::kEvacuate:
+      return "evacuate";
+    case GraphCallKind::kAnnounce:
+      return "announce";
+    case GraphCallKind::kReport:
+      return "report";
+    default:
+      return "other";
+  }
+}
+
+// What the call is about, for log lines.
+std::string SubjectOf(const GraphCall& call) {
+  switch (call.kind_) {
+    case GraphCallKind::kLeave:
+      return call.worker_.value();
+    case GraphCallKind::kReport:
+      return call.report_.id_.value();
+    case GraphCallKind::kEvacuate:
+      return call.evacuation_.domain_.value();
+    case GraphCallKind::kAnnounce:
+      return call.node_.name_.value();
+    default:
+      return call.caller_.path_;
+  }
+}
+
 // Depth-first search. `state` is 0 for unvisited steps, 1 for those on the
 // current path and 2 for finished ones.
 bool HasCycle(const GraphSpec& spec, std::size_t step,
@@ -71,7 +128,10 @@
   reply.outcome_ = outcome;
   reply.text_ = std::move(text);
   reply.catalog_version_ = state_.catalog_.version_;
-  if (leadership_ != nullptr) reply.term_ = leadership_->term_;
+  if (leadership_ != nullptr) {
+    reply.term_ = leadership_->term_;
+    reply.leader_time_ = Now();
+  }
   return reply;
 }
 
@@ -93,8 +153,27 @@
   return reply;
 }
 
+std::optional<GraphReply> GraphService::RefuseLate(const GraphCall& call) {
+  if (!call.age_.has_value() || !MayBeOvertaken(state_, call)) {
+    return std::nullopt;
+  }
+  const CallAge& age = *call.age_;
+  if (age.term_ != leadership_->term_) {
+    return Unavailable("the call's age is not known", kUnavailableRetryAfter);
+  }
+  const Duration waited = Now() - age.arrived_;
+  if (waited <= age.patience_) return std::nullopt;
+  Count("late_calls_total");
+  LogEvent("late_call", {{"kind", CallKindName(call.kind_)},
+                         {"subject", SubjectOf(call)},
+                         {"age_ms", waited.ms()},
+                         {"limit_ms", age.patience_.ms()}});
+  return Unavailable("the call came too late", kUnavailableRetryAfter);
+}
+
 void GraphService::Handle(const GraphCall& call, const Responder& respond) {
   if (!Leads()) return respond(NotLeader());
+  if (auto refusal = RefuseLate(call)) return respond(*refusal);
   switch (call.kind_) {
     case GraphCallKind::kSubmit:
       return HandleSubmit(call, respond);
--- a/flamingohollow/graph_service.h
+++ b/flamingohollow/graph_service.h
@@ -126,6 +126,8 @@
   GraphReply Reply(GraphOutcome outcome, std::string text = "") const;
   GraphReply Unavailable(std::string text, Duration retry_after) const;
   GraphReply NotLeader() const;
+  // Refuses a call that may have been overtaken by another one.
+  std::optional<GraphReply> RefuseLate(const GraphCall& call);
 
   void HandleSubmit(const GraphCall& call, const Responder& respond);
   void HandleRead(const GraphCall& call, const Responder& respond);
--- a/flamingohollow/http_server.cc
+++ b/flamingohollow/http_server.cc
@@ -8,6 +8,8 @@
 
 #include "flamingohollow/http_server.h"
 
+#include <sys/socket.h>
+
 #include <algorithm>
 #include <atomic>
 #include <boost/asio/as_tuple.hpp>
@@ -23,6 +25,7 @@
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 #include <boost/leaf/error.hpp>
+#include <cerrno>
 #include <chrono>
 #include <functional>
 #include <optional>
@@ -242,6 +245,17 @@
              .find("\r\n\r\n") != std::string_view::npos;
 }
 
+// Whether the client has closed its side of the connection and everything that
+// it sent has been read.
+bool HasPeerClosed(HttpSession& session) {
+  if (session.buffer_.size() > 0) return false;
+  char next = 0;
+  const ssize_t read = recv(session.stream_.socket().native_handle(), &next, 1,
+                            MSG_PEEK | MSG_DONTWAIT);
+  if (read >= 0) return read == 0;
+  return errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR;
+}
+
 // Shuts down sending, then reads until the peer closes, within limits.
 asio::awaitable<void> Close(SessionPtr session) {
   error_code ignored;
@@ -357,6 +371,8 @@
   const unsigned version = parser->get().version();
   const bool keep_alive = parser->keep_alive();
   HttpRequest request = ToRequest(*parser, server.options_.headers_);
+  request.arrived_ = server.threads_.EarliestArrival(session->loop_index_);
+  request.abandoned_ = HasPeerClosed(*session);
   parser.reset();
   HttpResponse response = co_await Handle(session, std::move(request));
   // A draining connection first serves the requests that it has already read.
--- a/flamingohollow/http_types.h
+++ b/flamingohollow/http_types.h
@@ -24,6 +24,10 @@
   // The values of HttpServerOptions::headers_, in their order.
   std::vector<std::string> headers_;
   std::string body_;
+  // It has arrived at this time or later, by the monotonic clock.
+  Time arrived_;
+  // The client had closed its side of the connection when the request was read.
+  bool abandoned_ = false;
 };
 
 struct HttpResponse {
--- a/flamingohollow/testing/graph_relay_test.cc
+++ b/flamingohollow/testing/graph_relay_test.cc
@@ -47,7 +47,8 @@
     rpc_ = std::move(*rpc);
     relay_ = std::make_unique<GraphRelay>(
         *rpc_, threads_, std::move(seeds), kMaxBytes,
-        [this](const GraphCall&, const GraphReplyCallback& done) {
+        [this](const GraphCall& call, const GraphReplyCallback& done) {
+          age_ = call.age_.value_or(CallAge());
           done(replies_.at(next_++));
         });
   }
@@ -76,6 +77,9 @@
     return reply->get_future();
   }
 
+  // What the last call said of its age.
+  const CallAge& age() const { return age_; }
+
   void EndBy(Time end) {
     threads_.Post(0, [this, end] { relay_->EndBy(end); });
   }
@@ -83,6 +87,7 @@
  private:
   std::vector<GraphReply> replies_;
   std::size_t next_ = 0;
+  CallAge age_;
   IoThreads threads_;
   std::unique_ptr<RpcNode> rpc_;
   std::unique_ptr<GraphRelay> relay_;
@@ -108,6 +113,46 @@
   CHECK(fixture.Submit() == GraphOutcome::kUnavailable);
 }
 
+// Guards against a call that is younger on the leader's clock than it is.
+TEST_CASE("the leader gets the time of a call's arrival on its own clock") {
+  constexpr Time kLeaderTime(5'000'000);
+  GraphReply reply = ReplyOf(GraphOutcome::kOk, Term(3));
+  reply.leader_time_ = kLeaderTime;
+  RelayFixture fixture({reply, reply});
+  CHECK(fixture.Submit() == GraphOutcome::kOk);
+  CHECK(fixture.age().term_ == Term());
+  const Time before = MonotonicNow();
+  std::this_thread::sleep_for(std::chrono::milliseconds(50));
+  CHECK(fixture.Submit() == GraphOutcome::kOk);
+  const Duration most = MonotonicNow() - before + Duration(50);
+  CHECK(fixture.age().term_ == Term(3));
+  CHECK(fixture.age().arrived_ >= kLeaderTime + Duration(50));
+  CHECK(fixture.age().arrived_ <= kLeaderTime + most);
+  CHECK(fixture.age().patience_ == kLimit);
+}
+
+// A new leader can't tell the age by its predecessor's clock.
+TEST_CASE("a call whose age the leader doesn't know is sent again at once") {
+  std::atomic<int> calls = 0;
+  auto leader = RpcNode::Create(
+      "127.0.0.1:0",
+      [&calls](RpcKind, const std::string& body, const RpcResponder& respond) {
+        ++calls;
+        const auto call = Unpack<GraphCall>(body);
+        const bool known = call->age_->term_ == Term(4);
+        GraphReply reply = ReplyOf(
+            known ? GraphOutcome::kOk : GraphOutcome::kUnavailable, Term(4));
+        reply.leader_time_ = Time(7000);
+        respond(Pack(reply));
+      });
+  REQUIRE(leader);
+  GraphReply not_leader = ReplyOf(GraphOutcome::kNotLeader, Term());
+  not_leader.leader_address_ = "127.0.0.1:" + std::to_string((*leader)->port());
+  RelayFixture fixture({not_leader});
+  CHECK(fixture.Submit() == GraphOutcome::kOk);
+  CHECK(calls == 2);
+}
+
 // Guards against callers that make the process run out of memory.
 TEST_CASE("calls that would hold too much together are refused at once") {
   const GraphReply lost = ReplyOf(GraphOutcome::kUnknown, Term());
--- a/flamingohollow/testing/graph_service_test.cc
+++ b/flamingohollow/testing/graph_service_test.cc
@@ -6,8 +6,10 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <array>
 #include <cstdint>
 #include <functional>
+#include <iterator>
 #include <list>
 #include <map>
 #include <optional>
@@ -34,9 +36,10 @@
   std::vector<Command> commands_;
   Metrics metrics_;
   GraphService service_{
-      GraphServiceOptions{.name_ = {},
-                          .scheduler_ = {},
-                          .failure_domains_ = {FailureDomain("north")}},
+      GraphServiceOptions{
+          .name_ = {},
+          .scheduler_ = {},
+          .failure_domains_ = {FailureDomain("north"), FailureDomain("south")}},
       GraphClocks{[this] { return now_; }, [this] { return now_; }},
       [this](const GraphCommand& command,
              const std::function<void(SchedulerEvent)>& done) {
@@ -419,6 +422,205 @@
   }
 }
 
+// Guards against a request that takes effect after its sender has sent a copy
+// to another node and other requests since.
+TEST_CASE("a call takes effect only while its caller waits") {
+  Leader leader;
+  leader.replica_.completes_immediately_ = true;
+  GraphCall call = Evacuate("north", true);
+  call.age_ = CallAge{Term(), leader.now_, Duration(1000)};
+  GraphReply reply;
+  const auto send = [&] {
+    leader.service_.Handle(call, [&](const GraphReply& r) { reply = r; });
+    return reply.outcome_;
+  };
+  // The leader can't tell the age, and says what the node needs to know.
+  CHECK_EQ(send(), GraphOutcome::kUnavailable);
+  CHECK_EQ(reply.leader_time_, leader.now_);
+  call.age_->term_ = reply.term_;
+  leader.now_ = leader.now_ + Duration(1001);
+  CHECK_EQ(send(), GraphOutcome::kUnavailable);
+  CHECK_FALSE(IsInForce(leader));
+  CHECK(leader.metrics_.Text(leader.now_).find("late_calls_total") !=
+        std::string::npos);
+  SUBCASE("as long as it waits") {
+    leader.now_ = leader.now_ - Duration(1);
+    CHECK_EQ(send(), GraphOutcome::kOk);
+    CHECK(IsInForce(leader));
+  }
+  SUBCASE("a call of an earlier version has no age") {
+    call.age_.reset();
+    CHECK_EQ(send(), GraphOutcome::kOk);
+    CHECK(IsInForce(leader));
+  }
+  SUBCASE("a new leader doesn't know the age by the former one's clock") {
+    leader.replica_.LoseLeadership(ProposeOutcome::kUnknown);
+    leader.replica_.GainLeadership();
+    leader.now_ = leader.now_ - Duration(1);
+    CHECK_EQ(send(), GraphOutcome::kUnavailable);
+    CHECK_FALSE(IsInForce(leader));
+  }
+}
+
+// Calls of workers, callers and the operator, in the order in which they are
+// sent. Two leaders get each in time; one of them gets late copies besides.
+class LateCopies {
+ public:
+  explicit LateCopies(std::uint64_t seed) : random_(seed) {
+    for (Leader* leader : {&with_copies_, &without_}) {
+      leader->replica_.completes_immediately_ = true;
+      PutQueue(*leader);
+    }
+  }
+
+  // Sends one call, and what comes late until then.
+  void Step() {
+    now_ = now_ + Pick(600);
+    for (Leader* leader : {&with_copies_, &without_}) leader->now_ = now_;
+    while (!late_.empty() && late_.begin()->first <= now_) {
+      Deliver(with_copies_, late_.begin()->second);
+      late_.erase(late_.begin());
+    }
+    if (random_() % 20 == 0) {
+      for (Leader* leader : {&with_copies_, &without_}) {
+        leader->replica_.LoseLeadership(ProposeOutcome::kUnknown);
+        leader->replica_.GainLeadership();
+      }
+    }
+    const Sent sent{NextCall(), now_};
+    Deliver(with_copies_, sent);
+    Deliver(without_, sent);
+    if (random_() % 2 == 0) {
+      late_.emplace(now_ + kPatience + Duration(1) + Pick(8000), sent);
+    }
+  }
+
+  bool IsSame() const {
+    return EncodeState(with_copies_.service_.state()) ==
+           EncodeState(without_.service_.state());
+  }
+
+ private:
+  static constexpr Duration kPatience = Duration(1000);
+  struct Sent {
+    GraphCall call_;
+    Time at_;
+  };
+  enum class Phase : std::uint8_t { kAbsent, kReady, kDraining };
+  struct Sender {
+    PoolWorkerReport report_;
+    Phase phase_ = Phase::kAbsent;
+  };
+
+  Duration Pick(std::int64_t most) {
+    return Duration(static_cast<std::int64_t>(random_() % most));
+  }
+
+  static void PutQueue(Leader& leader) {
+    GraphCall put;
+    put.kind_ = GraphCallKind::kPutCatalog;
+    put.catalog_ = MakeCatalog(1);
+    REQUIRE_EQ(leader.Send(put), GraphOutcome::kOk);
+  }
+
+  static Catalog MakeCatalog(std::int64_t version) {
+    Catalog catalog;
+    catalog.version_ = CatalogVersion(version);
+    QueueRow queue;
+    queue.name_ = QueueName("queue");
+    queue.host_ = "host";
+    queue.path_prefix_ = "/";
+    queue.pool_ = PoolName("pool");
+    queue.public_ = true;
+    queue.timeout_ = Duration(1000 + version);
+    catalog.queues_ = {queue};
+    catalog.pools_ = {{.name_ = PoolName("pool")}};
+    return catalog;
+  }
+
+  GraphCall NextCall() {
+    GraphCall call;
+    switch (random_() % 6) {
+      case 0:
+        return Evacuate(random_() % 2 == 0 ? "north" : "south",
+                        random_() % 2 == 0);
+      case 1:
+        call.kind_ = GraphCallKind::kSubmit;
+        call.caller_ = {"host", "/" + MakeKey(++jobs_).value(), ""};
+        call.spec_.emplace().steps_ = {MakeStep(1, 1, Duration(1000))};
+        return call;
+      case 2:
+        call.kind_ = GraphCallKind::kCancel;
+        call.caller_ = {"host", "/" + MakeKey(1 + random_() % 20).value(), ""};
+        return call;
+      case 3:
+        call.kind_ = GraphCallKind::kPutCatalog;
+        call.catalog_ = MakeCatalog(++version_);
+        return call;
+      default:
+        return NextOfWorker();
+    }
+  }
+
+  // A worker reports, drains, leaves and returns under its id.
+  GraphCall NextOfWorker() {
+    const std::size_t index = random_() % std::size(senders_);
+    Sender& sender = senders_[index];
+    GraphCall call;
+    if (sender.phase_ == Phase::kDraining && random_() % 2 == 0) {
+      sender.phase_ = Phase::kAbsent;
+      call.kind_ = GraphCallKind::kLeave;
+      call.worker_ = sender.report_.id_;
+      return call;
+    }
+    if (sender.phase_ == Phase::kAbsent) {
+      sender.report_ = MakeReport(fmt::format("w{}", index), "r");
+      sender.report_.incarnation_ = WorkerIncarnation(now_.ms());
+      sender.report_.sequence_ = 0;
+      sender.phase_ = Phase::kReady;
+    } else if (random_() % 2 == 0) {
+      sender.phase_ = Phase::kDraining;
+    }
+    ++sender.report_.sequence_;
+    sender.report_.draining_ = sender.phase_ == Phase::kDraining;
+    call.kind_ = GraphCallKind::kReport;
+    call.report_ = sender.report_;
+    return call;
+  }
+
+  // A node gives the age by the clock of the leader that it knows.
+  static void Deliver(Leader& leader, const Sent& sent) {
+    GraphCall call = sent.call_;
+    call.age_ = CallAge{Term(), sent.at_, kPatience};
+    GraphReply reply;
+    const auto answered = [&reply](const GraphReply& r) { reply = r; };
+    leader.service_.Handle(call, answered);
+    if (reply.outcome_ != GraphOutcome::kUnavailable) return;
+    call.age_->term_ = reply.term_;
+    leader.service_.Handle(call, answered);
+  }
+
+  std::mt19937_64 random_;
+  Time now_{1'000'000};
+  Leader with_copies_;
+  Leader without_;
+  std::multimap<Time, Sent> late_;
+  std::array<Sender, 3> senders_;
+  std::uint64_t jobs_ = 0;
+  std::int64_t version_ = 1;
+};
+
+// Guards against all that a late copy of a call may undo; see
+// docs/design/late-messages.md.
+TEST_CASE("random calls: copies that come late change nothing") {
+  for (std::uint64_t seed = 1; seed <= 300; ++seed) {
+    CAPTURE(seed);
+    LateCopies calls(seed);
+    for (int step = 0; step < 120 && calls.IsSame(); ++step) calls.Step();
+    CHECK(calls.IsSame());
+  }
+}
+
 constexpr const char* kHost = "jobs.example";
 constexpr const char* kOwnPlace = "/own/";
 constexpr const char* kOtherPlace = "/other/";
--- a/flamingohollow/testing/http_server_test.cc
+++ b/flamingohollow/testing/http_server_test.cc
@@ -48,6 +48,10 @@
   Fixture& operator=(const Fixture&) = delete;
 
   void Handle(const HttpRequest& request, const HttpResponder& respond) {
+    if (request.target_ == "/noted") {
+      const std::lock_guard lock(mutex_);
+      noted_.push_back({MonotonicNow() - request.arrived_, request.abandoned_});
+    }
     if (request.target_ != "/held") {
       respond({200, "text/plain", request.body_, Duration(0)});
       return;
@@ -64,10 +68,29 @@
     }
   }
 
+  // Keeps all loops from running for `span`, as if the process was suspended.
+  void Suspend(Duration span) {
+    for (std::size_t loop = 0; loop < threads_.size(); ++loop) {
+      threads_.Post(loop, [span] {
+        std::this_thread::sleep_for(std::chrono::milliseconds(span.ms()));
+      });
+    }
+  }
+
+  struct Noted {
+    Duration age_;
+    bool abandoned_ = false;
+  };
+  std::vector<Noted> TakeNoted() {
+    const std::lock_guard lock(mutex_);
+    return std::exchange(noted_, {});
+  }
+
   // Outlives the responders, which own timers of its loops.
   IoThreads threads_{2};
   std::mutex mutex_;
   std::vector<HttpResponder> held_;
+  std::vector<Noted> noted_;
   std::atomic<int> held_count_{0};
   std::unique_ptr<HttpServer> server_;
 };
@@ -256,6 +279,39 @@
   CHECK(Contains(held.ReadAll(), "late"));
 }
 
+// Guards against a request that waits in its socket and is taken for a new one.
+TEST_CASE("a request that waited for a suspended process shows its age") {
+  constexpr Duration kSuspended(1200);
+  Fixture fixture;
+  const std::uint16_t port = fixture.server_->port();
+  RawClient caller(port);
+  caller.Send(Post("/noted", "first"));
+  REQUIRE(caller.ReadUntil("first"));
+  const auto prompt = fixture.TakeNoted();
+  REQUIRE_EQ(prompt.size(), 1);
+  CHECK_LE(prompt[0].age_, Duration(300));
+  CHECK_FALSE(prompt[0].abandoned_);
+
+  fixture.Suspend(kSuspended);
+  caller.Send(Post("/noted", "second"));
+  RawClient other(port);
+  other.Send(Post("/noted", "third"));
+  { RawClient(port).Send(Post("/noted", "fourth")); }
+  REQUIRE(caller.ReadUntil("second"));
+  REQUIRE(other.ReadUntil("third"));
+  std::vector<Fixture::Noted> late;
+  REQUIRE(Await([&] {
+    for (const auto& noted : fixture.TakeNoted()) late.push_back(noted);
+    return late.size() == 3;
+  }));
+  int abandoned = 0;
+  for (const auto& noted : late) {
+    CHECK_GE(noted.age_, Duration(1000));
+    abandoned += noted.abandoned_ ? 1 : 0;
+  }
+  CHECK_EQ(abandoned, 1);
+}
+
 TEST_CASE("malformed HTTP gets 400, a stalled request is closed") {
   HttpServerOptions options;
   options.request_timeout_ = Duration(50);
--- a/util/io_threads.cc
+++ b/util/io_threads.cc
@@ -6,10 +6,15 @@
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/system/error_code.hpp>
+#include <chrono>
 #include <thread>
 #include <utility>
 #include <vector>
 
+#include "util/loop_watch.h"
+
 namespace flamingohollow {
 
 namespace asio = boost::asio;
@@ -31,7 +36,18 @@
     EventLoop loop_;
     asio::executor_work_guard<asio::io_context::executor_type> guard_{
         loop_.get_executor()};
+    LoopWatch watch_ = MakeLoopWatch(MonotonicNow());
+    asio::steady_timer turn_timer_{loop_};
     std::thread thread_;
+
+    void ScheduleTurn() {
+      turn_timer_.expires_after(std::chrono::milliseconds(kTurnInterval.ms()));
+      turn_timer_.async_wait([this](boost::system::error_code error) {
+        if (error) return;
+        RecordTurn(watch_, MonotonicNow());
+        ScheduleTurn();
+      });
+    }
   };
   std::vector<std::unique_ptr<Worker>> workers_;
 };
@@ -40,6 +56,7 @@
   for (std::size_t i = 0; i < std::max<std::size_t>(count, 1); ++i) {
     impl_->workers_.push_back(std::make_unique<Impl::Worker>());
     Impl::Worker& worker = *impl_->workers_.back();
+    worker.ScheduleTurn();
     worker.thread_ = std::thread([&worker] { worker.loop_.run(); });
   }
 }
@@ -52,6 +69,11 @@
   return impl_->workers_[index]->loop_;
 }
 
+Time IoThreads::EarliestArrival(std::size_t index) {
+  return flamingohollow::EarliestArrival(impl_->workers_[index]->watch_,
+                                         MonotonicNow());
+}
+
 void IoThreads::Post(std::size_t index, std::function<void()> task) {
   asio::post(Loop(index), std::move(task));
 }
--- a/util/io_threads.h
+++ b/util/io_threads.h
@@ -10,6 +10,8 @@
 #include <functional>
 #include <memory>
 
+#include "util/clock.h"
+
 namespace boost::asio {
 class io_context;
 }  // namespace boost::asio
@@ -27,6 +29,9 @@
 
   std::size_t size() const;
   boost::asio::io_context& Loop(std::size_t index);
+  // Returns a time before which no request has arrived that the loop reads now
+  // (see loop_watch.h). Only on the loop's thread.
+  Time EarliestArrival(std::size_t index);
   // Runs `task` on a loop's thread; thread-safe.
   void Post(std::size_t index, std::function<void()> task);
   // Stops and joins the threads and drops what waits on the loops; nothing
