--- a/bench/graph_placement_bench.cc
+++ b/bench/graph_placement_bench.cc
@@ -1,6 +1,7 @@
 // Measures the time of one placement pass over a full pool with waiting jobs.
 //
-//   graph_placement_bench [--workers=N] [--waiting=N] [--passes=N]
+//   graph_placement_bench [--workers=N] [--waiting=N] [--tasks=N] [--classes=N]
+//                         [--apart] [--passes=N]
 //
 // Prints the median and the 99th percentile over the passes, in ms.
 
@@ -19,6 +20,9 @@
 
 ABSL_FLAG(int, workers, 350, "workers in the pool, 8 to a rack");
 ABSL_FLAG(int, waiting, 100, "waiting jobs");
+ABSL_FLAG(int, tasks, 0, "single tasks that wait besides, 16 to a job");
+ABSL_FLAG(int, classes, 500, "kinds of need of these tasks");
+ABSL_FLAG(bool, apart, false, "whether they are limited to one a worker");
 ABSL_FLAG(int, passes, 200, "passes to time");
 
 namespace flamingohollow::testing {
@@ -58,12 +62,30 @@
   }
 }
 
+// No kind needs less of everything than another one.
+void AddTasks(GraphState& state, int count, int classes, bool apart) {
+  constexpr int kTasks = 16;
+  std::mt19937_64 random(2);
+  for (int i = 0; i < count / kTasks; ++i) {
+    const auto kind = static_cast<std::int64_t>(
+        random() % static_cast<std::uint64_t>(classes));
+    StepSpec step = MakeStep(kTasks, 1, Duration(5000));
+    step.need_.millicores_ = 1000 + kind;
+    step.need_.memory_mb_ = 20'000 - kind;
+    if (apart) step.max_per_worker_ = 1;
+    Submit(state, 200'000 + static_cast<std::uint64_t>(i), {step},
+           {.priority_ = static_cast<std::uint32_t>(random() % 3)});
+  }
+}
+
 int Main() {
   GraphState state;
   const int workers = absl::GetFlag(FLAGS_workers);
   Fleet fleet = MakeFleet((workers + kPerRack - 1) / kPerRack, kPerRack, kNow);
   FillPool(state, fleet, workers);
   AddWaiting(state, absl::GetFlag(FLAGS_waiting));
+  AddTasks(state, absl::GetFlag(FLAGS_tasks), absl::GetFlag(FLAGS_classes),
+           absl::GetFlag(FLAGS_apart));
   std::vector<double> times;
   for (int i = 0; i < absl::GetFlag(FLAGS_passes); ++i) {
     const auto start = std::chrono::steady_clock::now();
@@ -75,9 +97,10 @@
     times.push_back(spent.count() + (plan.open_.empty() ? 0 : 1e-9));
   }
   std::sort(times.begin(), times.end());
-  fmt::print("{} workers, {} waiting: median {:.2f} ms, 99th {:.2f} ms\n",
-             workers, absl::GetFlag(FLAGS_waiting), times[times.size() / 2],
-             times[times.size() * 99 / 100]);
+  fmt::print(
+      "{} workers, {} waiting, {} tasks: median {:.2f} ms, 99th {:.2f} ms\n",
+      workers, absl::GetFlag(FLAGS_waiting), absl::GetFlag(FLAGS_tasks),
+      times[times.size() / 2], times[times.size() * 99 / 100]);
   return 0;
 }
 
--- a/flamingohollow/graph_placement.cc
+++ b/flamingohollow/graph_placement.cc
@@ -100,7 +100,38 @@
   }
 }
 
+// Whether one of the fits asked for no more than this one.
+bool IsKnownToFail(const std::vector<FailedFit>& failed_fits,
+                   const FailedFit& fit) {
+  return std::any_of(failed_fits.begin(), failed_fits.end(),
+                     [&fit](const FailedFit& failed) {
+                       return failed.eligible_ == fit.eligible_ &&
+                              failed.tasks_ <= fit.tasks_ &&
+                              (!failed.one_rack_ || fit.one_rack_) &&
+                              failed.guaranteed_ == fit.guaranteed_ &&
+                              Fits(failed.need_, fit.need_);
+                     });
+}
+
+// Whether what fails for the unit fails because of its resources only. A step
+// with a limit for each worker may fail because of that limit, and a strong
+// suspect because of what has just started.
+bool IsComparable(const Unit& unit) {
+  return unit.spec_->max_per_worker_ == 0 &&
+         unit.suspicion_ != Suspicion::kStrong;
+}
+
+// Counts a search for room.
+void CountSearch(Pass& pass) {
+  if (pass.searches_left_ > 0) --pass.searches_left_;
+}
+
+FailedFit RequestOf(const Unit& unit, std::size_t tasks, bool may_spread) {
+  return {unit.eligible_, unit.need_, tasks, WantsOneRack(unit) && !may_spread};
+}
+
 void StopGroups(Pass& pass, const TrialPlacement& trial) {
+  pass.failed_after_stops_.clear();
   for (const std::size_t index : trial.groups_) {
     RunGroup& group = pass.groups_[index];
     group.preempted_ = true;
@@ -144,17 +175,29 @@
 // some. Returns false if it may not preempt, or not enough.
 bool HoldOrPreempt(Pass& pass, const Unit& unit, std::size_t tasks,
                    bool may_spread) {
-  if (const auto fit =
-          FitUnit(pass, unit, tasks, &Pass::free_after_stops_, may_spread)) {
-    HoldForStops(pass, unit, *fit);
-    return true;
+  FailedFit request = RequestOf(unit, tasks, may_spread);
+  const bool comparable = IsComparable(unit);
+  if (!IsKnownToFail(pass.failed_after_stops_, request)) {
+    CountSearch(pass);
+    if (const auto fit =
+            FitUnit(pass, unit, tasks, &Pass::free_after_stops_, may_spread)) {
+      HoldForStops(pass, unit, *fit);
+      return true;
+    }
+    if (comparable) pass.failed_after_stops_.push_back(request);
   }
   // A late result has too little value to lose other work for it.
   const bool may_preempt =
       unit.guaranteed_ || unit.lateness_ == Lateness::kOnTime;
   if (!may_preempt || pass.now_ < EarliestPreemption(pass, unit)) return false;
+  request.guaranteed_ = unit.guaranteed_;
+  if (IsKnownToFail(pass.failed_preemptions_, request)) return false;
+  CountSearch(pass);
   const auto trial = FindCheapestPlacement(pass, unit, tasks, {}, may_spread);
-  if (!trial.has_value()) return false;
+  if (!trial.has_value()) {
+    if (comparable) pass.failed_preemptions_.push_back(request);
+    return false;
+  }
   StopGroups(pass, *trial);
   HoldForStops(pass, unit, trial->chosen_);
   return true;
@@ -169,10 +212,30 @@
   if (may_reserve) ReserveSoonestFree(pass, unit, tasks, may_spread);
 }
 
+// As AnyRackCouldHold, which is the same all through a pass for gangs alike.
+bool CouldBeOnOneRack(Pass& pass, const Unit& unit) {
+  const FailedFit request = RequestOf(unit, unit.tasks_.size(), false);
+  const bool comparable = IsComparable(unit);
+  if (comparable && IsKnownToFail(pass.no_rack_holds_, request)) return false;
+  // A request that holds for more holds for less.
+  const bool held = std::any_of(
+      pass.rack_holds_.begin(), pass.rack_holds_.end(),
+      [&request](const FailedFit& more) {
+        return more.eligible_ == request.eligible_ &&
+               more.tasks_ >= request.tasks_ && Fits(request.need_, more.need_);
+      });
+  if (comparable && held) return true;
+  const bool holds = AnyRackCouldHold(pass, unit);
+  if (comparable) {
+    (holds ? pass.rack_holds_ : pass.no_rack_holds_).push_back(request);
+  }
+  return holds;
+}
+
 // Whether a gang that wants one rack may now be placed on several. An urgent
 // gang first tries to preempt within one rack, since it runs much longer when
 // spread.
-bool MaySpread(const Pass& pass, const Unit& unit) {
+bool MaySpread(Pass& pass, const Unit& unit) {
   if (!WantsOneRack(unit)) return false;
   const Duration waited = pass.now_ - unit.queued_at_;
   // A customer may reclaim its guarantee until a job has begun. One that was
@@ -183,37 +246,16 @@
   }
   if (!IsBusy(pass, unit) && waited > pass.options_.max_idle_rack_wait_)
     return true;
-  return !AnyRackCouldHold(pass, unit);
-}
-
-// Whether a fit into the free resources has failed in this pass that asked for
-// no more than this one.
-bool IsKnownToFail(const std::vector<FailedFit>& failed_fits,
-                   const FailedFit& fit) {
-  return std::any_of(failed_fits.begin(), failed_fits.end(),
-                     [&fit](const FailedFit& failed) {
-                       return failed.eligible_ == fit.eligible_ &&
-                              failed.tasks_ <= fit.tasks_ &&
-                              (!failed.one_rack_ || fit.one_rack_) &&
-                              Fits(failed.need_, fit.need_);
-                     });
-}
-
-// Whether the unit's fits depend on its resources only. A step with a limit for
-// each worker may fail because of that limit, and a strong suspect because of
-// what has just started.
-bool IsComparable(const Unit& unit) {
-  return unit.spec_->max_per_worker_ == 0 &&
-         unit.suspicion_ != Suspicion::kStrong;
+  return !CouldBeOnOneRack(pass, unit);
 }
 
 // Starts a whole gang if it fits now.
 bool StartGang(Pass& pass, const Unit& unit, bool may_spread) {
   const std::size_t tasks = unit.tasks_.size();
-  const FailedFit request{unit.eligible_, unit.need_, tasks,
-                          WantsOneRack(unit) && !may_spread};
+  const FailedFit request = RequestOf(unit, tasks, may_spread);
   const bool comparable = IsComparable(unit);
-  if (comparable && IsKnownToFail(pass.failed_fits_, request)) return false;
+  if (IsKnownToFail(pass.failed_fits_, request)) return false;
+  CountSearch(pass);
   const auto fit = FitUnit(pass, unit, tasks, &Pass::free_, may_spread);
   if (fit.has_value()) {
     OpenAttempts(pass, unit, *fit);
@@ -249,12 +291,10 @@
 // long to become free, beside small jobs and an idle pool.
 bool StartInKeptRoom(Pass& pass, const Unit& unit, std::size_t tasks,
                      bool may_spread) {
-  const FailedFit request{unit.eligible_, unit.need_, tasks,
-                          WantsOneRack(unit) && !may_spread};
+  const FailedFit request = RequestOf(unit, tasks, may_spread);
   const bool comparable = IsComparable(unit);
-  if (comparable && IsKnownToFail(pass.failed_kept_fits_, request)) {
-    return false;
-  }
+  if (IsKnownToFail(pass.failed_kept_fits_, request)) return false;
+  CountSearch(pass);
   // What is left then is for the units that it is held for.
   std::optional<std::vector<std::size_t>> fit;
   if (HaveRoomTwice(pass, unit, tasks, &Pass::unused_)) {
@@ -275,7 +315,9 @@
   if (!gang && !lost.empty()) {
     Unit again = unit;
     again.tasks_ = std::move(lost);
-    const auto chosen = FitMost(pass, again, &Pass::unused_);
+    CountSearch(pass);
+    const auto chosen =
+        FitMost(pass, again, again.tasks_.size(), &Pass::unused_);
     OpenAttempts(pass, again, chosen);
     return !chosen.empty();
   }
@@ -344,25 +386,42 @@
   }
 }
 
+// Holds or frees resources for the unit's tasks from the one numbered `first`,
+// each for itself.
+void PlaceUrgentTasks(Pass& pass, const Unit& unit, std::size_t first) {
+  const bool comparable = IsComparable(unit);
+  const bool may_reserve =
+      unit.guaranteed_ || unit.lateness_ != Lateness::kTooLate;
+  bool failed = false;
+  for (std::size_t i = first; i < unit.tasks_.size(); ++i) {
+    if (pass.searches_left_ == 0) return;
+    if (!failed && HoldOrPreempt(pass, unit, 1, false)) continue;
+    // The unit's tasks are alike.
+    failed = comparable;
+    if (may_reserve) ReserveSoonestFree(pass, unit, 1, false);
+    if (failed && (!may_reserve || pass.reservations_ == 0)) return;
+  }
+}
+
 // Starts as many of the tasks as fit now. Urgent tasks that don't fit may hold
-// or free resources, each for itself.
+// or free resources.
 void PlaceTasks(Pass& pass, const Unit& unit) {
-  const FailedFit request{unit.eligible_, unit.need_, 1, false};
-  const bool comparable = IsComparable(unit);
+  const FailedFit request = RequestOf(unit, 1, false);
+  const std::size_t most = std::min(
+      unit.tasks_.size(), pass.options_.max_starts_ - pass.plan_.open_.size());
   std::size_t started = 0;
-  if (!comparable || !IsKnownToFail(pass.failed_fits_, request)) {
-    const auto chosen = FitMost(pass, unit, &Pass::free_);
+  if (!IsKnownToFail(pass.failed_fits_, request)) {
+    CountSearch(pass);
+    const auto chosen = FitMost(pass, unit, most, &Pass::free_);
     OpenAttempts(pass, unit, chosen);
     started = chosen.size();
+    if (started == most && most < unit.tasks_.size()) return;
     const bool failed = started < unit.tasks_.size();
-    if (failed && comparable) pass.failed_fits_.push_back(request);
+    if (failed && IsComparable(unit)) pass.failed_fits_.push_back(request);
   }
   if (started == 0 && StartIdle(pass, unit, false)) return;
   if (started == 0 && HoldQuietWorkers(pass, unit, false)) return;
-  if (unit.job_->terms_.priority_ != 0) return;
-  for (std::size_t i = started; i < unit.tasks_.size(); ++i) {
-    PlaceUrgent(pass, unit, 1, false);
-  }
+  if (unit.job_->terms_.priority_ == 0) PlaceUrgentTasks(pass, unit, started);
 }
 
 // Room that other jobs leave free is at most one part in this many of a pool.
@@ -487,6 +546,11 @@
             .busy_ = {},
             .failed_fits_ = {},
             .failed_kept_fits_ = {},
+            .failed_preemptions_ = {},
+            .failed_after_stops_ = {},
+            .rack_holds_ = {},
+            .no_rack_holds_ = {},
+            .searches_left_ = options.max_searches_,
             .plan_ = {}};
   CollectGuaranteed(pass);
   std::vector<Unit> units = CollectUnits(pass, queued_at);
@@ -497,7 +561,11 @@
       std::clamp(pass.workers_.size() / options.workers_per_reservation_,
                  options.min_reservations_, options.max_reservations_);
   bool kept = false;
+  std::size_t explained = 0;
   for (Unit& unit : units) {
+    const bool over = pass.searches_left_ == 0 ||
+                      pass.plan_.open_.size() >= options.max_starts_;
+    if (over) break;
     const bool urgent = unit.job_->terms_.priority_ == 0;
     if (!urgent && !std::exchange(kept, true)) KeepFree(pass, keep_free);
     unit.eligible_ = &FindEligible(pass, unit, LeftOut::kNone);
@@ -508,7 +576,10 @@
       PlaceTasks(pass, unit);
     }
     const bool waits = pass.plan_.open_.size() == opened;
-    if (waits && options.explain_waits_) ExplainWait(pass, unit);
+    if (waits && options.explain_waits_ && explained < options.max_searches_) {
+      ExplainWait(pass, unit);
+      ++explained;
+    }
   }
   return std::move(pass.plan_);
 }
--- a/flamingohollow/graph_placement.h
+++ b/flamingohollow/graph_placement.h
@@ -40,9 +40,16 @@
 //   held resources; so may a task that lasts and has lost its worker, at any
 //   time.
 //
-// Cost: one look at each run of the fleet, and at each worker for each unit
-// that starts, is preempted for or holds resources. A unit that asks for no
-// less than one that did not fit is skipped.
+// Cost: one look at each run of the fleet, and at each worker for each search:
+// for a unit that starts, is preempted for or holds resources, and for the
+// first of those alike that does not fit. Units are alike for a pass if their
+// pool and label are the same, one asks for no less than the other of each
+// resource, of tasks and of racks, and, as to preemption, both or neither are
+// within a guarantee. What has failed for one then fails for the other, as the
+// room, with what could be preempted, only decreases. Units with a limit for
+// each worker and strong suspects are tried each for themselves. So however
+// many tasks wait, they keep no other from the pass, unless those that are
+// tried exceed `max_searches_`.
 
 #ifndef FLAMINGOHOLLOW_GRAPH_PLACEMENT_H_
 #define FLAMINGOHOLLOW_GRAPH_PLACEMENT_H_
@@ -94,8 +101,10 @@
   // In a pool that is at most half in use, a job of which nothing has run for
   // this long may use resources that are held for units that don't fit.
   Duration max_kept_wait_ = Duration(10'000);
-  // Units considered in one pass.
-  std::size_t max_units_ = 2000;
+  // Searches for room in one pass, and tasks that start in one. Units for which
+  // no search is needed are not limited.
+  std::size_t max_searches_ = 2000;
+  std::size_t max_starts_ = 2000;
   // Whether the plan says why units of jobs without an open attempt wait.
   bool explain_waits_ = false;
 };
--- a/flamingohollow/graph_placement_fit.cc
+++ b/flamingohollow/graph_placement_fit.cc
@@ -324,8 +324,8 @@
 }
 
 std::vector<std::size_t> FitMost(const Pass& pass, const Unit& unit,
-                                 ResourcesOf free) {
-  return FitBest(pass, unit, unit.tasks_.size(), unit.eligible_->all_, free);
+                                 std::size_t tasks, ResourcesOf free) {
+  return FitBest(pass, unit, tasks, unit.eligible_->all_, free);
 }
 
 }  // namespace flamingohollow::graph_placement_internal
--- a/flamingohollow/graph_placement_pass.h
+++ b/flamingohollow/graph_placement_pass.h
@@ -169,6 +169,8 @@
   Resources need_;
   std::size_t tasks_ = 0;
   bool one_rack_ = false;
+  // Only for preemption, which depends on it.
+  bool guaranteed_ = false;
 };
 
 struct Pass {
@@ -208,6 +210,16 @@
   // the pass, as both only decrease.
   std::vector<FailedFit> failed_fits_;
   std::vector<FailedFit> failed_kept_fits_;
+  // The same of preemption: what is free after stops and what could be stopped
+  // for a unit only decrease together.
+  std::vector<FailedFit> failed_preemptions_;
+  // Fits into `free_after_stops_` that failed since groups were last stopped.
+  std::vector<FailedFit> failed_after_stops_;
+  // Gangs that some rack could hold, and gangs that none could.
+  std::vector<FailedFit> rack_holds_;
+  std::vector<FailedFit> no_rack_holds_;
+  // Searches that this pass may still make.
+  std::size_t searches_left_ = 0;
   PlacementPlan plan_;
 };
 
@@ -277,9 +289,9 @@
 // worker has recent starts until it is held.
 std::vector<std::size_t> FindQuietWorkers(const Pass& pass, const Unit& unit,
                                           bool may_spread);
-// Returns worker indices for as many of the unit's tasks as fit.
+// Returns worker indices for as many of the unit's first `tasks` tasks as fit.
 std::vector<std::size_t> FitMost(const Pass& pass, const Unit& unit,
-                                 ResourcesOf free);
+                                 std::size_t tasks, ResourcesOf free);
 
 // graph_placement_trial.cc
 
--- a/flamingohollow/graph_placement_units.cc
+++ b/flamingohollow/graph_placement_units.cc
@@ -227,20 +227,6 @@
   }
 }
 
-// Drops units, or tasks of the last unit, so that at most `limit` gangs and
-// single tasks are left.
-void LimitUnits(std::vector<Unit>& units, std::size_t limit) {
-  std::size_t count = 0;
-  for (std::size_t i = 0; i < units.size(); ++i) {
-    Unit& unit = units[i];
-    if (count >= limit) return units.resize(i);
-    if (!unit.spec_->gang_ && unit.tasks_.size() > limit - count) {
-      unit.tasks_.resize(limit - count);
-    }
-    count += unit.spec_->gang_ ? 1 : unit.tasks_.size();
-  }
-}
-
 }  // namespace
 
 std::vector<Unit> CollectUnits(const Pass& pass, const JobQueuedAt& queued_at) {
@@ -267,7 +253,6 @@
   std::stable_sort(
       units.begin(), units.end(),
       [&order](const Unit& a, const Unit& b) { return order(a) < order(b); });
-  LimitUnits(units, pass.options_.max_units_);
   return units;
 }
 
--- a/flamingohollow/testing/graph_placement_test.cc
+++ b/flamingohollow/testing/graph_placement_test.cc
@@ -379,6 +379,43 @@
   CHECK_EQ(plan.open_[1].worker_, WorkerId("w1"));
 }
 
+// Guards against an accepted job that never starts on idle workers, as
+// thousands of tasks wait for the only worker of their kind.
+TEST_CASE("what waits for one worker keeps no other task waiting") {
+  constexpr std::uint64_t kOther = 100;
+  GraphState state;
+  Fleet fleet = MakeFleet(2, 4, kNow);
+  fleet.at(WorkerId("w0")).report_.labels_ = {"b", "r0"};
+  StepSpec step = MakeStep(64, 1, Duration(6100));
+  JobOptions options;
+  SUBCASE("single tasks") {}
+  SUBCASE("single tasks, one of a step on a worker") {
+    step.max_per_worker_ = 1;
+  }
+  SUBCASE("urgent tasks") { options.priority_ = 0; }
+  SUBCASE("gangs") { step = MakeGang(64, 1, Duration(6100), false); }
+  SUBCASE("gangs that want one rack") {
+    step = MakeGang(64, 1, Duration(6100), true);
+  }
+  SUBCASE("tasks that last") { step.long_running_ = true; }
+  step.label_ = "b";
+  for (std::uint64_t job = 1; job <= 40; ++job) {
+    Submit(state, job, {step}, options);
+  }
+  Submit(state, kOther, {MakeStep(1, 1, Duration(500))}, {.priority_ = 2});
+  CHECK(JobsOf(Plan(state, fleet)).contains(MakeKey(kOther).value()));
+}
+
+// A record of starts must not grow with the room.
+TEST_CASE("a pass starts a limited number of tasks") {
+  GraphState state;
+  const Fleet fleet = MakeFleet(50, 8, kNow);
+  for (std::uint64_t job = 1; job <= 50; ++job) {
+    Submit(state, job, {MakeStep(64, 1, Duration(6100))}, {});
+  }
+  CHECK_EQ(Plan(state, fleet).open_.size(), 2000);
+}
+
 TEST_CASE("a step waits for the steps before it") {
   GraphState state;
   Fleet fleet = MakeFleet(1, 2, kNow);
--- a/flamingohollow/testing/placement_oracle_test.cc
+++ b/flamingohollow/testing/placement_oracle_test.cc
@@ -16,6 +16,8 @@
 namespace {
 
 constexpr Time kNow(100'000);
+// One pool in this many has a backlog.
+constexpr std::uint64_t kBacklogSeeds = 10;
 
 std::string Describe(const PlacementPlan& plan) {
   std::string text;
@@ -58,6 +60,7 @@
     for (int i = 0; i < running; ++i) AddRunning();
     const int waiting = 1 + Below(25);
     for (int i = 0; i < waiting; ++i) AddWaiting();
+    if (seed % kBacklogSeeds == 7) AddBacklog();
     for (const auto& [key, job] : state_.jobs_) {
       if (lasting_random_() % 2 == 0) {
         const auto ms = static_cast<std::int64_t>(lasting_random_() % 20'000);
@@ -120,6 +123,15 @@
     }
     Submit(state_, ++jobs_, std::move(steps), Options());
   }
+  // Many tasks of a few kinds.
+  void AddBacklog() {
+    for (int kind = 0; kind < 3; ++kind) {
+      const JobOptions options = Options();
+      StepSpec step = Step();
+      if (!step.gang_) step.tasks_ += static_cast<std::uint32_t>(Below(60));
+      for (int i = 0; i < 6; ++i) Submit(state_, ++jobs_, {step}, options);
+    }
+  }
   // A job whose tasks run as far as they fit; others of its tasks wait.
   void AddRunning() {
     Submit(state_, ++jobs_, {Step()}, Options());
@@ -153,7 +165,7 @@
     CAPTURE(seed);
     RandomPool pool(seed);
     GraphPlacementOptions options;
-    options.max_units_ = pool.Chance(20) ? 1 + pool.Below(30) : 2000;
+    options.max_starts_ = pool.Chance(20) ? 1 + pool.Below(30) : 2000;
     const Duration age(pool.Below(6000));
     const JobQueuedAt queued_at = [&](const GraphJob& job) {
       return job.accepted_ - age;
--- a/flamingohollow/testing/slow_placement.cc
+++ b/flamingohollow/testing/slow_placement.cc
@@ -901,9 +901,6 @@
   std::stable_sort(
       units.begin(), units.end(),
       [&order](const Unit& a, const Unit& b) { return order(a) < order(b); });
-  if (units.size() > pass.options_.max_units_) {
-    units.resize(pass.options_.max_units_);
-  }
   return units;
 }
 
@@ -1212,6 +1209,7 @@
   const StepRecord* full_step = nullptr;
   bool kept = false;
   for (const Unit& unit : units) {
+    if (pass.plan_.open_.size() >= options.max_starts_) break;
     if (unit.job_->terms_.priority_ != 0 && !std::exchange(kept, true)) {
       KeepFree(pass, keep_free);
     }
