--- a/flamingohollow/fleet.h
+++ b/flamingohollow/fleet.h
@@ -145,8 +145,10 @@
   // Number of polls sent.
   std::uint64_t polls_sent_ = 0;
   Time next_poll_at_;
-  // The address that the poll in flight, or the last one, was sent to.
+  // The address that the poll in flight, or the last one, was sent to, and the
+  // ends that it acknowledges.
   std::string polled_address_;
+  std::uint64_t polled_end_ = 0;
   // When another process was found to have its address; unset before that.
   Time replaced_at_;
   // A process has said under its id that it leaves, and this incarnation has
--- a/flamingohollow/graph_scheduler_commands.cc
+++ b/flamingohollow/graph_scheduler_commands.cc
@@ -208,9 +208,13 @@
   PollCommand command;
   command.target_ = TargetOf(ctx, worker);
   command.number_ = ++worker.polls_sent_;
-  // A worker that does not answer may be restarting, and its next incarnation
-  // would forget its own ends up to `last_end_`, so that stays 0.
-  if (worker.unanswered_calls_ == 0) command.last_end_ = worker.logged_end_;
+  // A poll without an answer may be carried out by the worker's next
+  // incarnation, which forgets its own ends up to `last_end_`. So each end is
+  // acknowledged once, and none while the worker does not answer.
+  const bool acknowledges = worker.unanswered_calls_ == 0 &&
+                            worker.acknowledged_end_ < worker.logged_end_;
+  if (acknowledges) command.last_end_ = worker.logged_end_;
+  worker.polled_end_ = command.last_end_;
   command.wait_ = options.poll_wait_;
   // A worker without a task that is known to run needs no lease. Granting one
   // would delay the point at which a task whose start gets lost is known to be
--- a/flamingohollow/graph_scheduler_polls.cc
+++ b/flamingohollow/graph_scheduler_polls.cc
@@ -214,7 +214,6 @@
       FindIncarnation(ctx, result.worker_, result.incarnation_);
   if (worker == nullptr) return;
   worker->poll_in_flight_ = false;
-  const std::uint32_t silent_before = worker->unanswered_calls_;
   RecordAnswer(ctx, *worker, result.outcome_);
   if (HandleIncarnationEnd(ctx, *worker, result.outcome_)) return;
   if (result.outcome_ != CommandOutcome::kDone) {
@@ -234,10 +233,8 @@
     if (worker->reported_) ListWorker(ctx, *worker);
   }
   worker->next_poll_at_ = std::max(worker->next_poll_at_, ctx.now_);
-  if (silent_before == 0) {
-    worker->acknowledged_end_ =
-        std::max(worker->acknowledged_end_, worker->logged_end_);
-  }
+  worker->acknowledged_end_ =
+      std::max(worker->acknowledged_end_, worker->polled_end_);
   worker->more_ends_ = result.more_ends_;
   std::set<AttemptRef> seen;
   for (const ReportedEnd& row : result.ends_) seen.insert(row.attempt_);
--- a/flamingohollow/testing/graph_scheduler_test.cc
+++ b/flamingohollow/testing/graph_scheduler_test.cc
@@ -494,6 +494,26 @@
   CHECK_EQ(world.Next<PollCommand>()->last_end_, 1);
 }
 
+// Guards against ends that the leader never sees, as a delayed poll makes the
+// worker's next incarnation forget them.
+TEST_CASE("each end is acknowledged once") {
+  OneWorker world;
+  world.RunOneTask();
+  const auto poll = world.Next<PollCommand>();
+  REQUIRE_EQ(poll->last_end_, 1);
+  world.Apply(MakeSubmit(2, {MakeStep(1, 1, Duration(60'000))}, {}));
+  const auto start = world.Next<StartCommand>();
+  world.Answer(*poll, CommandOutcome::kDone, 901'000);
+  world.Feed(StartResult{WorkerId("w"), WorkerIncarnation(1), start->attempt_,
+                         CommandOutcome::kDone, 901'100, ""});
+  const auto next = world.Next<PollCommand>();
+  REQUIRE(next.has_value());
+  CHECK_EQ(next->last_end_, 0);
+  world.Answer(*next, CommandOutcome::kDone, 901'200,
+               {{2, start->attempt_, AttemptEnd::kStopped, Checkpoint()}});
+  CHECK_EQ(world.Next<PollCommand>()->last_end_, 2);
+}
+
 TEST_CASE("an answer whose clock went back is from a later incarnation") {
   OneWorker world;
   world.RunOneTask();
