--- a/flamingohollow/graph_scheduler.h
+++ b/flamingohollow/graph_scheduler.h
@@ -17,8 +17,9 @@
 //   - A worker that drains, does not answer or is likely to make its tasks fail
 //     gets no new tasks.
 //
-// Limits: one poll in flight per worker; one uncommitted record of reported
-// ends per worker, and one uncommitted record of new attempts.
+// Limits: one poll in flight per worker, or one each `resend_interval_` while
+// another worker may be at its address; one uncommitted record of reported ends
+// per worker, and one uncommitted record of new attempts.
 
 #ifndef FLAMINGOHOLLOW_GRAPH_SCHEDULER_H_
 #define FLAMINGOHOLLOW_GRAPH_SCHEDULER_H_
